Add the platform library with an in-memory platform on virtual time

The protocols and their proof need one description of the object API and a platform whose faults are scripted.

--- /dev/null
+++ b/libs/platform/include/masticstep/platform/InMemoryPlatform.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "masticstep/platform/PlatformReply.hpp"
+#include "masticstep/platform/PlatformRequest.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace masticstep::platform {
+
+// Number of calls that reached the platform, by kind.
+struct PlatformCounters
+{
+  std::uint64_t reads = 0; // reads, listings and watches
+  std::uint64_t writes = 0;
+  std::uint64_t deletes = 0;
+
+  auto operator<=>(const PlatformCounters&) const = default;
+};
+
+// The platform's state and rules without time or transport. It is a value, so that an explorer can
+// copy it at every step.
+class InMemoryPlatform
+{
+public:
+  struct Object
+  {
+    Version version;
+    std::string body;
+
+    auto operator<=>(const Object&) const = default;
+  };
+  using Objects = std::map<ObjectKey, Object>;
+
+  // Applies a call at once. A watch returns the changes so far and does not wait.
+  PlatformReply Apply(const PlatformRequest& aRequest);
+
+  // Makes every later call fail with Refused until the outage ends.
+  void SetOutage(bool aOutage) { mOutage = aOutage; }
+  bool IsOut() const { return mOutage; }
+
+  const Objects& All() const { return mObjects; }
+  const Object* Find(const ObjectKey& aKey) const;
+  const PlatformCounters& Counters() const { return mCounters; }
+
+private:
+  PlatformReply Read(const ReadRequest& aCall) const;
+  PlatformReply Write(const ConditionalWrite& aCall);
+  PlatformReply Delete(const ConditionalDelete& aCall);
+  PlatformReply List(const ListRequest& aCall) const;
+  PlatformReply Changes(const WatchRequest& aCall) const;
+
+  Objects mObjects;
+  std::map<ObjectKey, Version> mDeleted; // deletions, for watches
+  std::uint64_t mRevision = 0;
+  PlatformCounters mCounters;
+  bool mOutage = false;
+};
+
+} // namespace masticstep::platform
--- /dev/null
+++ b/libs/platform/include/masticstep/platform/ObjectKey.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <ostream>
+
+namespace masticstep::platform {
+
+// Key of an object, such as "config/manifest".
+using ObjectKey = Identifier<struct ObjectKeyTag>;
+
+// Version of an object. The platform never gives the same version to a key twice, not even after
+// the object was deleted and created again.
+struct Version
+{
+  std::uint64_t value = 0;
+
+  std::strong_ordering operator<=>(const Version&) const = default;
+};
+
+inline std::ostream& operator<<(std::ostream& aStream, Version aVersion)
+{
+  return aStream << aVersion.value;
+}
+
+// Largest value that the platform holds, in bytes.
+constexpr std::size_t kMaximumObjectBytes = 1024 * 1024;
+
+} // namespace masticstep::platform
--- /dev/null
+++ b/libs/platform/include/masticstep/platform/PlatformRequest.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "masticstep/base/Time.hpp"
+#include "masticstep/platform/ObjectKey.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace masticstep::platform {
+
+// Reads one object.
+struct ReadRequest
+{
+  ObjectKey key;
+
+  auto operator<=>(const ReadRequest&) const = default;
+};
+
+// Replaces an object if it still has the expected version. Without an expected version the object
+// must not exist.
+struct ConditionalWrite
+{
+  ObjectKey key;
+  std::optional<Version> expected;
+  std::string body;
+
+  auto operator<=>(const ConditionalWrite&) const = default;
+};
+
+// Deletes an object if it still has the expected version.
+struct ConditionalDelete
+{
+  ObjectKey key;
+  Version expected;
+
+  auto operator<=>(const ConditionalDelete&) const = default;
+};
+
+// Lists the objects whose keys start with the prefix.
+struct ListRequest
+{
+  std::string prefix;
+
+  auto operator<=>(const ListRequest&) const = default;
+};
+
+// Waits for changes after a revision of the store, at most for the time-out.
+struct WatchRequest
+{
+  std::string prefix;
+  std::uint64_t afterRevision = 0;
+  Duration timeout{};
+
+  auto operator<=>(const WatchRequest&) const = default;
+};
+
+using PlatformCall =
+  std::variant<ReadRequest, ConditionalWrite, ConditionalDelete, ListRequest, WatchRequest>;
+
+// One call with the number by which its sender matches the reply.
+struct PlatformRequest
+{
+  std::uint64_t number = 0;
+  PlatformCall call;
+
+  auto operator<=>(const PlatformRequest&) const = default;
+};
+
+} // namespace masticstep::platform
--- /dev/null
+++ b/libs/platform/tests/VirtualObjectStoreTests.cpp
@@ -0,0 +1,42 @@
+#include "masticstep/platform/VirtualObjectStore.hpp"
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using namespace masticstep::platform;
+
+namespace {
+
+const ObjectKey kKey{ "a" };
+
+PlatformRequest Create()
+{
+  return { 7, ConditionalWrite{ kKey, std::nullopt, "x" } };
+}
+
+} // namespace
+
+// Guards against a fake whose lost answer also loses the write, which would hide read-back faults.
+MASTICSTEP_TEST("a lost answer leaves the write in effect", "[platform][failure]")
+{
+  VirtualObjectStore store;
+  store.Faults().loseAnswers = 1;
+  std::optional<PlatformReply> reply;
+  store.Submit(Create(), [&reply](PlatformReply aReply) { reply = std::move(aReply); });
+  store.AdvanceTo(Time{ Milliseconds(10) });
+  CHECK_TRUE(!reply);
+  CHECK_TRUE(store.Platform().Find(kKey) != nullptr);
+  store.AdvanceTo(Time{ Seconds(2) });
+  CHECK_TRUE(reply && reply->status == PlatformStatus::Unknown && reply->number == 7U);
+}
+
+// Guards against answers that come early or never.
+MASTICSTEP_TEST("an answer arrives after the latency", "[platform]")
+{
+  VirtualObjectStore store;
+  std::optional<Time> arrived;
+  store.Submit(Create(), [&](const PlatformReply&) { arrived = store.Now(); });
+  while (const std::optional<Time> next = store.NextWakeUp()) {
+    store.AdvanceTo(*next);
+  }
+  CHECK_TRUE(arrived == Time{ Milliseconds(5) });
+}
