Add the config library: settings, services, client accounts and their checker

Cause: every other part needs typed settings and configuration, and operators need all faults of a run at once. Change: Settings, Service, ClientAccount, Configuration and their JSON readers; addresses are IP numbers; references to nothing, names used twice, unknown keys, duplicates and ranges are reported with file, path and what is allowed.

--- /dev/null
+++ b/libs/config/src/ServiceReader.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "masticstep/base/ObjectReader.hpp"
+#include "masticstep/config/ClientAccount.hpp"
+#include "masticstep/config/Service.hpp"
+
+namespace masticstep {
+
+// Reads the top-level object of a *.service.json file. Faults go to the reader.
+Service ReadService(ObjectReader& aReader);
+
+// Reads the top-level object of an *.accounts.json file. Faults go to the reader.
+std::vector<ClientAccount> ReadAccounts(ObjectReader& aReader);
+
+} // namespace masticstep
