--- /dev/null
+++ b/libs/publication/src/GenerationTracker.cpp
@@ -0,0 +1,94 @@
+#include "masticstep/publication/GenerationTracker.hpp"
+
+#include "masticstep/base/Hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::publication {
+
+TrackerActions GenerationTracker::OnManifest(std::string_view aText)
+{
+  TrackerActions actions;
+  Result<Manifest, Faults> manifest = ParseManifest(aText);
+  if (!manifest) {
+    actions.faults = manifest.error();
+    return actions;
+  }
+  if (!IsNewer(*manifest)) {
+    actions.wanted = Wanted();
+    return actions;
+  }
+  mCandidate = std::move(*manifest);
+  return TryApply();
+}
+
+TrackerActions GenerationTracker::OnContent(const std::string& aText)
+{
+  const std::string digest = Sha256Hex(aText);
+  const std::vector<std::string> wanted = Wanted();
+  if (std::find(wanted.begin(), wanted.end(), digest) == wanted.end()) {
+    return { wanted, false, {} };
+  }
+  mContents.emplace(digest, aText);
+  return TryApply();
+}
+
+std::uint64_t GenerationTracker::NewestGeneration() const
+{
+  const std::uint64_t candidate = mCandidate ? mCandidate->generation : 0;
+  return std::max({ mApplied.generation, candidate, mRejected });
+}
+
+std::vector<std::string> GenerationTracker::Wanted() const
+{
+  return mCandidate ? MissingDigests(*mCandidate, mContents) : std::vector<std::string>{};
+}
+
+const std::string* GenerationTracker::FindContent(const std::string& aDigest) const
+{
+  const Contents::const_iterator it = mContents.find(aDigest);
+  return it == mContents.end() ? nullptr : &it->second;
+}
+
+bool GenerationTracker::IsNewer(const Manifest& aManifest) const
+{
+  if (mFaults.acceptsAnyOtherGeneration) {
+    return aManifest.generation != mApplied.generation;
+  }
+  return aManifest.generation > NewestGeneration();
+}
+
+TrackerActions GenerationTracker::TryApply()
+{
+  TrackerActions actions;
+  actions.wanted = Wanted();
+  if (!actions.wanted.empty() && !mFaults.appliesIncomplete) {
+    return actions;
+  }
+  Result<Configuration, Faults> checked = Assemble(*mCandidate, mContents);
+  if (checked || mFaults.appliesIncomplete) {
+    mApplied = std::move(*mCandidate);
+    mCurrent = checked ? std::make_shared<const Configuration>(std::move(*checked)) : nullptr;
+    actions.applied = true;
+  } else {
+    mRejected = mCandidate->generation;
+    actions.faults = checked.error();
+  }
+  mCandidate.reset();
+  DropUnusedContents();
+  return actions;
+}
+
+// Keeps only what the manifest in force names, so that memory does not grow with generations.
+void GenerationTracker::DropUnusedContents()
+{
+  std::erase_if(mContents, [this](const Contents::value_type& aItem) {
+    return std::none_of(mApplied.services.begin(), mApplied.services.end(),
+                        [&aItem](const std::pair<const ServiceName, ManifestEntry>& aEntry) {
+                          return aEntry.second.digest == aItem.first;
+                        });
+  });
+}
+
+} // namespace masticstep::publication
