--- /dev/null
+++ b/libs/cli/include/masticstep/cli/CheckCommand.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "masticstep/base/Fault.hpp"
+#include "masticstep/cli/ExitCode.hpp"
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace masticstep {
+
+// Checks all files below the folders as one configuration. Faults go to aErrors, one a line.
+ExitCode RunCheck(const std::vector<std::string>& aFolders, std::ostream& aOutput,
+                  std::ostream& aErrors);
+
+// Prints faults, one a line, as "FILE: PATH: PROBLEM (allowed: ALLOWED)".
+void PrintFaults(const Faults& aFaults, std::ostream& aErrors);
+
+} // namespace masticstep
--- /dev/null
+++ b/libs/cli/include/masticstep/cli/CommandLine.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "masticstep/base/Result.hpp"
+#include "masticstep/base/Time.hpp"
+#include "masticstep/config/SocketAddress.hpp"
+
+#include <string>
+#include <vector>
+
+namespace masticstep {
+
+enum class CommandKind
+{
+  Serve,
+  Check,
+  Publish,
+  Status,
+  Drain,
+  PrintText // help or version
+};
+
+// Parsed command line.
+struct Command
+{
+  CommandKind kind = CommandKind::PrintText;
+  std::string settingsFile;
+  std::vector<std::string> folders;
+  HttpUrl platformUrl;
+  SocketAddress adminAddress;
+  bool wait = false;
+  bool json = false;
+  Duration timeout = Seconds(30);
+  std::string text; // what to print for PrintText
+
+  auto operator<=>(const Command&) const = default;
+};
+
+// Message for stderr about arguments that cannot be understood.
+struct UsageError
+{
+  std::string message;
+};
+
+// Parses the arguments after the program name.
+Result<Command, UsageError> ParseCommandLine(const std::vector<std::string>& aArguments);
+
+} // namespace masticstep
--- /dev/null
+++ b/libs/cli/tests/CommandLineTests.cpp
@@ -0,0 +1,34 @@
+#include "masticstep/cli/CommandLine.hpp"
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+
+MASTICSTEP_TEST("each command line form is understood", "[cli]")
+{
+  const Result<Command, UsageError> serve = ParseCommandLine({ "serve", "--settings", "s.json" });
+  CHECK_TRUE(serve.has_value() && serve->kind == CommandKind::Serve);
+  CHECK_EQUAL(std::string("s.json"), serve->settingsFile);
+  const Result<Command, UsageError> publish =
+    ParseCommandLine({ "publish", "a", "b", "--platform", "http://127.0.0.1:1", "--wait" });
+  CHECK_TRUE(publish.has_value() && publish->kind == CommandKind::Publish);
+  CHECK_EQUAL(2U, publish->folders.size());
+  CHECK_TRUE(publish->wait);
+  const Result<Command, UsageError> status =
+    ParseCommandLine({ "status", "--json", "--admin", "127.0.0.1:5" });
+  CHECK_TRUE(status.has_value() && status->json && status->adminAddress.port == 5);
+  CHECK_TRUE(ParseCommandLine({ "--version" })->text.starts_with("masticstep "));
+  CHECK_TRUE(ParseCommandLine({ "--help" })->text.find("Usage:") != std::string::npos);
+}
+
+// Guards against an operator's typing error that runs something else.
+MASTICSTEP_TEST("arguments that are not understood are a usage error", "[cli]")
+{
+  CHECK_FALSE(ParseCommandLine({}).has_value());
+  CHECK_FALSE(ParseCommandLine({ "serve" }).has_value());
+  CHECK_FALSE(ParseCommandLine({ "publish", "a" }).has_value());
+  CHECK_FALSE(ParseCommandLine({ "publish", "a", "--platform", "nowhere" }).has_value());
+  CHECK_FALSE(ParseCommandLine({ "status", "--admin", "here" }).has_value());
+  CHECK_FALSE(
+    ParseCommandLine({ "publish", "a", "--platform", "http://127.0.0.1:1", "--timeout", "0" })
+      .has_value());
+}
