Add stand-ins for the platform and the plain ordering service

Change: a small library for HTTP servers with coroutines, the platform's object API with conditional updates, watches, rate limits and faults, and an ordering service that counts the executions of each idempotency key.

--- /dev/null
+++ b/standins/common/Exchange.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "common/Asio.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace masticstep::standins {
+
+struct Header
+{
+  std::string name;
+  std::string value;
+};
+
+// One HTTP request on a connection and the means to answer it.
+class Exchange
+{
+public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+  Exchange(Tcp::socket& aSocket, Request aRequest);
+
+  const std::string& Method() const { return mMethod; }
+  const std::string& Path() const { return mPath; } // percent-decoded, without the query
+  const std::string& Body() const { return mRequest.body(); }
+  bool HasParameter(const std::string& aName) const { return mParameters.contains(aName); }
+  std::string Parameter(const std::string& aName) const;
+  std::int64_t IntegerParameter(const std::string& aName, std::int64_t aDefault) const;
+  std::string HeaderValue(std::string_view aName) const; // empty if absent
+  // Returns the body as an object, or nothing if it is not one.
+  std::optional<boost::json::object> JsonBody() const;
+
+  Awaitable<void> Reply(unsigned aStatus, std::string aBody, std::vector<Header> aHeaders = {});
+  Awaitable<void> ReplyJson(unsigned aStatus, boost::json::value aBody);
+  // Answers with {"error": {"type", "message"}}.
+  Awaitable<void> ReplyError(unsigned aStatus, std::string aType, std::string aMessage);
+
+  // Server-sent events; the functions return false when the peer has gone.
+  Awaitable<bool> BeginEvents();
+  Awaitable<bool> SendEvents(std::string aText);
+  Awaitable<void> EndEvents();
+
+  // Closes the connection without sending anything more.
+  void Drop();
+  bool IsOpen() const { return mSocket->is_open(); }
+  bool KeepsAlive() const { return mSocket->is_open() && mRequest.keep_alive(); }
+
+private:
+  void ReadTarget(std::string_view aTarget);
+
+  Tcp::socket* mSocket;
+  Request mRequest;
+  std::string mMethod;
+  std::string mPath;
+  std::map<std::string, std::string> mParameters;
+};
+
+} // namespace masticstep::standins
