--- /dev/null
+++ b/libs/wire/src/BodyReader.cpp
@@ -0,0 +1,150 @@
+#include "BodyReader.hpp"
+
+#include "generated/peer_generated.h"
+
+namespace masticstep::wire {
+
+namespace {
+
+std::string ReadText(const flatbuffers::String* aText)
+{
+  return aText == nullptr ? std::string() : aText->str();
+}
+
+std::string ReadBytes(const flatbuffers::Vector<std::uint8_t>* aBytes)
+{
+  if (aBytes == nullptr) {
+    return {};
+  }
+  return { reinterpret_cast<const char*>(aBytes->data()), aBytes->size() };
+}
+
+// Verifies the structure, so that reading cannot leave the buffer.
+template <class Table>
+const Table* Verified(std::string_view aBody)
+{
+  const std::uint8_t* bytes = reinterpret_cast<const std::uint8_t*>(aBody.data());
+  flatbuffers::Verifier verifier(bytes, aBody.size());
+  return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(bytes) : nullptr;
+}
+
+std::optional<Message> ReadHello(std::string_view aBody)
+{
+  const fb::Hello* table = Verified<fb::Hello>(aBody);
+  if (table == nullptr) {
+    return std::nullopt;
+  }
+  return Hello{ ReadText(table->name()), ReadText(table->address()), ReadText(table->data_centre()),
+                ReadText(table->region()), table->reply_wanted() };
+}
+
+std::optional<Message> ReadMembership(std::string_view aBody)
+{
+  const fb::Membership* table = Verified<fb::Membership>(aBody);
+  if (table == nullptr) {
+    return std::nullopt;
+  }
+  MembershipFrame frame{
+    table->kind(), table->sequence(), table->digest(), ReadText(table->target()), {}
+  };
+  if (table->records() == nullptr) {
+    return frame;
+  }
+  for (const fb::Member* member : *table->records()) {
+    if (member->numbers() == nullptr) {
+      return std::nullopt;
+    }
+    frame.records.push_back({ ReadText(member->name()), ReadText(member->address()),
+                              ReadText(member->data_centre()), ReadText(member->region()),
+                              member->numbers()->incarnation(), member->numbers()->state() });
+  }
+  return frame;
+}
+
+// Cuts the joined values apart. Returns false if the sizes do not add up.
+bool ReadCompact(const fb::Spread& aTable, SpreadFrame& aFrame)
+{
+  const std::string values = ReadBytes(aTable.compact_values());
+  std::size_t offset = 0;
+  if (aTable.compact() != nullptr) {
+    for (const fb::CompactEntry* entry : *aTable.compact()) {
+      if (offset + entry->value_size() > values.size()) {
+        return false;
+      }
+      aFrame.compact.push_back({ entry->key_hash(), entry->version(), entry->owner_hash(),
+                                 entry->age_ms(), values.substr(offset, entry->value_size()) });
+      offset += entry->value_size();
+    }
+  }
+  return offset == values.size();
+}
+
+std::optional<Message> ReadSpread(std::string_view aBody)
+{
+  const fb::Spread* table = Verified<fb::Spread>(aBody);
+  if (table == nullptr) {
+    return std::nullopt;
+  }
+  SpreadFrame frame;
+  frame.kind = table->kind();
+  frame.generation = table->generation();
+  if (!ReadCompact(*table, frame)) {
+    return std::nullopt;
+  }
+  if (table->full() != nullptr) {
+    for (const fb::FullEntry* entry : *table->full()) {
+      frame.full.push_back({ entry->kind(), ReadText(entry->name()), ReadText(entry->owner()),
+                             entry->version(), entry->age_ms(), ReadBytes(entry->value()) });
+    }
+  }
+  if (table->versions() != nullptr) {
+    for (const fb::KeyVersion* version : *table->versions()) {
+      frame.versions.push_back({ version->key_hash(), version->version() });
+    }
+  }
+  if (table->hashes() != nullptr) {
+    frame.hashes.assign(table->hashes()->begin(), table->hashes()->end());
+  }
+  return frame;
+}
+
+std::optional<Message> ReadContent(std::string_view aBody)
+{
+  const fb::Content* table = Verified<fb::Content>(aBody);
+  if (table == nullptr) {
+    return std::nullopt;
+  }
+  ContentFrame frame{ table->kind(),
+                      table->generation(),
+                      ReadBytes(table->manifest()),
+                      {},
+                      ReadText(table->digest()),
+                      table->offset(),
+                      table->total(),
+                      ReadBytes(table->bytes()) };
+  if (table->digests() != nullptr) {
+    for (const flatbuffers::String* digest : *table->digests()) {
+      frame.digests.push_back(digest->str());
+    }
+  }
+  return frame;
+}
+
+} // namespace
+
+std::optional<Message> ReadBody(FrameType aType, std::string_view aBody)
+{
+  switch (aType) {
+    case FrameType::Hello:
+      return ReadHello(aBody);
+    case FrameType::Membership:
+      return ReadMembership(aBody);
+    case FrameType::Spread:
+      return ReadSpread(aBody);
+    case FrameType::Content:
+      return ReadContent(aBody);
+  }
+  return std::nullopt;
+}
+
+} // namespace masticstep::wire
