Add the net library: HTTP server, client connections, pool, TLS contexts

The daemon's I/O shell needs HTTP/1.1 towards callers, engines and the platform with bounds on header, body, idle time, slow readers and connections of a source. Beast's parsers are fed from an abstract byte stream, so that TLS and plain connections share one code path and only two translation units instantiate Asio's TLS templates.

--- /dev/null
+++ b/libs/net/include/masticstep/net/ByteStream.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "masticstep/base/Result.hpp"
+#include "masticstep/base/Time.hpp"
+#include "masticstep/net/HostPort.hpp"
+#include "masticstep/net/NetError.hpp"
+#include "masticstep/net/Task.hpp"
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace masticstep::net {
+
+class TlsContext;
+
+// TCP connection, plain or with TLS. All members must be used on the executor that the stream is
+// attached to. A stream that timed out or failed is closed and stays closed.
+class ByteStream
+{
+public:
+  virtual ~ByteStream() = default;
+
+  // Reads at least one byte and returns the number read; fails with Closed at the end of input.
+  virtual Task<Result<std::size_t, NetError>> ReadSome(std::span<char> aBuffer,
+                                                       Duration aTimeout) = 0;
+  virtual Task<Result<void, NetError>> WriteAll(std::string_view aBytes, Duration aTimeout) = 0;
+  // Calls aCallback once when the other side closes the connection, until StopWatch. Must not be
+  // used during ReadSome.
+  virtual void WatchForClose(std::function<void()> aCallback) = 0;
+  virtual void StopWatch() = 0;
+  // Fails operations that wait with Cancelled.
+  virtual void Close() = 0;
+  virtual bool IsOpen() const = 0;
+  // Returns true if input or the end of input waits to be read.
+  virtual bool HasInput() = 0;
+  // Moves the stream to another executor. Must not be used during an operation.
+  virtual void Attach(Executor aExecutor) = 0;
+  // Drops the timer of the executor it was attached to. Only Attach may follow.
+  virtual void Detach() = 0;
+};
+
+// Opens a plain connection for use on the current executor.
+Task<Result<std::unique_ptr<ByteStream>, NetError>> Connect(HostPort aAddress, Duration aTimeout);
+
+// Opens a TLS connection and verifies the certificate of the other side.
+Task<Result<std::unique_ptr<ByteStream>, NetError>> ConnectTls(
+  HostPort aAddress, Duration aTimeout, std::shared_ptr<TlsContext> aContext);
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/include/masticstep/net/ConnectionPool.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "masticstep/net/HttpClientConnection.hpp"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace masticstep::net {
+
+struct PoolLimits
+{
+  std::size_t idlePerAddress = 64;
+  // Shorter than the usual idle time of servers (60 s), so that the server rarely closes first.
+  Duration maximumIdle = Seconds(20);
+
+  bool operator==(const PoolLimits&) const = default;
+};
+
+// Idle connections by address. A connection returns to the pool only after its answer was read in
+// full; one with an abandoned or unfinished answer is closed, so that an answer can never reach the
+// wrong request.
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool>
+{
+public:
+  // Connection that goes back to the pool, or is closed, on destruction.
+  class Lease
+  {
+  public:
+    Lease(std::shared_ptr<ConnectionPool> aPool, HttpClientConnection aConnection, bool aIsFresh);
+    ~Lease();
+    Lease(Lease&&) noexcept = default;
+    Lease& operator=(Lease&&) = delete;
+
+    HttpClientConnection& operator*() { return mConnection; }
+    HttpClientConnection* operator->() { return &mConnection; }
+    // Returns true if no earlier request used the connection.
+    bool IsFresh() const { return mIsFresh; }
+
+  private:
+    std::shared_ptr<ConnectionPool> mPool;
+    HttpClientConnection mConnection;
+    bool mIsFresh;
+  };
+
+  static std::shared_ptr<ConnectionPool> Create(PoolLimits aLimits = {});
+
+  // Returns an idle connection or opens one, for use on the current executor.
+  Task<Result<Lease, NetError>> Acquire(HostPort aAddress, Duration aConnectTimeout);
+  // Opens a connection. For use when others to this address may be silent.
+  Task<Result<Lease, NetError>> AcquireFresh(HostPort aAddress, Duration aConnectTimeout);
+  // Closes the idle connections to an address.
+  void Forget(const HostPort& aAddress);
+  std::size_t IdleCount(const HostPort& aAddress) const;
+
+private:
+  struct Idle
+  {
+    HttpClientConnection connection;
+    Time since;
+  };
+
+  explicit ConnectionPool(PoolLimits aLimits);
+  void Return(HttpClientConnection aConnection);
+  std::unique_ptr<HttpClientConnection> TakeIdle(const HostPort& aAddress);
+
+  const PoolLimits mLimits;
+  mutable std::mutex mMutex;
+  std::map<HostPort, std::vector<Idle>> mIdle;
+};
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/include/masticstep/net/HttpClientConnection.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "masticstep/net/ByteStream.hpp"
+#include "masticstep/net/HttpMessage.hpp"
+
+#include <memory>
+#include <string>
+
+namespace masticstep::net {
+
+// One connection to an HTTP server, used for one exchange at a time: Send, ReadHead, then
+// ReadBodySome until it returns an empty string.
+class HttpClientConnection
+{
+public:
+  HttpClientConnection(std::unique_ptr<ByteStream> aStream, HostPort aAddress);
+  ~HttpClientConnection();
+  HttpClientConnection(HttpClientConnection&&) noexcept;
+  HttpClientConnection& operator=(HttpClientConnection&&) noexcept;
+
+  // After a failure it is unknown which bytes arrived at the server.
+  Task<Result<void, NetError>> Send(const HttpRequest& aRequest, Duration aTimeout);
+  Task<Result<HttpResponseHead, NetError>> ReadHead(Duration aTimeout);
+  // Returns what has arrived of the body; empty at its end.
+  Task<Result<std::string, NetError>> ReadBodySome(Duration aTimeout);
+
+  // Returns true if the last answer was read in full and the server keeps the connection open.
+  bool IsReusable();
+  void Close();
+  // See ByteStream.
+  void Attach(Executor aExecutor);
+  void Detach();
+  const HostPort& Address() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> mState;
+};
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/include/masticstep/net/HttpServer.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "masticstep/base/Result.hpp"
+#include "masticstep/base/Time.hpp"
+#include "masticstep/net/HostPort.hpp"
+#include "masticstep/net/HttpHandler.hpp"
+#include "masticstep/net/NetError.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace masticstep::net {
+
+class TlsContext;
+
+// Bounds of a server.
+struct ServerLimits
+{
+  std::size_t headerBytes = 16384;
+  std::size_t bodyBytes = 1048576;
+  Duration idle = Seconds(60); // between requests, and for reading one request
+  std::size_t connectionsPerSource = 1024;
+  Duration slowReader = Seconds(10); // for the caller to take one piece of an answer
+
+  bool operator==(const ServerLimits&) const = default;
+};
+
+// HTTP/1.1 server. Each connection runs on a strand of the io_context.
+class HttpServer
+{
+public:
+  static Result<std::unique_ptr<HttpServer>, NetError> Create(
+    boost::asio::io_context& aContext, const HostPort& aAddress, const ServerLimits& aLimits,
+    std::shared_ptr<HttpHandler> aHandler, std::shared_ptr<TlsContext> aTls = nullptr);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  std::uint16_t Port() const;
+  // From now on every answer asks the caller to close the connection.
+  void CloseAfterAnswers();
+  // Ends the acceptor and closes connections without a request.
+  void StopAccepting();
+  std::size_t ConnectionCount() const;
+
+private:
+  struct Core;
+  explicit HttpServer(std::shared_ptr<Core> aCore);
+
+  std::shared_ptr<Core> mCore;
+};
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/include/masticstep/net/NetError.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+
+namespace masticstep::net {
+
+enum class NetErrorKind
+{
+  InvalidAddress,
+  ResolveFailed,
+  ConnectFailed,
+  TimedOut,
+  Closed,    // the other side ended or reset the connection
+  Cancelled, // this side closed the connection
+  Malformed, // not HTTP
+  HeaderTooLarge,
+  BodyTooLarge,
+  TlsFailed,
+};
+
+// Failure of a network operation.
+struct NetError
+{
+  NetErrorKind kind = NetErrorKind::Closed;
+  std::string detail;
+
+  bool operator==(const NetError&) const = default;
+};
+
+// Returns the kind in words, such as "timed out".
+const char* ToString(NetErrorKind aKind);
+std::string ToString(const NetError& aError);
+std::ostream& operator<<(std::ostream& aStream, NetErrorKind aKind);
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/src/ConnectionPool.cpp
@@ -0,0 +1,105 @@
+#include "masticstep/net/ConnectionPool.hpp"
+
+#include "masticstep/net/Clock.hpp"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <utility>
+
+namespace masticstep::net {
+
+ConnectionPool::Lease::Lease(std::shared_ptr<ConnectionPool> aPool,
+                             HttpClientConnection aConnection, bool aIsFresh)
+  : mPool(std::move(aPool))
+  , mConnection(std::move(aConnection))
+  , mIsFresh(aIsFresh)
+{
+}
+
+ConnectionPool::Lease::~Lease()
+{
+  if (mPool && mConnection.IsReusable()) {
+    mPool->Return(std::move(mConnection));
+  }
+}
+
+ConnectionPool::ConnectionPool(PoolLimits aLimits)
+  : mLimits(aLimits)
+{
+}
+
+std::shared_ptr<ConnectionPool> ConnectionPool::Create(PoolLimits aLimits)
+{
+  return std::shared_ptr<ConnectionPool>(new ConnectionPool(aLimits));
+}
+
+Task<Result<ConnectionPool::Lease, NetError>> ConnectionPool::Acquire(HostPort aAddress,
+                                                                      Duration aConnectTimeout)
+{
+  std::unique_ptr<HttpClientConnection> idle = TakeIdle(aAddress);
+  if (idle) {
+    idle->Attach(co_await boost::asio::this_coro::executor);
+    co_return Lease(shared_from_this(), std::move(*idle), false);
+  }
+  co_return co_await AcquireFresh(std::move(aAddress), aConnectTimeout);
+}
+
+Task<Result<ConnectionPool::Lease, NetError>> ConnectionPool::AcquireFresh(HostPort aAddress,
+                                                                           Duration aConnectTimeout)
+{
+  Result<std::unique_ptr<ByteStream>, NetError> stream =
+    co_await Connect(aAddress, aConnectTimeout);
+  if (!stream) {
+    co_return Failure(stream.error());
+  }
+  HttpClientConnection connection(std::move(*stream), std::move(aAddress));
+  co_return Lease(shared_from_this(), std::move(connection), true);
+}
+
+std::unique_ptr<HttpClientConnection> ConnectionPool::TakeIdle(const HostPort& aAddress)
+{
+  std::vector<Idle> stale; // closed after the lock is released
+  const Time oldest = Now() - mLimits.maximumIdle;
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::vector<Idle>& idle = mIdle[aAddress];
+  while (!idle.empty()) {
+    Idle candidate = std::move(idle.back());
+    idle.pop_back();
+    if (candidate.since >= oldest && candidate.connection.IsReusable()) {
+      return std::make_unique<HttpClientConnection>(std::move(candidate.connection));
+    }
+    stale.push_back(std::move(candidate));
+  }
+  return nullptr;
+}
+
+void ConnectionPool::Return(HttpClientConnection aConnection)
+{
+  const HostPort address = aConnection.Address();
+  aConnection.Detach();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::vector<Idle>& idle = mIdle[address];
+  if (idle.size() < mLimits.idlePerAddress) {
+    idle.push_back({ std::move(aConnection), Now() });
+  }
+}
+
+void ConnectionPool::Forget(const HostPort& aAddress)
+{
+  std::vector<Idle> dropped; // closed after the lock is released
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto found = mIdle.find(aAddress);
+  if (found != mIdle.end()) {
+    dropped = std::move(found->second);
+    mIdle.erase(found);
+  }
+}
+
+std::size_t ConnectionPool::IdleCount(const HostPort& aAddress) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto found = mIdle.find(aAddress);
+  return found == mIdle.end() ? 0 : found->second.size();
+}
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/src/HttpClient.cpp
@@ -0,0 +1,53 @@
+#include "masticstep/net/HttpClient.hpp"
+
+#include "masticstep/net/Clock.hpp"
+
+#include <utility>
+
+namespace masticstep::net {
+
+namespace {
+
+Duration Left(Time aEnd)
+{
+  return std::max(aEnd - Now(), Milliseconds(1));
+}
+
+} // namespace
+
+Task<Result<HttpResponse, FetchError>> Fetch(ConnectionPool& aPool, HostPort aAddress,
+                                             HttpRequest aRequest, FetchLimits aLimits)
+{
+  Result<ConnectionPool::Lease, NetError> lease =
+    co_await aPool.Acquire(std::move(aAddress), aLimits.connect);
+  if (!lease) {
+    co_return Failure(FetchError{ lease.error(), false });
+  }
+  HttpClientConnection& connection = **lease;
+  const Time end = Now() + aLimits.total;
+  const Result<void, NetError> sent = co_await connection.Send(aRequest, aLimits.total);
+  if (!sent) {
+    co_return Failure(FetchError{ sent.error(), true });
+  }
+  Result<HttpResponseHead, NetError> head = co_await connection.ReadHead(Left(end));
+  if (!head) {
+    co_return Failure(FetchError{ head.error(), true });
+  }
+  HttpResponse response{ head->status, std::move(head->headers), {} };
+  while (true) {
+    const Result<std::string, NetError> part = co_await connection.ReadBodySome(Left(end));
+    if (!part) {
+      co_return Failure(FetchError{ part.error(), true });
+    }
+    if (part->empty()) {
+      co_return response;
+    }
+    response.body += *part;
+    if (response.body.size() > aLimits.bodyBytes) {
+      connection.Close();
+      co_return Failure(FetchError{ { NetErrorKind::BodyTooLarge, {} }, true });
+    }
+  }
+}
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -0,0 +1,190 @@
+#include "masticstep/net/HttpClientConnection.hpp"
+
+#include "HttpText.hpp"
+#include "masticstep/net/Clock.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace masticstep::net {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadSize = 8192;
+constexpr std::uint32_t kMaximumHead = 65536;
+
+HttpHeaders HeadersOf(const http::fields& aFields)
+{
+  HttpHeaders headers;
+  for (const http::fields::value_type& field : aFields) {
+    headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  return headers;
+}
+
+} // namespace
+
+struct HttpClientConnection::State
+{
+  using Parser = http::response_parser<http::string_body>;
+
+  // Reads and parses until aIsEnough holds or the message ends.
+  template <class Predicate>
+  Task<Result<void, NetError>> ReadUntil(Predicate aIsEnough, Duration aTimeout);
+  Result<void, NetError> Parse(bool aAtEnd);
+
+  std::unique_ptr<ByteStream> stream;
+  HostPort address;
+  std::string host;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  bool isExchanging = false;
+  bool isHeadRequest = false;
+};
+
+HttpClientConnection::HttpClientConnection(std::unique_ptr<ByteStream> aStream, HostPort aAddress)
+  : mState(std::make_unique<State>())
+{
+  mState->stream = std::move(aStream);
+  mState->host = ToString(aAddress);
+  mState->address = std::move(aAddress);
+}
+
+HttpClientConnection::~HttpClientConnection() = default;
+HttpClientConnection::HttpClientConnection(HttpClientConnection&&) noexcept = default;
+HttpClientConnection& HttpClientConnection::operator=(HttpClientConnection&&) noexcept = default;
+
+Result<void, NetError> HttpClientConnection::State::Parse(bool aAtEnd)
+{
+  boost::system::error_code ec;
+  while (buffer.size() > 0 && !parser->is_done()) {
+    const std::size_t n = parser->put(buffer.data(), ec);
+    buffer.consume(n);
+    if (ec == http::error::need_more) {
+      ec = {};
+      break;
+    }
+    if (ec || n == 0) {
+      break;
+    }
+  }
+  if (!ec && aAtEnd && !parser->is_done()) {
+    parser->put_eof(ec);
+    if (ec) {
+      stream->Close();
+      return Failure(NetError{ NetErrorKind::Closed, "answer is not complete" });
+    }
+  }
+  if (ec) {
+    stream->Close();
+    return Failure(NetError{ NetErrorKind::Malformed, ec.message() });
+  }
+  return {};
+}
+
+template <class Predicate>
+Task<Result<void, NetError>> HttpClientConnection::State::ReadUntil(Predicate aIsEnough,
+                                                                    Duration aTimeout)
+{
+  const Time end = Now() + aTimeout;
+  while (true) {
+    Result<void, NetError> parsed = Parse(false);
+    if (!parsed || aIsEnough() || parser->is_done()) {
+      co_return parsed;
+    }
+    const Duration left = end - Now();
+    if (left <= Duration::zero()) {
+      stream->Close();
+      co_return Failure(NetError{ NetErrorKind::TimedOut, {} });
+    }
+    const boost::asio::mutable_buffer space = buffer.prepare(kReadSize);
+    const Result<std::size_t, NetError> n =
+      co_await stream->ReadSome({ static_cast<char*>(space.data()), space.size() }, left);
+    if (!n) {
+      if (n.error().kind == NetErrorKind::Closed && parser->is_header_done()) {
+        co_return Parse(true);
+      }
+      co_return Failure(n.error());
+    }
+    buffer.commit(*n);
+  }
+}
+
+Task<Result<void, NetError>> HttpClientConnection::Send(const HttpRequest& aRequest,
+                                                        Duration aTimeout)
+{
+  mState->isExchanging = true;
+  mState->isHeadRequest = aRequest.method == "HEAD";
+  mState->parser.emplace();
+  mState->parser->eager(true);
+  mState->parser->header_limit(kMaximumHead);
+  mState->parser->body_limit(boost::none);
+  mState->parser->skip(mState->isHeadRequest);
+  const std::string text = RequestText(aRequest, mState->host);
+  co_return co_await mState->stream->WriteAll(text, aTimeout);
+}
+
+Task<Result<HttpResponseHead, NetError>> HttpClientConnection::ReadHead(Duration aTimeout)
+{
+  State& state = *mState;
+  const Result<void, NetError> done =
+    co_await state.ReadUntil([&state] { return state.parser->is_header_done(); }, aTimeout);
+  if (!done) {
+    co_return Failure(done.error());
+  }
+  const http::response<http::string_body>& message = state.parser->get();
+  co_return HttpResponseHead{ message.result_int(), HeadersOf(message) };
+}
+
+Task<Result<std::string, NetError>> HttpClientConnection::ReadBodySome(Duration aTimeout)
+{
+  State& state = *mState;
+  const Result<void, NetError> done =
+    co_await state.ReadUntil([&state] { return !state.parser->get().body().empty(); }, aTimeout);
+  if (!done) {
+    co_return Failure(done.error());
+  }
+  std::string text = std::move(state.parser->get().body());
+  state.parser->get().body().clear();
+  if (text.empty() && state.parser->is_done()) {
+    state.isExchanging = false;
+  }
+  co_return text;
+}
+
+bool HttpClientConnection::IsReusable()
+{
+  if (!mState || !mState->stream->IsOpen() || mState->isExchanging || !mState->parser) {
+    return false;
+  }
+  return mState->parser->is_done() && mState->parser->keep_alive() && mState->buffer.size() == 0 &&
+         !mState->stream->HasInput();
+}
+
+void HttpClientConnection::Close()
+{
+  mState->stream->Close();
+}
+
+void HttpClientConnection::Attach(Executor aExecutor)
+{
+  mState->stream->Attach(std::move(aExecutor));
+}
+
+void HttpClientConnection::Detach()
+{
+  mState->stream->Detach();
+}
+
+const HostPort& HttpClientConnection::Address() const
+{
+  return mState->address;
+}
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/src/HttpServer.cpp
@@ -0,0 +1,221 @@
+#include "masticstep/net/HttpServer.hpp"
+
+#include "ServerConnection.hpp"
+#include "SocketStream.hpp"
+#include "SourceCounter.hpp"
+#include "masticstep/net/Sleep.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace masticstep::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+struct HttpServer::Core : public std::enable_shared_from_this<HttpServer::Core>
+{
+
+  Core(asio::io_context& aContext, const ServerLimits& aLimits,
+       std::shared_ptr<HttpHandler> aHandler, std::shared_ptr<TlsContext> aTls)
+    : mContext(aContext)
+    , mAcceptor(asio::make_strand(aContext))
+    , mLimits(aLimits)
+    , mHandler(std::move(aHandler))
+    , mTls(std::move(aTls))
+    , mSwitches(std::make_shared<ServerSwitches>())
+    , mSources(aLimits.connectionsPerSource)
+  {
+  }
+
+  Result<void, NetError> Listen(const HostPort& aAddress);
+  void StartAccepting();
+  void Stop();
+
+  Task<void> Accept();
+  Task<void> Serve(Socket aSocket, std::string aSource);
+  void CloseIdleConnections();
+
+  struct Open
+  {
+    Executor executor;
+    std::weak_ptr<ServerConnection> connection;
+  };
+
+  asio::io_context& mContext;
+  tcp::acceptor mAcceptor;
+  std::uint16_t mPort = 0;
+  const ServerLimits mLimits;
+  const std::shared_ptr<HttpHandler> mHandler;
+  const std::shared_ptr<TlsContext> mTls;
+  const std::shared_ptr<ServerSwitches> mSwitches;
+  SourceCounter mSources;
+  std::mutex mMutex;
+  std::map<const ServerConnection*, Open> mOpen;
+};
+
+Result<void, NetError> HttpServer::Core::Listen(const HostPort& aAddress)
+{
+  boost::system::error_code ec;
+  const asio::ip::address address = asio::ip::make_address(aAddress.host, ec);
+  if (ec) {
+    return Failure(NetError{ NetErrorKind::InvalidAddress, aAddress.host + " is no IP address" });
+  }
+  const tcp::endpoint endpoint(address, aAddress.port);
+  mAcceptor.open(endpoint.protocol(), ec);
+  if (!ec) {
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) {
+    mAcceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    const std::string problem = "listen on " + ToString(aAddress) + ": " + ec.message();
+    return Failure(NetError{ NetErrorKind::ConnectFailed, problem });
+  }
+  mPort = mAcceptor.local_endpoint().port();
+  return {};
+}
+
+void HttpServer::Core::StartAccepting()
+{
+  asio::co_spawn(
+    mAcceptor.get_executor(), [self = shared_from_this()] { return self->Accept(); },
+    asio::detached);
+}
+
+Task<void> HttpServer::Core::Accept()
+{
+  // Running out of file descriptors must not end the acceptor, nor spin.
+  constexpr Duration kPauseAfterError = Milliseconds(50);
+  const std::shared_ptr<Core> self = shared_from_this();
+  while (mAcceptor.is_open()) {
+    const asio::strand<asio::io_context::executor_type> strand = asio::make_strand(mContext);
+    auto [ec, socket] =
+      co_await mAcceptor.async_accept(strand, asio::as_tuple(asio::use_awaitable));
+    if (ec) {
+      if (mAcceptor.is_open()) {
+        co_await Sleep(kPauseAfterError);
+      }
+      continue;
+    }
+    boost::system::error_code ignored;
+    const tcp::endpoint remote = socket.remote_endpoint(ignored);
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::string source = remote.address().to_string();
+    asio::co_spawn(
+      strand,
+      [self, moved = Socket(std::move(socket)), source = std::move(source)]() mutable {
+        return self->Serve(std::move(moved), std::move(source));
+      },
+      asio::detached);
+  }
+}
+
+Task<void> HttpServer::Core::Serve(Socket aSocket, std::string aSource)
+{
+  const std::shared_ptr<Core> self = shared_from_this();
+  const bool isCounted = mSources.TryAdd(aSource);
+  Result<std::unique_ptr<ByteStream>, NetError> stream =
+    co_await AcceptStream(std::move(aSocket), mTls, mLimits.idle);
+  if (stream) {
+    const std::shared_ptr<ServerConnection> connection =
+      std::make_shared<ServerConnection>(std::move(*stream), aSource, mLimits, mHandler, mSwitches);
+    if (isCounted) {
+      const Executor executor = co_await asio::this_coro::executor;
+      {
+        const std::lock_guard<std::mutex> lock(mMutex);
+        mOpen[connection.get()] = { executor, connection };
+      }
+      co_await connection->Run();
+      const std::lock_guard<std::mutex> lock(mMutex);
+      mOpen.erase(connection.get());
+    } else {
+      co_await connection->RefuseAndClose(
+        429, { NetErrorKind::Cancelled, "too many connections from " + aSource });
+    }
+  }
+  if (isCounted) {
+    mSources.Remove(aSource);
+  }
+}
+
+void HttpServer::Core::CloseIdleConnections()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (const auto& [key, open] : mOpen) {
+    asio::post(open.executor, [weak = open.connection] {
+      if (const std::shared_ptr<ServerConnection> connection = weak.lock()) {
+        connection->CloseIfIdle();
+      }
+    });
+  }
+}
+
+void HttpServer::Core::Stop()
+{
+  mSwitches->closesAfterAnswers = true;
+  mSwitches->isStopped = true;
+  asio::post(mAcceptor.get_executor(), [self = shared_from_this()] {
+    boost::system::error_code ec;
+    self->mAcceptor.close(ec);
+  });
+  CloseIdleConnections();
+}
+
+HttpServer::HttpServer(std::shared_ptr<Core> aCore)
+  : mCore(std::move(aCore))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  mCore->Stop();
+}
+
+Result<std::unique_ptr<HttpServer>, NetError> HttpServer::Create(
+  asio::io_context& aContext, const HostPort& aAddress, const ServerLimits& aLimits,
+  std::shared_ptr<HttpHandler> aHandler, std::shared_ptr<TlsContext> aTls)
+{
+  const std::shared_ptr<Core> core =
+    std::make_shared<Core>(aContext, aLimits, std::move(aHandler), std::move(aTls));
+  const Result<void, NetError> listening = core->Listen(aAddress);
+  if (!listening) {
+    return Failure(listening.error());
+  }
+  core->StartAccepting();
+  return std::unique_ptr<HttpServer>(new HttpServer(core));
+}
+
+std::uint16_t HttpServer::Port() const
+{
+  return mCore->mPort;
+}
+
+void HttpServer::CloseAfterAnswers()
+{
+  mCore->mSwitches->closesAfterAnswers = true;
+}
+
+void HttpServer::StopAccepting()
+{
+  mCore->Stop();
+}
+
+std::size_t HttpServer::ConnectionCount() const
+{
+  return mCore->mSources.Total();
+}
+
+} // namespace masticstep::net
--- /dev/null
+++ b/libs/net/src/HttpText.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "masticstep/net/HttpMessage.hpp"
+
+#include <string>
+
+namespace masticstep::net {
+
+// How the end of an answer's body is marked.
+enum class BodyFraming
+{
+  Length,
+  Chunked,
+  UntilClose // for HTTP/1.0 callers
+};
+
+// Returns the bytes of a request. Host and Content-Length are added.
+std::string RequestText(const HttpRequest& aRequest, const std::string& aHost);
+
+// Returns the status line and headers of an answer, with the empty line.
+std::string ResponseHeadText(const HttpResponseHead& aHead, BodyFraming aFraming,
+                             std::size_t aBodySize, bool aCloses);
+
+// Appends one chunk of a chunked body.
+void AppendChunk(std::string& aOutput, std::string_view aBytes);
+
+} // namespace masticstep::net
