--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,13 @@
 	cmake -S . -B $(BUILD) -G Ninja >/dev/null
 	tools/check_lint.sh $(BUILD)
 
+# Runs one fuzz target with libFuzzer for a minute; new inputs stay in the build folder.
+FUZZ ?= config
+fuzz: install
+	CC=clang CXX=clang++ cmake -S . -B $(BUILD)-fuzz -G Ninja -DMASTICSTEP_LIBFUZZER=ON >/dev/null
+	cmake --build $(BUILD)-fuzz --target fuzz_$(FUZZ) -j $(JOBS)
+	mkdir -p $(BUILD)-fuzz/found_$(FUZZ)
+	$(BUILD)-fuzz/fuzz/fuzz_$(FUZZ) -max_total_time=60 -seed=1 $(BUILD)-fuzz/found_$(FUZZ) fuzz/corpus/$(FUZZ)
+
 format:
 	git ls-files -co --exclude-standard -- '*.cpp' '*.hpp' ':!:*generated*' | xargs clang-format -i
