--- /dev/null
+++ b/libs/gateway/src/Authentication.cpp
@@ -0,0 +1,26 @@
+#include "Authentication.hpp"
+
+#include "masticstep/base/Hash.hpp"
+
+#include <string_view>
+
+namespace masticstep::gateway {
+
+Result<const ClientAccount*, Refusal> Authenticate(const Configuration& aConfiguration,
+                                                   const net::HttpHeaders& aHeaders)
+{
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view value = net::FindHeader(aHeaders, "Authorization");
+  if (!value.starts_with(kScheme)) {
+    return Failure(Unauthorized());
+  }
+  // The lookup compares digests, so its time tells nothing about the key.
+  const std::string digest = Sha256Hex(value.substr(kScheme.size()));
+  const ClientAccount* account = aConfiguration.FindAccountByKey(digest);
+  if (account == nullptr) {
+    return Failure(Unauthorized());
+  }
+  return account;
+}
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/Authentication.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "Refusal.hpp"
+#include "masticstep/base/Result.hpp"
+#include "masticstep/config/Configuration.hpp"
+#include "masticstep/net/HttpMessage.hpp"
+
+namespace masticstep::gateway {
+
+// Finds the account of the bearer key. The pointer lives as long as the configuration.
+Result<const ClientAccount*, Refusal> Authenticate(const Configuration& aConfiguration,
+                                                   const net::HttpHeaders& aHeaders);
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/CallerHandler.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "GatewayParts.hpp"
+#include "Refusal.hpp"
+#include "masticstep/net/HttpHandler.hpp"
+
+#include <memory>
+
+namespace masticstep::gateway {
+
+// Routes the requests of callers.
+class CallerHandler : public net::HttpHandler
+{
+public:
+  explicit CallerHandler(std::shared_ptr<GatewayParts> aParts);
+
+  net::Task<void> Handle(net::HttpRequest aRequest, net::HttpResponder& aResponder) override;
+  net::HttpResponse Refuse(unsigned aStatus, const net::NetError& aError) override;
+
+private:
+  Result<net::HttpResponse, Refusal> Models(const net::HttpRequest& aRequest) const;
+
+  std::shared_ptr<GatewayParts> mParts;
+};
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/CompletionSession.cpp
@@ -0,0 +1,395 @@
+#include "CompletionSession.hpp"
+
+#include "Authentication.hpp"
+#include "masticstep/net/Alarm.hpp"
+#include "masticstep/net/Clock.hpp"
+#include "masticstep/net/HttpClient.hpp"
+#include "masticstep/net/Sleep.hpp"
+#include "masticstep/telemetry/Log.hpp"
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/json/parse.hpp>
+
+#include <utility>
+
+namespace masticstep::gateway {
+
+using telemetry::Level;
+
+namespace {
+
+constexpr Duration kRetryAfterOverload = Seconds(1);
+// A cancellation must not hold up the answer to a request that can go elsewhere.
+constexpr net::FetchLimits kCancelLimits{ Milliseconds(300), Milliseconds(500), 4096 };
+
+EngineFailure ToEngineFailure(const StreamFailure& aFailure)
+{
+  switch (aFailure.kind) {
+    case StreamFailureKind::NotConnected:
+      return EngineFailure::ConnectionFailed;
+    case StreamFailureKind::Silent:
+      return EngineFailure::Silent;
+    case StreamFailureKind::Rejected:
+      return aFailure.status >= 500 && aFailure.status != 503 ? EngineFailure::Broken
+                                                              : EngineFailure::Refused;
+    case StreamFailureKind::Broken:
+    case StreamFailureKind::Crossed:
+      return EngineFailure::Broken;
+  }
+  return EngineFailure::Broken;
+}
+
+// Statuses by which an engine says that it did not take the request.
+bool IsNotTaken(const StreamFailure& aFailure)
+{
+  return aFailure.kind == StreamFailureKind::Rejected &&
+         (aFailure.status == 429 || aFailure.status == 503 ||
+          (aFailure.status >= 400 && aFailure.status < 500));
+}
+
+bool IsCallersFault(const StreamFailure& aFailure)
+{
+  return aFailure.kind == StreamFailureKind::Rejected &&
+         (aFailure.status == 400 || aFailure.status == 413 || aFailure.status == 422);
+}
+
+} // namespace
+
+CompletionSession::CompletionSession(std::shared_ptr<GatewayParts> aParts, RequestName aName,
+                                     net::HttpResponder& aResponder)
+  : mParts(std::move(aParts))
+  , mName(std::move(aName))
+  , mResponder(aResponder)
+  , mArrived(net::Now())
+{
+}
+
+Result<void, Refusal> CompletionSession::Prepare(const net::HttpRequest& aRequest, bool aIsChat)
+{
+  mConfiguration = mParts->configuration.Current();
+  if (!mConfiguration) {
+    return Failure(Refusal{ 503, "not_ready", "no configuration is in force yet", RunState::NotRun,
+                            kRetryAfterOverload });
+  }
+  const Result<const ClientAccount*, Refusal> account =
+    Authenticate(*mConfiguration, aRequest.headers);
+  if (!account) {
+    return Failure(account.error());
+  }
+  mAccount = *account;
+  Result<CompletionCall, Refusal> call = CompletionCall::Parse(aRequest.body, aIsChat);
+  if (!call) {
+    return Failure(call.error());
+  }
+  mCall = std::move(*call);
+  mService = mConfiguration->FindModel(mCall.model);
+  if (mService == nullptr || !MayUse(*mAccount, mService->name)) {
+    return Failure(NotFound("model '" + mCall.model.Text() + "' is unknown to this account"));
+  }
+  const ClassName name{ std::string(net::FindHeader(aRequest.headers, "X-Class")) };
+  mClass = FindClass(*mService, name);
+  if (mClass == nullptr) {
+    return Failure(BadInput("X-Class: service '" + mService->name.Text() + "' has no class '" +
+                            name.Text() + "'"));
+  }
+  mDeadline = mArrived + mClass->deadline;
+  return {};
+}
+
+net::Task<void> CompletionSession::Run(net::HttpRequest aRequest, bool aIsChat)
+{
+  const Result<void, Refusal> prepared = Prepare(aRequest, aIsChat);
+  if (!prepared) {
+    co_await Refuse(prepared.error());
+    co_return;
+  }
+  aRequest = net::HttpRequest();
+  mAnswer = CompletionAnswer::Create(mCall, mName.text, mResponder);
+  mMetrics.emplace(mParts->metrics, mClass->name, mAccount->name, mArrived);
+  const net::Executor executor = co_await boost::asio::this_coro::executor;
+  const std::unique_ptr<RunningRequests::Entry> entry = mParts->running.Add(
+    mName.number, executor, [this] { Interrupt(Interruption::Shutdown); });
+  const net::Alarm alarm(executor, mDeadline, [this] { Interrupt(Interruption::DeadlinePassed); });
+  mResponder.OnGone([this] { Interrupt(Interruption::CallerGone); });
+  co_await Serve();
+  mResponder.OnGone(nullptr);
+}
+
+void CompletionSession::Interrupt(Interruption aReason)
+{
+  // A stream that has begun may run past the deadline: its caller is reading it.
+  const bool isLate = aReason == Interruption::DeadlinePassed;
+  if (isLate && mCall.streams && mMetrics->Tokens() > 0) {
+    return;
+  }
+  mInterruption = aReason;
+  if (mStream != nullptr) {
+    mStream->Drop();
+  }
+}
+
+net::Task<void> CompletionSession::Serve()
+{
+  mParts->retry.OnFirstAttempt(mService->name);
+  AttemptEnd end = AttemptEnd::TryAnother;
+  while (end == AttemptEnd::TryAnother) {
+    if (mInterruption != Interruption::None) {
+      end = InterruptedBetweenAttempts();
+      break;
+    }
+    const Result<EngineId, SelectionFailure> chosen = mParts->engines->Choose(Query(), net::Now());
+    if (!chosen) {
+      const RunState run = mMayHaveRun ? RunState::Unknown : RunState::NotRun;
+      const bool isLate = chosen.error() == SelectionFailure::DeadlineCannotBeMet;
+      mRefusal = { 503, isLate ? "overload" : "no_engine",
+                   isLate ? "no engine can answer before the deadline" : "no engine is available",
+                   run, kRetryAfterOverload };
+      end = AttemptEnd::Refused;
+      break;
+    }
+    const BackendServer* engine = FindEngine(*chosen);
+    if (engine == nullptr) {
+      // The engine is part of a newer configuration than this request's.
+      mParts->engines->OnFailed(mName.number, EngineFailure::Refused, net::Now());
+      mExcluded.push_back(*chosen);
+      continue;
+    }
+    end = co_await Attempt(*engine);
+  }
+  if (end == AttemptEnd::Refused) {
+    co_await Refuse(mRefusal);
+  }
+}
+
+net::Task<CompletionSession::AttemptEnd> CompletionSession::Attempt(const BackendServer& aEngine)
+{
+  EngineStream stream(mParts->pool, AddressOf(aEngine.url), mName.text);
+  mStream = &stream;
+  const AttemptEnd end = co_await RelayWithResumes(aEngine, stream);
+  mStream = nullptr;
+  if (end == AttemptEnd::Done) {
+    mParts->engines->OnFinished(mName.number, net::Now());
+    co_await mAnswer->Finish();
+    co_await stream.Finish();
+    LogEnd("answered");
+  }
+  co_return end;
+}
+
+net::Task<CompletionSession::AttemptEnd> CompletionSession::RelayWithResumes(
+  const BackendServer& aEngine, EngineStream& aStream)
+{
+  const std::string path = aEngine.url.path +
+                           (mCall.isChat ? "/v1/chat/completions" : "/v1/completions");
+  mParts->engines->OnDispatched(mName.number, net::Now());
+  Result<void, StreamFailure> opened =
+    co_await aStream.Start(path, mCall.EngineBody(mName.text, mClass->priority));
+  while (true) {
+    std::optional<StreamFailure> failure;
+    if (opened) {
+      failure = co_await Relay(aStream);
+    } else {
+      failure = opened.error();
+    }
+    if (mInterruption != Interruption::None) {
+      co_return co_await AfterInterruption(aEngine, aStream);
+    }
+    if (!failure) {
+      co_return AttemptEnd::Done;
+    }
+    telemetry::Log(Level::Warning, "engine attempt failed",
+                   { { "request_id", mName.text }, { "engine", aEngine.name.Text() },
+                     { "problem", failure->detail }, { "status", failure->status },
+                     { "tokens", mMetrics->Tokens() } });
+    const bool mayResume = aStream.MayHaveArrived() && !IsNotTaken(*failure);
+    if (!mayResume || Decide(AttemptProgress::Unknown, true).step != NextStep::Resume) {
+      co_return co_await AfterFailure(aEngine, aStream, *failure);
+    }
+    ++mResumes;
+    mParts->metrics.GetCounter({ "masticstep_stream_resumes_total", "", "" })->Add();
+    opened = co_await aStream.Resume(mMetrics->Tokens());
+  }
+}
+
+net::Task<std::optional<StreamFailure>> CompletionSession::Relay(EngineStream& aStream)
+{
+  while (true) {
+    const Result<std::optional<TokenEvent>, StreamFailure> next = co_await aStream.Next();
+    if (!next) {
+      co_return next.error();
+    }
+    if (!*next) {
+      co_return std::nullopt;
+    }
+    const Time now = net::Now();
+    mMetrics->OnToken(now);
+    mResumes = 0;
+    mParts->engines->OnTokens(mName.number, 1, now);
+    const Result<void, net::NetError> written = co_await mAnswer->Add(**next);
+    if (!written) {
+      Interrupt(Interruption::CallerGone);
+    }
+    if (mInterruption != Interruption::None) {
+      co_return std::nullopt;
+    }
+  }
+}
+
+RetryDecision CompletionSession::Decide(AttemptProgress aProgress, bool aIsResumable)
+{
+  const std::uint32_t tokens = mMetrics->Tokens();
+  FailedAttempt attempt;
+  attempt.id = mName.number;
+  attempt.service = mService->name;
+  attempt.progress = tokens > 0 ? AttemptProgress::Started : aProgress;
+  attempt.isRepeatable = true;
+  attempt.isResumable = aIsResumable;
+  attempt.mayHaveRunBefore = mMayHaveRun;
+  attempt.tokensRelayed = tokens;
+  attempt.retries = mRetries;
+  attempt.resumes = mResumes;
+  attempt.deadline = mDeadline;
+  return mParts->retry.Decide(attempt, net::Now());
+}
+
+net::Task<CompletionSession::AttemptEnd> CompletionSession::AfterFailure(
+  const BackendServer& aEngine, EngineStream& aStream, StreamFailure aFailure)
+{
+  mParts->engines->OnFailed(mName.number, ToEngineFailure(aFailure), net::Now());
+  const AttemptProgress progress = co_await ProgressOf(aEngine, aStream, aFailure);
+  if (mInterruption == Interruption::CallerGone) {
+    LogEnd("caller left");
+    co_return AttemptEnd::Interrupted;
+  }
+  if (IsCallersFault(aFailure) && mMetrics->Tokens() == 0) {
+    mRefusal = EngineRefusal(aFailure);
+    co_return AttemptEnd::Refused;
+  }
+  const RetryDecision decision = Decide(progress, false);
+  mMayHaveRun = decision.mayHaveRun;
+  if (decision.step == NextStep::Retry) {
+    ++mRetries;
+    mExcluded.push_back(aEngine.name);
+    mParts->metrics.GetCounter({ "masticstep_retries_total", "", "" })->Add();
+    co_await net::Sleep(decision.delay);
+    co_return AttemptEnd::TryAnother;
+  }
+  mRefusal = { 503, "engine_failed", "the engine failed: " + aFailure.detail, decision.run,
+               kRetryAfterOverload };
+  co_return AttemptEnd::Refused;
+}
+
+net::Task<AttemptProgress> CompletionSession::ProgressOf(const BackendServer& aEngine,
+                                                         EngineStream& aStream,
+                                                         const StreamFailure& aFailure)
+{
+  if (!aStream.MayHaveArrived()) {
+    co_return AttemptProgress::NotSent;
+  }
+  if (IsNotTaken(aFailure) && mResumes == 0) {
+    co_return AttemptProgress::NotStarted;
+  }
+  // The engine may still be working; it must stop, and may say that it never began.
+  const std::optional<bool> hasStarted = co_await CancelOnEngine(aEngine);
+  co_return hasStarted == false ? AttemptProgress::NotStarted : AttemptProgress::Unknown;
+}
+
+net::Task<CompletionSession::AttemptEnd> CompletionSession::AfterInterruption(
+  const BackendServer& aEngine, EngineStream& aStream)
+{
+  aStream.Drop();
+  const bool isLate = mInterruption == Interruption::DeadlinePassed;
+  mParts->engines->OnFailed(
+    mName.number, isLate ? EngineFailure::DeadlineExceeded : EngineFailure::Cancelled, net::Now());
+  std::optional<bool> hasStarted = false;
+  if (aStream.MayHaveArrived()) {
+    hasStarted = co_await CancelOnEngine(aEngine);
+  }
+  mMayHaveRun = mMayHaveRun || mMetrics->Tokens() > 0 || hasStarted != false;
+  co_return InterruptedBetweenAttempts();
+}
+
+CompletionSession::AttemptEnd CompletionSession::InterruptedBetweenAttempts()
+{
+  if (mInterruption == Interruption::CallerGone) {
+    LogEnd("caller left");
+    return AttemptEnd::Interrupted;
+  }
+  const bool isLate = mInterruption == Interruption::DeadlinePassed;
+  const RunState run = mMayHaveRun ? RunState::Unknown : RunState::NotRun;
+  mRefusal = isLate ? Refusal{ 504, "deadline", "the deadline of the class has passed", run,
+                               std::nullopt }
+                    : Refusal{ 503, "shutdown", "this host stops and can wait no longer", run,
+                               kRetryAfterOverload };
+  return AttemptEnd::Refused;
+}
+
+net::Task<std::optional<bool>> CompletionSession::CancelOnEngine(const BackendServer& aEngine)
+{
+  const net::HttpRequest request{ "DELETE", aEngine.url.path + "/streams/" + mName.text, {}, {},
+                                  {} };
+  const Result<net::HttpResponse, net::FetchError> reply =
+    co_await net::Fetch(*mParts->pool, AddressOf(aEngine.url), request, kCancelLimits);
+  if (!reply || reply->status != 200) {
+    co_return std::nullopt;
+  }
+  boost::system::error_code ec;
+  const boost::json::value body = boost::json::parse(reply->body, ec);
+  const boost::json::object* object = body.if_object();
+  const boost::json::value* started = object == nullptr ? nullptr : object->if_contains("started");
+  if (started == nullptr || !started->is_bool()) {
+    co_return std::nullopt;
+  }
+  co_return started->get_bool();
+}
+
+EngineQuery CompletionSession::Query() const
+{
+  return { mName.number,   mService->name,  mClass->name,       mAccount->name,
+           mCall.promptTokens, mCall.maxTokens, mCall.prefixHashes, mArrived,
+           mDeadline,      mClass->priority, mExcluded };
+}
+
+const BackendServer* CompletionSession::FindEngine(const EngineId& aEngine) const
+{
+  for (const BackendServer& engine : mService->backendServers) {
+    if (engine.name == aEngine) {
+      return &engine;
+    }
+  }
+  return nullptr;
+}
+
+Refusal CompletionSession::EngineRefusal(const StreamFailure& aFailure) const
+{
+  const unsigned status = aFailure.status == 413 ? 413 : 400;
+  const RunState run = mMayHaveRun ? RunState::Unknown : RunState::NotRun;
+  return { status, "bad_input", "the engine refused the request: " + aFailure.detail, run,
+           std::nullopt };
+}
+
+net::Task<void> CompletionSession::Refuse(Refusal aRefusal)
+{
+  mParts->metrics.GetCounter({ "masticstep_refusals_total", "type", aRefusal.type })->Add();
+  telemetry::Log(Level::Info, "request refused",
+                 { { "request_id", mName.text }, { "status", aRefusal.status },
+                   { "type", aRefusal.type }, { "run", ToString(aRefusal.run) },
+                   { "account", mAccount == nullptr ? "" : mAccount->name.Text() } });
+  if (mAnswer) {
+    co_await mAnswer->Fail(aRefusal);
+  } else {
+    co_await mResponder.Send(ToResponse(aRefusal, mName.text));
+  }
+}
+
+void CompletionSession::LogEnd(const char* aOutcome) const
+{
+  const Duration spent = net::Now() - mArrived;
+  telemetry::Log(Level::Info, "request finished",
+                 { { "request_id", mName.text }, { "outcome", aOutcome },
+                   { "account", mAccount->name.Text() }, { "service", mService->name.Text() },
+                   { "class", mClass->name.Text() }, { "tokens", mMetrics->Tokens() },
+                   { "milliseconds", ToSeconds(spent) * 1000.0 } });
+}
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/EngineStream.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "SseParser.hpp"
+#include "TokenEvent.hpp"
+#include "masticstep/base/Result.hpp"
+#include "masticstep/net/ConnectionPool.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace masticstep::gateway {
+
+enum class StreamFailureKind
+{
+  NotConnected, // no byte was sent
+  Silent,       // no byte for the silence limit
+  Broken,       // the connection or the answer ended early, or the answer was not a stream
+  Crossed,      // an answer of another request or offset
+  Rejected,     // the engine answered with an error status; see status
+};
+
+struct StreamFailure
+{
+  StreamFailureKind kind = StreamFailureKind::Broken;
+  unsigned status = 0;
+  std::string detail;
+
+  bool operator==(const StreamFailure&) const = default;
+};
+
+// Stream of one request on one engine. The answers are matched by request id and offset. After a
+// failure, Resume continues the stream over a new connection.
+class EngineStream
+{
+public:
+  EngineStream(std::shared_ptr<net::ConnectionPool> aPool, net::HostPort aEngine,
+               std::string aRequestId);
+
+  // Sends the request.
+  net::Task<Result<void, StreamFailure>> Start(std::string aPath, std::string aBody);
+  // Asks for the stream from aOffset on.
+  net::Task<Result<void, StreamFailure>> Resume(std::uint32_t aOffset);
+  // Returns the next token, or nothing at the end of the stream.
+  net::Task<Result<std::optional<TokenEvent>, StreamFailure>> Next();
+  // Reads what follows the last event, so that the connection can be used again.
+  net::Task<void> Finish();
+  // Drops the connection; Next then fails with Broken.
+  void Drop();
+  // Returns true if bytes of the request may have reached the engine.
+  bool MayHaveArrived() const { return mMayHaveArrived; }
+
+private:
+  net::Task<Result<void, StreamFailure>> Exchange(net::HttpRequest aRequest);
+  Result<std::optional<TokenEvent>, StreamFailure> Check(std::string aData);
+  StreamFailure FailureOf(const net::NetError& aError) const;
+
+  std::shared_ptr<net::ConnectionPool> mPool;
+  net::HostPort mEngine;
+  std::string mRequestId;
+  std::optional<net::ConnectionPool::Lease> mLease;
+  SseParser mParser;
+  std::uint32_t mExpected = 0; // offset of the next token
+  bool mIsDone = false;
+  bool mMayHaveArrived = false;
+};
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/LeastOutstandingSelector.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "EngineSelector.hpp"
+#include "masticstep/base/Random.hpp"
+
+#include <map>
+#include <mutex>
+#include <unordered_map>
+
+namespace masticstep::gateway {
+
+// Chooses the server with the fewest requests of this daemon. Used for plain services, which report
+// no load.
+class LeastOutstandingSelector : public EngineSelector
+{
+public:
+  LeastOutstandingSelector(ServiceKind aKind, std::uint64_t aSeed);
+
+  void OnConfiguration(const Configuration& aConfiguration, Time aNow) override;
+  Result<EngineId, SelectionFailure> Choose(const EngineQuery& aQuery, Time aNow) override;
+  void OnDispatched(RequestId, Time) override {}
+  void OnTokens(RequestId, std::uint32_t, Time) override {}
+  void OnFinished(RequestId aId, Time aNow) override;
+  void OnFailed(RequestId aId, EngineFailure aFailure, Time aNow) override;
+  void OnLoad(const EngineLoad& aLoad, Time aNow) override;
+  void OnUnreachable(const EngineId& aEngine, Time aNow) override;
+  void SetLeaving(const EngineId& aEngine, bool aIsLeaving, Time aNow) override;
+  std::vector<EngineStatus> Status(Time aNow) const override;
+
+private:
+  struct Server
+  {
+    ServiceName service;
+    std::uint64_t inFlight = 0;
+    bool isConfigured = true;
+    bool isLeaving = false;
+    std::string state = "ready";
+    Time avoidedUntil; // after a failed connection
+  };
+
+  bool IsUsable(const EngineId& aEngine, const Server& aServer, const EngineQuery& aQuery,
+                Time aNow) const;
+  void Release(RequestId aId);
+
+  const ServiceKind mKind;
+  mutable std::mutex mMutex;
+  Random mRandom;
+  std::map<EngineId, Server> mServers;
+  std::unordered_map<RequestId, EngineId> mRequests;
+};
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/LoadPoller.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "GatewayParts.hpp"
+
+#include <memory>
+
+namespace masticstep::gateway {
+
+// Asks the engines in force for their load until the daemon stops.
+net::Task<void> PollLoads(std::shared_ptr<GatewayParts> aParts);
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/PlainSession.cpp
@@ -0,0 +1,203 @@
+#include "PlainSession.hpp"
+
+#include "Authentication.hpp"
+#include "ForwardedHeaders.hpp"
+#include "masticstep/net/Clock.hpp"
+#include "masticstep/net/Sleep.hpp"
+#include "masticstep/telemetry/Log.hpp"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::gateway {
+
+using telemetry::Level;
+
+namespace {
+
+constexpr Duration kConnectTimeout = Milliseconds(500);
+constexpr std::size_t kMaximumAnswer = 16777216;
+constexpr Duration kRetryAfter = Seconds(1);
+
+} // namespace
+
+PlainSession::PlainSession(std::shared_ptr<GatewayParts> aParts, RequestName aName,
+                           net::HttpResponder& aResponder)
+  : mParts(std::move(aParts))
+  , mName(std::move(aName))
+  , mResponder(aResponder)
+  , mArrived(net::Now())
+{
+}
+
+Result<void, Refusal> PlainSession::Prepare(const net::HttpRequest& aRequest)
+{
+  mConfiguration = mParts->configuration.Current();
+  if (!mConfiguration) {
+    return Failure(Refusal{ 503, "not_ready", "no configuration is in force yet", RunState::NotRun,
+                            kRetryAfter });
+  }
+  const Result<const ClientAccount*, Refusal> account =
+    Authenticate(*mConfiguration, aRequest.headers);
+  if (!account) {
+    return Failure(account.error());
+  }
+  mAccount = *account;
+  const Result<PlainPath, Refusal> path = PlainPath::Parse(aRequest.target);
+  if (!path) {
+    return Failure(path.error());
+  }
+  mPath = *path;
+  mService = mConfiguration->FindService(mPath.service);
+  if (mService == nullptr || mService->kind != ServiceKind::Plain ||
+      !MayUse(*mAccount, mPath.service)) {
+    return Failure(
+      NotFound("service '" + mPath.service.Text() + "' is unknown to this account"));
+  }
+  mDeadline = mArrived + mService->timeout;
+  return {};
+}
+
+net::Task<void> PlainSession::Run(net::HttpRequest aRequest)
+{
+  const Result<void, Refusal> prepared = Prepare(aRequest);
+  if (!prepared) {
+    co_await Answer(Failure(prepared.error()));
+    co_return;
+  }
+  const std::unique_ptr<RunningRequests::Entry> entry =
+    mParts->running.Add(mName.number, co_await boost::asio::this_coro::executor, nullptr);
+  const bool isRepeatable = IsRepeatable(*mService, aRequest.method, mPath.path);
+  Result<net::HttpResponse, Refusal> result =
+    isRepeatable ? co_await CallRepeatable(std::move(aRequest))
+                 : co_await CallOnce(std::move(aRequest));
+  co_await Answer(std::move(result));
+}
+
+const BackendServer* PlainSession::ChooseServer()
+{
+  EngineQuery query;
+  query.id = mName.number;
+  query.service = mService->name;
+  query.account = mAccount->name;
+  query.arrived = mArrived;
+  query.deadline = mDeadline;
+  query.excluded = mExcluded;
+  const Result<EngineId, SelectionFailure> chosen = mParts->servers->Choose(query, net::Now());
+  if (!chosen) {
+    return nullptr;
+  }
+  const auto found =
+    std::find_if(mService->backendServers.begin(), mService->backendServers.end(),
+                 [&chosen](const BackendServer& aServer) { return aServer.name == *chosen; });
+  return found == mService->backendServers.end() ? nullptr : &*found;
+}
+
+net::HttpRequest PlainSession::ForwardedRequest(const net::HttpRequest& aRequest,
+                                                const BackendServer& aServer) const
+{
+  net::HttpRequest request;
+  request.method = aRequest.method;
+  request.target = aServer.url.path + mPath.target;
+  request.headers = ForwardedHeaders(aRequest.headers);
+  request.headers.push_back({ "X-Request-Id", mName.text });
+  request.headers.push_back({ "X-Account", mAccount->name.Text() });
+  request.body = aRequest.body;
+  return request;
+}
+
+net::Task<Result<net::HttpResponse, Refusal>> PlainSession::CallRepeatable(
+  net::HttpRequest aRequest)
+{
+  mParts->retry.OnFirstAttempt(mService->name);
+  while (true) {
+    const BackendServer* server = ChooseServer();
+    if (server == nullptr) {
+      mParts->servers->OnFailed(mName.number, EngineFailure::Refused, net::Now());
+      const RunState run = mMayHaveRun ? RunState::Unknown : RunState::NotRun;
+      co_return Failure(
+        Refusal{ 503, "no_server", "no server of the service is available", run, kRetryAfter });
+    }
+    const net::FetchLimits limits{ kConnectTimeout,
+                                   std::max(mDeadline - net::Now(), Milliseconds(1)),
+                                   kMaximumAnswer };
+    Result<net::HttpResponse, net::FetchError> reply = co_await net::Fetch(
+      *mParts->pool, AddressOf(server->url), ForwardedRequest(aRequest, *server), limits);
+    if (reply) {
+      mParts->servers->OnFinished(mName.number, net::Now());
+      reply->headers = ForwardedHeaders(reply->headers);
+      co_return std::move(*reply);
+    }
+    const Result<RetryDecision, Refusal> decision = AfterFailure(*server, reply.error());
+    if (!decision) {
+      co_return Failure(decision.error());
+    }
+    co_await net::Sleep(decision->delay);
+  }
+}
+
+Result<RetryDecision, Refusal> PlainSession::AfterFailure(const BackendServer& aServer,
+                                                          const net::FetchError& aError)
+{
+  const bool isTimeout = aError.error.kind == net::NetErrorKind::TimedOut;
+  const EngineFailure failure =
+    aError.mayHaveArrived ? EngineFailure::Broken : EngineFailure::ConnectionFailed;
+  mParts->servers->OnFailed(mName.number, failure, net::Now());
+  telemetry::Log(Level::Warning, "call of plain service failed",
+                 { { "request_id", mName.text }, { "server", aServer.name.Text() },
+                   { "problem", net::ToString(aError.error) } });
+  FailedAttempt attempt;
+  attempt.id = mName.number;
+  attempt.service = mService->name;
+  attempt.progress = aError.mayHaveArrived ? AttemptProgress::Unknown : AttemptProgress::NotSent;
+  attempt.isRepeatable = true;
+  attempt.mayHaveRunBefore = mMayHaveRun;
+  attempt.retries = mRetries;
+  attempt.deadline = mDeadline;
+  const RetryDecision decision = mParts->retry.Decide(attempt, net::Now());
+  mMayHaveRun = decision.mayHaveRun;
+  if (decision.step == NextStep::Retry) {
+    ++mRetries;
+    mExcluded.push_back(aServer.name);
+    return decision;
+  }
+  return Failure(Refusal{ isTimeout ? 504U : 503U, isTimeout ? "deadline" : "server_failed",
+                          "the server failed: " + net::ToString(aError.error), decision.run,
+                          kRetryAfter });
+}
+
+net::Task<Result<net::HttpResponse, Refusal>> PlainSession::CallOnce(net::HttpRequest aRequest)
+{
+  if (net::FindHeader(aRequest.headers, "Idempotency-Key").empty()) {
+    co_return Failure(
+      BadInput("Idempotency-Key: missing; this call is not repeatable and needs one"));
+  }
+  co_return Failure(Refusal{ 503, "orders_unavailable",
+                             "calls that must not be repeated are not available yet",
+                             RunState::NotRun, kRetryAfter });
+}
+
+net::Task<void> PlainSession::Answer(Result<net::HttpResponse, Refusal> aResult)
+{
+  const Duration spent = net::Now() - mArrived;
+  const unsigned status = aResult ? aResult->status : aResult.error().status;
+  telemetry::Log(Level::Info, aResult ? "call finished" : "call refused",
+                 { { "request_id", mName.text }, { "status", status },
+                   { "type", aResult ? "" : aResult.error().type },
+                   { "run", aResult ? "" : ToString(aResult.error().run) },
+                   { "account", mAccount == nullptr ? "" : mAccount->name.Text() },
+                   { "service", mPath.service.Text() },
+                   { "milliseconds", ToSeconds(spent) * 1000.0 } });
+  if (!aResult) {
+    mParts->metrics.GetCounter({ "masticstep_refusals_total", "type", aResult.error().type })
+      ->Add();
+    co_await mResponder.Send(ToResponse(aResult.error(), mName.text));
+    co_return;
+  }
+  aResult->headers.push_back({ "X-Request-Id", mName.text });
+  co_await mResponder.Send(std::move(*aResult));
+}
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/RequestMetrics.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+#include "masticstep/base/Time.hpp"
+#include "masticstep/telemetry/Metrics.hpp"
+
+#include <memory>
+
+namespace masticstep::gateway {
+
+// Records the latency of one completion, per class and per account.
+class RequestMetrics
+{
+public:
+  RequestMetrics(telemetry::Metrics& aMetrics, const ClassName& aClass, const AccountName& aAccount,
+                 Time aArrived);
+  ~RequestMetrics();
+  RequestMetrics(const RequestMetrics&) = delete;
+  RequestMetrics& operator=(const RequestMetrics&) = delete;
+
+  void OnToken(Time aNow);
+  std::uint32_t Tokens() const { return mTokens; }
+
+private:
+  struct Pair
+  {
+    std::shared_ptr<telemetry::LatencySeries> byClass;
+    std::shared_ptr<telemetry::LatencySeries> byAccount;
+    void Record(Duration aDuration);
+  };
+
+  Pair mFirstToken;
+  Pair mBetweenTokens;
+  std::shared_ptr<telemetry::Counter> mTokensOfAccount;
+  std::shared_ptr<telemetry::Gauge> mRunning;
+  Time mLast;
+  std::uint32_t mTokens = 0;
+};
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/RequestNames.cpp
@@ -0,0 +1,31 @@
+#include "RequestNames.hpp"
+
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
+namespace masticstep::gateway {
+
+namespace {
+
+std::string HexText(std::uint64_t aNumber)
+{
+  std::array<char, 20> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, aNumber);
+  return text.data();
+}
+
+} // namespace
+
+RequestNames::RequestNames(const HostName& aHost, std::uint64_t aStartNonce)
+  : mPrefix(aHost.Text() + "-" + HexText(aStartNonce) + "-")
+{
+}
+
+RequestName RequestNames::Next()
+{
+  const std::uint64_t n = mNext.fetch_add(1, std::memory_order_relaxed);
+  return { RequestId{ n }, mPrefix + std::to_string(n) };
+}
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/SseParser.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace masticstep::gateway {
+
+// Splits a server-sent event stream into the data of its events. Comments are skipped.
+class SseParser
+{
+public:
+  void Feed(std::string_view aBytes);
+  // Returns the data of the next whole event, if one has arrived.
+  std::optional<std::string> Next();
+  // Returns true once an event is longer than any that an engine may send.
+  bool IsOverlong() const { return mIsOverlong; }
+
+private:
+  std::optional<std::string_view> NextLine();
+
+  std::string mBuffer;
+  std::size_t mStart = 0;
+  std::string mData;
+  bool mHasData = false;
+  bool mIsOverlong = false;
+};
+
+} // namespace masticstep::gateway
