Add the router with learned engine costs

The gateway needs an interface to build on. Router predicts first token and time between tokens per engine from a cost model learned from answers, counts own work at once, reconciles late reports, follows prefix caches within a bound, ejects failing engines with a counted probe, and takes the better of two random candidates near the best. Five tests pass; nothing is measured yet.

--- /dev/null
+++ b/libs/routing/include/masticstep/routing/EngineDescription.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+namespace masticstep::routing {
+
+// How an engine divides its steps between prompts and running streams. A request stays on one
+// engine from its prompt to its last token.
+enum class EngineRole : std::uint8_t
+{
+  Mixed,
+  Prefill,
+  Decode
+};
+constexpr std::size_t kEngineRoles = 3;
+
+enum class EngineState : std::uint8_t
+{
+  Ready,
+  Draining,     // finishes what runs, gets nothing new
+  ChangingRole, // out of service for seconds
+  Down
+};
+
+// What the configuration says about one engine.
+struct EngineDescription
+{
+  EngineId id;
+  ServiceName service;
+  DataCentreName dataCentre;
+  RegionName region;
+  std::uint32_t kvBlocks = 2000; // design section 1.4
+  EngineRole role = EngineRole::Mixed;
+
+  bool operator==(const EngineDescription&) const = default;
+};
+
+} // namespace masticstep::routing
--- /dev/null
+++ b/libs/routing/include/masticstep/routing/RouteDecision.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+#include "masticstep/base/Time.hpp"
+
+#include <cstdint>
+
+namespace masticstep::routing {
+
+// The chosen engine and what the router expects of it. Spans are counted from the decision.
+struct RouteDecision
+{
+  EngineId engine;
+  Duration firstToken{ 0 };
+  Duration betweenTokens{ 0 };
+  Duration completion{ 0 };
+  std::uint32_t outputTokens = 0;
+  std::uint32_t cachedTokens = 0;
+  bool meetsTargets = false;
+  // The request is the counted probe of an ejected engine.
+  bool isProbe = false;
+};
+
+} // namespace masticstep::routing
--- /dev/null
+++ b/libs/routing/src/CostModel.cpp
@@ -0,0 +1,82 @@
+#include "CostModel.hpp"
+
+#include <algorithm>
+
+namespace masticstep::routing {
+
+namespace {
+
+// Features are scaled to about 1, so that one step size fits all weights.
+constexpr double kTokenScale = 1000.0;
+constexpr double kRunningScale = 32.0;
+constexpr double kBlockScale = 1000.0;
+// Prompt tokens with which an engine computes prompts in every step.
+constexpr double kPressureTokens = 1024.0;
+// A stalled stream teaches about the stall and not about the load.
+constexpr double kLongestLearned = 10.0;
+
+// Starting values until answers correct them: weights read once per step, a large model's compute
+// per prompt token and the step length that a role's share of prompt tokens gives.
+FirstTokenFeatures FirstTokenPrior(EngineRole aRole)
+{
+  switch (aRole) {
+    case EngineRole::Prefill:
+      return { 0.05F, 0.13F, 0.01F };
+    case EngineRole::Decode:
+      return { 0.03F, 0.25F, 0.01F };
+    case EngineRole::Mixed:
+      break;
+  }
+  return { 0.04F, 0.16F, 0.01F };
+}
+
+BetweenTokensFeatures BetweenTokensPrior(EngineRole aRole)
+{
+  switch (aRole) {
+    case EngineRole::Prefill:
+      return { 0.015F, 0.002F, 0.001F, 0.200F };
+    case EngineRole::Decode:
+      return { 0.015F, 0.002F, 0.001F, 0.015F };
+    case EngineRole::Mixed:
+      break;
+  }
+  return { 0.015F, 0.002F, 0.001F, 0.050F };
+}
+
+} // namespace
+
+FirstTokenFeatures FirstTokenFeaturesOf(const EngineLoad& aLoad, double aUncachedTokens)
+{
+  return { 1.0F, static_cast<float>((aLoad.waitingTokens + aUncachedTokens) / kTokenScale),
+           static_cast<float>(aLoad.running / kRunningScale) };
+}
+
+BetweenTokensFeatures BetweenTokensFeaturesOf(const EngineLoad& aLoad)
+{
+  return { 1.0F, static_cast<float>(aLoad.running / kRunningScale),
+           static_cast<float>(aLoad.usedBlocks / kBlockScale),
+           static_cast<float>(std::min(1.0, aLoad.waitingTokens / kPressureTokens)) };
+}
+
+CostModel::CostModel(EngineRole aRole)
+  : mFirstToken(FirstTokenPrior(aRole))
+  , mBetweenTokens(BetweenTokensPrior(aRole))
+{
+}
+
+double CostModel::SecondsPerPromptToken() const
+{
+  return mFirstToken.Weights()[1] / kTokenScale;
+}
+
+void CostModel::LearnFirstToken(const FirstTokenFeatures& aFeatures, double aSeconds)
+{
+  mFirstToken.Learn(aFeatures, std::min(aSeconds, kLongestLearned));
+}
+
+void CostModel::LearnBetweenTokens(const BetweenTokensFeatures& aFeatures, double aSeconds)
+{
+  mBetweenTokens.Learn(aFeatures, std::min(aSeconds, kLongestLearned));
+}
+
+} // namespace masticstep::routing
--- /dev/null
+++ b/libs/routing/src/CostModel.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "OnlineRegression.hpp"
+#include "masticstep/routing/EngineDescription.hpp"
+
+namespace masticstep::routing {
+
+// Believed load of an engine at one moment.
+struct EngineLoad
+{
+  double running = 0.0;       // requests, waiting ones included
+  double waitingTokens = 0.0; // prompt tokens not yet computed
+  double usedBlocks = 0.0;
+};
+
+using FirstTokenFeatures = OnlineRegression<3>::Features;
+using BetweenTokensFeatures = OnlineRegression<4>::Features;
+
+FirstTokenFeatures FirstTokenFeaturesOf(const EngineLoad& aLoad, double aUncachedTokens);
+BetweenTokensFeatures BetweenTokensFeaturesOf(const EngineLoad& aLoad);
+
+// Time that one engine in one role needs, in seconds, learned from its answers. The prompt's time
+// follows the tokens that are not cached; the time between tokens follows the batch, the KV blocks
+// in use and whether prompts are being computed.
+class CostModel
+{
+public:
+  explicit CostModel(EngineRole aRole);
+
+  double FirstToken(const FirstTokenFeatures& aFeatures) const
+  {
+    return mFirstToken.Predict(aFeatures);
+  }
+  double BetweenTokens(const BetweenTokensFeatures& aFeatures) const
+  {
+    return mBetweenTokens.Predict(aFeatures);
+  }
+  // Seconds of engine time for one prompt token.
+  double SecondsPerPromptToken() const;
+
+  void LearnFirstToken(const FirstTokenFeatures& aFeatures, double aSeconds);
+  void LearnBetweenTokens(const BetweenTokensFeatures& aFeatures, double aSeconds);
+
+private:
+  OnlineRegression<3> mFirstToken;
+  OnlineRegression<4> mBetweenTokens;
+};
+
+} // namespace masticstep::routing
--- /dev/null
+++ b/libs/routing/tests/RouterTests.cpp
@@ -0,0 +1,115 @@
+#include "masticstep/routing/Router.hpp"
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using namespace masticstep::routing;
+
+namespace {
+
+Time At(std::int64_t aMilliseconds)
+{
+  return Time{ Milliseconds(aMilliseconds) };
+}
+
+EngineDescription Engine(const std::string& aName, const std::string& aZone = "a")
+{
+  return {
+    EngineId(aName),  ServiceName("drafting"), DataCentreName(aZone), RegionName(aZone), 2000,
+    EngineRole::Mixed
+  };
+}
+
+Router TwoEngines()
+{
+  RouterOptions options;
+  options.dataCentre = DataCentreName("a");
+  options.region = RegionName("a");
+  options.classes.push_back({ ServiceName("drafting"), ClassName("counter") });
+  Router router = Router::Create(options).value();
+  router.SetEngine(Engine("e1"));
+  router.SetEngine(Engine("e2"));
+  return router;
+}
+
+RouteRequest Request(std::uint64_t aId, Time aNow)
+{
+  RouteRequest request;
+  request.id = RequestId{ aId };
+  request.service = ServiceName("drafting");
+  request.className = ClassName("counter");
+  request.account = AccountName("dealer-1");
+  request.promptTokens = 500;
+  request.maxTokens = 200;
+  request.arrived = aNow;
+  request.deadline = aNow + Seconds(30);
+  return request;
+}
+
+} // namespace
+
+// Guards against new work on an engine that is leaving (invariant I7).
+MASTICSTEP_TEST("a draining engine gets no new request", "[routing][drain]")
+{
+  Router router = TwoEngines();
+  router.OnEngineState(EngineId("e1"), EngineState::Draining, At(0));
+  for (std::uint64_t i = 0; i < 50; ++i) {
+    CHECK_EQUAL(EngineId("e2"), router.Choose(Request(i, At(1)), At(1)).value().engine);
+  }
+}
+
+// Guards against sending a burst to one engine while its report still shows it idle.
+MASTICSTEP_TEST("own work in flight counts before the next report", "[routing][load]")
+{
+  Router router = TwoEngines();
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    CHECK_TRUE(router.Choose(Request(i, At(1)), At(1)).has_value());
+  }
+  for (const EngineView& view : router.Engines(At(1))) {
+    CHECK_TRUE(view.ownInFlight >= 12);
+    CHECK_TRUE(view.running >= 12.0);
+  }
+}
+
+// Guards against counting a request twice once the report includes it, and against forgetting one
+// that was sent after the report was taken.
+MASTICSTEP_TEST("a late report is reconciled with what was sent after it", "[routing][load]")
+{
+  Router router = TwoEngines();
+  router.OnEngineState(EngineId("e2"), EngineState::Draining, At(0));
+  CHECK_TRUE(router.Choose(Request(1, At(100)), At(100)).has_value());
+  CHECK_TRUE(router.Choose(Request(2, At(900)), At(900)).has_value());
+  LoadReport report;
+  report.engine = EngineId("e1");
+  report.sequence = 1;
+  report.age = Milliseconds(500);
+  report.running = 1;
+  report.kvBlocksTotal = 2000;
+  router.OnLoadReport(report, At(1000));
+  CHECK_EQUAL(2.0, router.Engines(At(1000))[0].running);
+  report.running = 9;
+  router.OnLoadReport(report, At(1001));
+  CHECK_EQUAL(2.0, router.Engines(At(1001))[0].running);
+}
+
+// Guards against an ejected engine that takes no probe, or more than one at once.
+MASTICSTEP_TEST("a failing engine is ejected and probed once", "[routing][ejection]")
+{
+  Router router = TwoEngines();
+  router.OnEngineState(EngineId("e2"), EngineState::Draining, At(0));
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    CHECK_TRUE(router.Choose(Request(i, At(1)), At(1)).has_value());
+    router.OnFailed(RequestId{ i }, FailureKind::ConnectionFailed, At(2));
+  }
+  CHECK_TRUE(RouteErrorKind::NoEngine == router.Choose(Request(10, At(3)), At(3)).error().kind);
+  CHECK_TRUE(router.Choose(Request(11, At(1100)), At(1100)).value().isProbe);
+  CHECK_FALSE(router.Choose(Request(12, At(1100)), At(1100)).has_value());
+}
+
+MASTICSTEP_TEST("a request that cannot meet its deadline is refused", "[routing][deadline]")
+{
+  Router router = TwoEngines();
+  RouteRequest request = Request(1, At(0));
+  request.deadline = At(10);
+  CHECK_TRUE(RouteErrorKind::DeadlineCannotBeMet == router.Choose(request, At(0)).error().kind);
+  CHECK_EQUAL(0U, router.InFlight());
+}
