Add the admission queue

Requests beyond a service's tokens in flight wait in queues bounded by class and account. Classes share room by priority without starvation, accounts by deficit round robin in tokens, and deadlines that cannot be met are refused at once.

--- /dev/null
+++ b/libs/admission/include/masticstep/admission/AdmissionRequest.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+#include "masticstep/base/Time.hpp"
+
+#include <cstdint>
+
+namespace masticstep::admission {
+
+struct AdmissionRequest
+{
+  RequestId id;
+  ServiceName service;
+  ClassName className;
+  AccountName account;
+  // Prompt tokens and expected output tokens.
+  std::uint32_t tokens = 0;
+  Time arrived;
+  Time deadline;
+  // Least time that the request needs once it is released.
+  Duration expected{ 0 };
+
+  bool operator==(const AdmissionRequest&) const = default;
+};
+
+} // namespace masticstep::admission
--- /dev/null
+++ b/libs/admission/include/masticstep/admission/Refusal.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+#include "masticstep/base/Time.hpp"
+
+#include <cstdint>
+
+namespace masticstep::admission {
+
+enum class RefusalReason : std::uint8_t
+{
+  UnknownClass,
+  AccountLimit,     // HTTP 429
+  QueueFull,        // 503
+  AccountQueueFull, // 429
+  Deadline          // 504; it passed, or cannot be met any more
+};
+
+// A request that was not released. No byte of it has reached a backend server.
+struct Refusal
+{
+  RequestId id;
+  RefusalReason reason = RefusalReason::QueueFull;
+  Duration retryAfter{ 0 };
+
+  bool operator==(const Refusal&) const = default;
+};
+
+} // namespace masticstep::admission
--- /dev/null
+++ b/libs/admission/src/AdmissionState.cpp
@@ -0,0 +1,304 @@
+#include "AdmissionState.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::admission {
+
+namespace {
+
+constexpr Duration kRateWindow = Seconds(1);
+constexpr double kRateStep = 0.3;
+// Told to callers that are refused because a queue is full.
+constexpr Duration kRetryAfterFull = Seconds(1);
+
+double ClassWeight(const ClassLimits& aLimits)
+{
+  return 1.0 + aLimits.priority;
+}
+
+AdmissionDecision Refuse(const AdmissionRequest& aRequest, RefusalReason aReason,
+                         Duration aRetryAfter)
+{
+  return { AdmissionKind::Refused, { aRequest.id, aReason, aRetryAfter } };
+}
+
+} // namespace
+
+AdmissionQueue::State::State(AdmissionOptions aOptions)
+{
+  SetOptions(std::move(aOptions));
+}
+
+void AdmissionQueue::State::SetOptions(AdmissionOptions aOptions)
+{
+  mOptions = std::move(aOptions);
+  for (const ClassLimits& limits : mOptions.classes) {
+    ServiceState& service = mServices[limits.service];
+    ClassState* known = FindClass(service, limits.name);
+    if (known != nullptr) {
+      known->limits = limits;
+    } else {
+      service.classes.push_back({ limits, FairQueue(mOptions.quantumTokens), 0.0 });
+    }
+  }
+  for (const AccountLimits& limits : mOptions.accounts) {
+    AccountState& account = mAccounts[limits.name];
+    account.weight = std::max(1e-3, limits.weight);
+    if (limits.tokensPerSecond <= 0.0) {
+      account.bucket.reset();
+    } else if (account.bucket.has_value()) {
+      account.bucket->SetLimits(limits.tokensPerSecond, limits.burstTokens);
+    } else {
+      account.bucket.emplace(limits.tokensPerSecond, limits.burstTokens);
+    }
+  }
+}
+
+AdmissionQueue::State::ClassState* AdmissionQueue::State::FindClass(ServiceState& aService,
+                                                                    const ClassName& aName)
+{
+  for (ClassState& item : aService.classes) {
+    if (item.limits.name == aName) {
+      return &item;
+    }
+  }
+  return nullptr;
+}
+
+double AdmissionQueue::State::WeightOf(const AccountName& aAccount) const
+{
+  const auto it = mAccounts.find(aAccount);
+  return it == mAccounts.end() ? 1.0 : it->second.weight;
+}
+
+AccountBucket* AdmissionQueue::State::BucketOf(const AccountName& aAccount)
+{
+  const auto it = mAccounts.find(aAccount);
+  return it == mAccounts.end() || !it->second.bucket ? nullptr : &*it->second.bucket;
+}
+
+bool AdmissionQueue::State::HasRoom(const ServiceState& aService, std::uint32_t aTokens) const
+{
+  // A request larger than the whole capacity may run alone.
+  return aService.tokensInFlight == 0 || aService.tokensInFlight + aTokens <= aService.capacity;
+}
+
+AdmissionDecision AdmissionQueue::State::Offer(const AdmissionRequest& aRequest, Time aNow)
+{
+  const auto service = mServices.find(aRequest.service);
+  ClassState* target =
+    service == mServices.end() ? nullptr : FindClass(service->second, aRequest.className);
+  if (target == nullptr) {
+    return Refuse(aRequest, RefusalReason::UnknownClass, Duration{ 0 });
+  }
+  if (aNow + aRequest.expected >= aRequest.deadline) {
+    return Refuse(aRequest, RefusalReason::Deadline, Duration{ 0 });
+  }
+  AccountBucket* bucket = BucketOf(aRequest.account);
+  if (bucket != nullptr && !bucket->HasRoom(aNow)) {
+    return Refuse(aRequest, RefusalReason::AccountLimit, bucket->WaitAt(aNow));
+  }
+  if (service->second.waiting == 0 && HasRoom(service->second, aRequest.tokens)) {
+    Admit(service->second, aRequest, aNow);
+    return { AdmissionKind::Admitted, {} };
+  }
+  const std::size_t limit = target->limits.queueLimit;
+  if (target->queue.Size() >= limit) {
+    return Refuse(aRequest, RefusalReason::QueueFull, kRetryAfterFull);
+  }
+  const std::size_t accountLimit = std::max<std::size_t>(
+    1, static_cast<std::size_t>(static_cast<double>(limit) * mOptions.accountQueueShare));
+  if (target->queue.SizeOf(aRequest.account) >= accountLimit) {
+    return Refuse(aRequest, RefusalReason::AccountQueueFull, kRetryAfterFull);
+  }
+  const Duration wait = FromSeconds(ExpectedWait(service->second, *target, aRequest));
+  if (aNow + wait + aRequest.expected >= aRequest.deadline) {
+    return Refuse(aRequest, RefusalReason::Deadline, wait);
+  }
+  if (target->queue.Size() == 0) {
+    // A class that was idle gets no credit for that time.
+    const ClassState* next = NextClass(service->second);
+    target->served = next == nullptr ? target->served : std::max(target->served, next->served);
+  }
+  target->queue.Push(aRequest, WeightOf(aRequest.account));
+  ++service->second.waiting;
+  const Time latest = aRequest.deadline - aRequest.expected;
+  mLatest.emplace(latest, aRequest.id.value);
+  mLatestOf[aRequest.id] = latest;
+  return { AdmissionKind::Queued, {} };
+}
+
+double AdmissionQueue::State::ExpectedWait(const ServiceState& aService, const ClassState& aClass,
+                                           const AdmissionRequest& aRequest) const
+{
+  if (aService.tokensPerSecond <= 0.0) {
+    return 0.0;
+  }
+  double weights = 0.0;
+  for (const ClassState& item : aService.classes) {
+    if (item.queue.Size() > 0 || &item == &aClass) {
+      weights += ClassWeight(item.limits);
+    }
+  }
+  const double ahead = aClass.queue.TokensAhead(aRequest.account, WeightOf(aRequest.account));
+  constexpr double kLongestWait = 3600.0;
+  return std::min(kLongestWait,
+                  ahead * weights / ClassWeight(aClass.limits) / aService.tokensPerSecond);
+}
+
+AdmissionQueue::State::ClassState* AdmissionQueue::State::NextClass(ServiceState& aService)
+{
+  ClassState* next = nullptr;
+  for (ClassState& item : aService.classes) {
+    if (item.queue.Size() > 0 && (next == nullptr || item.served < next->served)) {
+      next = &item;
+    }
+  }
+  return next;
+}
+
+void AdmissionQueue::State::Admit(ServiceState& aService, const AdmissionRequest& aRequest,
+                                  Time aNow)
+{
+  aService.tokensInFlight += aRequest.tokens;
+  mInFlight[aRequest.id] = { aRequest.service, aRequest.account, aRequest.tokens };
+  AccountBucket* bucket = BucketOf(aRequest.account);
+  if (bucket != nullptr) {
+    bucket->Take(aRequest.tokens, aNow);
+  }
+}
+
+std::vector<AdmissionRequest> AdmissionQueue::State::Release(Time aNow)
+{
+  std::vector<AdmissionRequest> released;
+  for (std::pair<const ServiceName, ServiceState>& item : mServices) {
+    ServiceState& service = item.second;
+    while (service.waiting > 0) {
+      ClassState* next = NextClass(service);
+      if (!HasRoom(service, next->queue.Front()->tokens)) {
+        break;
+      }
+      const AdmissionRequest request = next->queue.Pop();
+      next->served += request.tokens / ClassWeight(next->limits);
+      --service.waiting;
+      mLatest.erase({ mLatestOf[request.id], request.id.value });
+      mLatestOf.erase(request.id);
+      Admit(service, request, aNow);
+      released.push_back(request);
+    }
+  }
+  return released;
+}
+
+std::vector<Refusal> AdmissionQueue::State::OnTime(Time aNow)
+{
+  std::vector<Refusal> refusals;
+  if (mLatest.empty() || mLatest.begin()->first > aNow) {
+    return refusals;
+  }
+  const auto isLate = [aNow](const AdmissionRequest& aRequest) {
+    return aRequest.deadline - aRequest.expected <= aNow;
+  };
+  for (std::pair<const ServiceName, ServiceState>& item : mServices) {
+    for (ClassState& each : item.second.classes) {
+      for (const AdmissionRequest& late : each.queue.RemoveIf(isLate)) {
+        --item.second.waiting;
+        refusals.push_back({ late.id, RefusalReason::Deadline, Duration{ 0 } });
+      }
+    }
+  }
+  for (const Refusal& refusal : refusals) {
+    mLatest.erase({ mLatestOf[refusal.id], refusal.id.value });
+    mLatestOf.erase(refusal.id);
+  }
+  return refusals;
+}
+
+std::optional<Time> AdmissionQueue::State::NextWakeUp() const
+{
+  return mLatest.empty() ? std::nullopt : std::optional<Time>(mLatest.begin()->first);
+}
+
+void AdmissionQueue::State::OnFinished(RequestId aId, std::uint32_t aTokens, Time aNow)
+{
+  const auto it = mInFlight.find(aId);
+  if (it == mInFlight.end()) {
+    return;
+  }
+  ServiceState& service = mServices[it->second.service];
+  service.tokensInFlight -= it->second.tokens;
+  Measure(service, it->second.tokens, aNow);
+  AccountBucket* bucket = BucketOf(it->second.account);
+  if (bucket != nullptr) {
+    bucket->Take(static_cast<double>(aTokens) - it->second.tokens, aNow);
+  }
+  mInFlight.erase(it);
+}
+
+// Measures only while requests wait; otherwise demand and not capacity would be measured.
+void AdmissionQueue::State::Measure(ServiceState& aService, std::uint32_t aTokens, Time aNow)
+{
+  if (aService.waiting == 0) {
+    aService.tokensFinished = 0.0;
+    aService.windowStart = aNow;
+    return;
+  }
+  aService.tokensFinished += aTokens;
+  const Duration span = aNow - aService.windowStart;
+  if (span < kRateWindow) {
+    return;
+  }
+  const double rate = aService.tokensFinished / ToSeconds(span);
+  aService.tokensPerSecond =
+    aService.tokensPerSecond <= 0.0
+      ? rate
+      : aService.tokensPerSecond + kRateStep * (rate - aService.tokensPerSecond);
+  aService.tokensFinished = 0.0;
+  aService.windowStart = aNow;
+}
+
+bool AdmissionQueue::State::Cancel(RequestId aId)
+{
+  const auto latest = mLatestOf.find(aId);
+  if (latest == mLatestOf.end()) {
+    return false;
+  }
+  mLatest.erase({ latest->second, aId.value });
+  mLatestOf.erase(latest);
+  for (std::pair<const ServiceName, ServiceState>& item : mServices) {
+    for (ClassState& each : item.second.classes) {
+      if (each.queue.Remove(aId)) {
+        --item.second.waiting;
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void AdmissionQueue::State::SetCapacity(const ServiceName& aService, std::uint64_t aTokens)
+{
+  mServices[aService].capacity = aTokens;
+}
+
+void AdmissionQueue::State::SetShare(const AccountName& aAccount, double aShare, Time aNow)
+{
+  AccountBucket* bucket = BucketOf(aAccount);
+  if (bucket != nullptr) {
+    bucket->SetShare(aShare, aNow);
+  }
+}
+
+std::size_t AdmissionQueue::State::Waiting() const
+{
+  return mLatestOf.size();
+}
+
+std::uint64_t AdmissionQueue::State::TokensInFlight(const ServiceName& aService) const
+{
+  const auto it = mServices.find(aService);
+  return it == mServices.end() ? 0 : it->second.tokensInFlight;
+}
+
+} // namespace masticstep::admission
--- /dev/null
+++ b/libs/admission/src/FairQueue.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "masticstep/admission/AdmissionRequest.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace masticstep::admission {
+
+// Waiting requests of one class, shared among accounts by deficit round robin in tokens
+// (Shreedhar and Varghese, 1995).
+class FairQueue
+{
+public:
+  explicit FairQueue(double aQuantumTokens);
+
+  void Push(const AdmissionRequest& aRequest, double aWeight);
+  // The request whose turn it is; null if none waits. Stable until Push, Pop or Remove.
+  const AdmissionRequest* Front();
+  AdmissionRequest Pop();
+  bool Remove(RequestId aId);
+  // Takes out every request that the condition holds for.
+  std::vector<AdmissionRequest> RemoveIf(
+    const std::function<bool(const AdmissionRequest&)>& aCondition);
+
+  std::size_t Size() const { return mSize; }
+  std::size_t SizeOf(const AccountName& aAccount) const;
+  // Tokens served before a new request of the account, if no further account joins.
+  double TokensAhead(const AccountName& aAccount, double aWeight) const;
+
+private:
+  struct AccountQueue
+  {
+    std::deque<AdmissionRequest> requests;
+    double weight = 1.0;
+    double deficit = 0.0;
+    double tokens = 0.0;
+  };
+
+  void Forget(const AccountName& aAccount);
+
+  double mQuantumTokens;
+  std::size_t mSize = 0;
+  double mTokens = 0.0;
+  double mWeights = 0.0;
+  std::unordered_map<AccountName, AccountQueue> mAccounts;
+  std::list<AccountName> mRound;
+};
+
+} // namespace masticstep::admission
