--- /dev/null
+++ b/libs/platform_client/src/HttpForm.cpp
@@ -0,0 +1,156 @@
+#include "HttpForm.hpp"
+
+#include "masticstep/base/ObjectReader.hpp"
+
+#include <charconv>
+#include <utility>
+
+namespace masticstep::platform_client {
+
+using platform::PlatformReply;
+using platform::PlatformRequest;
+using platform::PlatformStatus;
+using platform::Version;
+
+namespace {
+
+constexpr IntegerRange kCounter{ 0, INT64_MAX };
+
+// Escapes everything but the characters of names and the separator of keys.
+std::string Escape(const std::string& aText)
+{
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  constexpr std::string_view kPlain = "/-._~";
+  std::string text;
+  for (const char item : aText) {
+    const bool isLetter = (item >= 'a' && item <= 'z') || (item >= 'A' && item <= 'Z');
+    const bool isDigit = item >= '0' && item <= '9';
+    if (isLetter || isDigit || kPlain.find(item) != std::string_view::npos) {
+      text += item;
+      continue;
+    }
+    text += '%';
+    text += kDigits[static_cast<unsigned char>(item) >> 4U];
+    text += kDigits[static_cast<unsigned char>(item) & 15U];
+  }
+  return text;
+}
+
+std::string Tag(Version aVersion)
+{
+  return "\"" + std::to_string(aVersion.value) + "\"";
+}
+
+std::optional<Version> ParseTag(std::string_view aText)
+{
+  if (aText.size() < 2 || aText.front() != '"' || aText.back() != '"') {
+    return std::nullopt;
+  }
+  const std::string_view digits = aText.substr(1, aText.size() - 2);
+  Version version;
+  const std::from_chars_result result =
+    std::from_chars(digits.data(), digits.data() + digits.size(), version.value);
+  const bool whole = result.ec == std::errc() && result.ptr == digits.data() + digits.size();
+  return whole ? std::optional<Version>(version) : std::nullopt;
+}
+
+PlatformStatus StatusOf(unsigned aStatus)
+{
+  switch (aStatus) {
+    case 200:
+      return PlatformStatus::Done;
+    case 404:
+      return PlatformStatus::NotFound;
+    case 412:
+      return PlatformStatus::Conflict;
+    case 413:
+      return PlatformStatus::TooLarge;
+    case 400:
+    case 429:
+    case 503:
+      return PlatformStatus::Refused;
+    default:
+      return PlatformStatus::Unknown;
+  }
+}
+
+bool ReadItems(const std::string& aBody, PlatformReply& aReply)
+{
+  Faults faults;
+  const std::optional<boost::json::object> object = ParseObject(aBody, "platform", faults);
+  if (!object) {
+    return false;
+  }
+  ObjectReader reader(*object, "platform", "$", faults);
+  aReply.revision = static_cast<std::uint64_t>(reader.RequiredInteger("revision", kCounter));
+  for (ObjectReader& item : reader.ObjectList("items", true)) {
+    const std::int64_t version = item.RequiredInteger("version", kCounter);
+    aReply.items.push_back({ platform::ObjectKey{ item.RequiredString("key") },
+                             Version{ static_cast<std::uint64_t>(version) },
+                             item.OptionalBoolean("deleted", false) });
+  }
+  return faults.empty();
+}
+
+// Fills in what a successful answer carries; returns false if it is not understood.
+bool ReadContent(const PlatformRequest& aRequest, const net::HttpResponse& aResponse,
+                 PlatformReply& aReply)
+{
+  const bool isList = std::holds_alternative<platform::ListRequest>(aRequest.call) ||
+                      std::holds_alternative<platform::WatchRequest>(aRequest.call);
+  if (isList) {
+    return ReadItems(aResponse.body, aReply);
+  }
+  if (std::holds_alternative<platform::ConditionalDelete>(aRequest.call)) {
+    return true;
+  }
+  aReply.version = ParseTag(net::FindHeader(aResponse.headers, "ETag"));
+  if (std::holds_alternative<platform::ReadRequest>(aRequest.call)) {
+    aReply.body = aResponse.body;
+  }
+  return aReply.version.has_value();
+}
+
+} // namespace
+
+net::HttpRequest ToHttp(const PlatformRequest& aRequest, const std::string& aPath)
+{
+  net::HttpRequest request;
+  const auto object = [&aPath](const platform::ObjectKey& aKey) {
+    return aPath + "/objects/" + Escape(aKey.Text());
+  };
+  if (const auto* read = std::get_if<platform::ReadRequest>(&aRequest.call)) {
+    request.target = object(read->key);
+  } else if (const auto* write = std::get_if<platform::ConditionalWrite>(&aRequest.call)) {
+    request.method = "PUT";
+    request.target = object(write->key);
+    request.body = write->body;
+    request.headers.push_back(write->expected ? net::HttpHeader{ "If-Match", Tag(*write->expected) }
+                                              : net::HttpHeader{ "If-None-Match", "*" });
+  } else if (const auto* remove = std::get_if<platform::ConditionalDelete>(&aRequest.call)) {
+    request.method = "DELETE";
+    request.target = object(remove->key);
+    request.headers.push_back({ "If-Match", Tag(remove->expected) });
+  } else if (const auto* list = std::get_if<platform::ListRequest>(&aRequest.call)) {
+    request.target = aPath + "/objects?prefix=" + Escape(list->prefix);
+  } else {
+    const auto& watch = std::get<platform::WatchRequest>(aRequest.call);
+    request.target = aPath + "/watch?prefix=" + Escape(watch.prefix) +
+                     "&after=" + std::to_string(watch.afterRevision) +
+                     "&timeout_ms=" + std::to_string(watch.timeout / Milliseconds(1));
+  }
+  return request;
+}
+
+PlatformReply FromHttp(const PlatformRequest& aRequest, const net::HttpResponse& aResponse)
+{
+  PlatformReply reply;
+  reply.number = aRequest.number;
+  reply.status = StatusOf(aResponse.status);
+  if (reply.status == PlatformStatus::Done && !ReadContent(aRequest, aResponse, reply)) {
+    return { aRequest.number, PlatformStatus::Unknown, {}, {}, 0, {} };
+  }
+  return reply;
+}
+
+} // namespace masticstep::platform_client
--- /dev/null
+++ b/libs/platform_client/tests/HttpObjectStoreTests.cpp
@@ -0,0 +1,143 @@
+#include "masticstep/platform_client/HttpObjectStore.hpp"
+
+#include "masticstep/net/HttpServer.hpp"
+#include "masticstep/net/WorkerPool.hpp"
+#include "masticstep/platform/InMemoryPlatform.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <atomic>
+#include <future>
+#include <mutex>
+
+using namespace masticstep;
+using namespace masticstep::platform;
+using namespace masticstep::platform_client;
+
+namespace {
+
+// Serves InMemoryPlatform over HTTP in the form of the design page.
+class PlatformHandler : public net::HttpHandler
+{
+public:
+  net::Task<void> Handle(net::HttpRequest aRequest, net::HttpResponder& aResponder) override
+  {
+    net::HttpResponse response = Answer(aRequest);
+    if (mStatus != 0) {
+      response.status = mStatus;
+    }
+    if (!mDrop) {
+      co_await aResponder.Send(std::move(response));
+    }
+  }
+  net::HttpResponse Refuse(unsigned aStatus, const net::NetError&) override
+  {
+    return { aStatus, {}, "" };
+  }
+
+  std::atomic<bool> mDrop = false;   // close the connection without an answer
+  std::atomic<unsigned> mStatus = 0; // answer with this status
+  std::atomic<std::uint32_t> mPuts = 0;
+
+private:
+  net::HttpResponse Answer(const net::HttpRequest& aRequest)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    PlatformRequest call{ 0, ReadRequest{ ObjectKey{ aRequest.target.substr(9) } } };
+    if (aRequest.method == "PUT") {
+      ++mPuts;
+      const std::string_view match = net::FindHeader(aRequest.headers, "If-Match");
+      std::optional<Version> expected;
+      if (!match.empty()) {
+        expected = Version{ std::stoull(std::string(match.substr(1))) };
+      }
+      call.call =
+        ConditionalWrite{ ObjectKey{ aRequest.target.substr(9) }, expected, aRequest.body };
+    }
+    const PlatformReply reply = mPlatform.Apply(call);
+    const unsigned status = reply.status == PlatformStatus::Done       ? 200
+                            : reply.status == PlatformStatus::NotFound ? 404
+                                                                       : 412;
+    net::HttpResponse response{ status, {}, reply.body };
+    if (reply.version) {
+      response.headers.push_back({ "ETag", "\"" + std::to_string(reply.version->value) + "\"" });
+    }
+    return response;
+  }
+
+  std::mutex mMutex;
+  InMemoryPlatform mPlatform;
+};
+
+StoreOptions OptionsFor(std::uint16_t aPort)
+{
+  StoreOptions options;
+  options.address = { "127.0.0.1", aPort };
+  return options;
+}
+
+class Fixture
+{
+public:
+  Fixture()
+    : handler(std::make_shared<PlatformHandler>())
+    , workers(2)
+    , server(*net::HttpServer::Create(workers.Context(), { "127.0.0.1", 0 }, {}, handler))
+    , store(workers.Context().get_executor(), OptionsFor(server->Port()))
+  {
+  }
+  ~Fixture() { workers.Stop(); }
+
+  PlatformReply Call(PlatformCall aCall)
+  {
+    std::promise<PlatformReply> promise;
+    store.Submit({ 5, std::move(aCall) },
+                 [&promise](PlatformReply aReply) { promise.set_value(std::move(aReply)); });
+    return promise.get_future().get();
+  }
+
+  std::shared_ptr<PlatformHandler> handler;
+  net::WorkerPool workers;
+  std::unique_ptr<net::HttpServer> server;
+  HttpObjectStore store;
+};
+
+const ObjectKey kKey{ "orders/a/1" };
+
+} // namespace
+
+// Guards against a client that misreads versions or conditions.
+MASTICSTEP_TEST("reads and conditional updates go over HTTP", "[platform_client]")
+{
+  Fixture fixture;
+  CHECK_TRUE(fixture.Call(ReadRequest{ kKey }).status == PlatformStatus::NotFound);
+  const PlatformReply created = fixture.Call(ConditionalWrite{ kKey, std::nullopt, "x" });
+  CHECK_TRUE(created.status == PlatformStatus::Done && created.number == 5U);
+  const PlatformReply read = fixture.Call(ReadRequest{ kKey });
+  CHECK_EQUAL(std::string("x"), read.body);
+  CHECK_TRUE(read.version == created.version);
+  CHECK_TRUE(fixture.Call(ConditionalWrite{ kKey, read.version, "y" }).status ==
+             PlatformStatus::Done);
+  CHECK_TRUE(fixture.Call(ConditionalWrite{ kKey, read.version, "z" }).status ==
+             PlatformStatus::Conflict);
+}
+
+// Guards I5: only a call of which no byte was sent may be reported as not sent.
+MASTICSTEP_TEST("lost answers are unknown and refused connections not sent",
+                "[platform_client][failure]")
+{
+  Fixture fixture;
+  fixture.handler->mDrop = true;
+  CHECK_TRUE(fixture.Call(ConditionalWrite{ kKey, std::nullopt, "x" }).status ==
+             PlatformStatus::Unknown);
+  fixture.handler->mDrop = false;
+  CHECK_EQUAL(std::string("x"), fixture.Call(ReadRequest{ kKey }).body);
+  fixture.handler->mStatus = 503;
+  CHECK_TRUE(fixture.Call(ReadRequest{ kKey }).status == PlatformStatus::Refused);
+  fixture.handler->mStatus = 500;
+  CHECK_TRUE(fixture.Call(ReadRequest{ kKey }).status == PlatformStatus::Unknown);
+  HttpObjectStore closed(fixture.workers.Context().get_executor(), OptionsFor(1));
+  std::promise<PlatformReply> promise;
+  closed.Submit({ 1, ReadRequest{ kKey } },
+                [&promise](PlatformReply aReply) { promise.set_value(std::move(aReply)); });
+  CHECK_TRUE(promise.get_future().get().status == PlatformStatus::NotSent);
+}
