--- /dev/null
+++ b/standins/engine_standin/CompletionRequest.cpp
@@ -0,0 +1,60 @@
+#include "engine_standin/CompletionRequest.hpp"
+
+#include "common/JsonFields.hpp"
+
+namespace masticstep::standins {
+
+namespace {
+
+constexpr std::int64_t kLongestAnswer = 32768;
+constexpr std::int64_t kDefaultTokens = 16;
+
+std::string PromptOfMessages(const boost::json::object& aBody)
+{
+  std::string prompt;
+  const boost::json::value* messages = aBody.if_contains("messages");
+  if (messages == nullptr || !messages->is_array()) {
+    return prompt;
+  }
+  for (const boost::json::value& message : messages->get_array()) {
+    if (message.is_object()) {
+      prompt += TextField(message.get_object(), "role") + ": " +
+                TextField(message.get_object(), "content") + "\n";
+    }
+  }
+  return prompt;
+}
+
+std::string IdOf(const boost::json::object& aBody)
+{
+  const boost::json::value* id = aBody.if_contains("request_id");
+  if (id == nullptr || id->is_null()) {
+    return {};
+  }
+  return id->is_string() ? std::string(id->get_string()) : boost::json::serialize(*id);
+}
+
+} // namespace
+
+Result<CompletionRequest, std::string> ReadCompletion(const boost::json::object& aBody,
+                                                      bool aIsChat)
+{
+  CompletionRequest request;
+  request.id = IdOf(aBody);
+  request.model = TextField(aBody, "model");
+  request.prompt = aIsChat ? PromptOfMessages(aBody) : TextField(aBody, "prompt");
+  request.isChat = aIsChat;
+  request.isStreamed = BooleanField(aBody, "stream", false);
+  request.priority = IntegerField(aBody, "priority", 0);
+  const std::int64_t tokens = IntegerField(aBody, "max_tokens", kDefaultTokens);
+  if (request.prompt.empty()) {
+    return Failure(std::string(aIsChat ? "messages" : "prompt") + " is missing or empty");
+  }
+  if (tokens < 1 || tokens > kLongestAnswer) {
+    return Failure("max_tokens must be from 1 to " + std::to_string(kLongestAnswer));
+  }
+  request.maxTokens = static_cast<std::uint32_t>(tokens);
+  return request;
+}
+
+} // namespace masticstep::standins
--- /dev/null
+++ b/standins/engine_standin/LoadReports.cpp
@@ -0,0 +1,32 @@
+#include "engine_standin/LoadReports.hpp"
+
+namespace masticstep::standins {
+
+namespace {
+
+constexpr std::size_t kSnapshotsKept = 400; // 20 s at one each 50 ms
+
+} // namespace
+
+void LoadReports::Append(LoadSnapshot aSnapshot)
+{
+  aSnapshot.sequence = ++mLast;
+  mSnapshots.push_back(std::move(aSnapshot));
+  if (mSnapshots.size() > kSnapshotsKept) {
+    mSnapshots.pop_front();
+  }
+}
+
+LoadSnapshot LoadReports::Read(Time aNow, Duration aLag) const
+{
+  LoadSnapshot found = mSnapshots.empty() ? LoadSnapshot{} : mSnapshots.front();
+  for (const LoadSnapshot& snapshot : mSnapshots) {
+    if (snapshot.takenAt + aLag > aNow) {
+      break;
+    }
+    found = snapshot;
+  }
+  return found;
+}
+
+} // namespace masticstep::standins
