--- /dev/null
+++ b/libs/roles/src/RolePlanner.cpp
@@ -0,0 +1,197 @@
+#include "masticstep/roles/RolePlanner.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace masticstep::roles {
+
+namespace {
+
+constexpr std::array<Role, 3> kRoles{ Role::Mixed, Role::Prefill, Role::Decode };
+// Smaller differences are rounding.
+constexpr double kLeastGain = 1e-6;
+
+std::size_t& CountOf(RoleCounts& aCounts, Role aRole)
+{
+  switch (aRole) {
+    case Role::Prefill:
+      return aCounts.prefill;
+    case Role::Decode:
+      return aCounts.decode;
+    case Role::Mixed:
+      break;
+  }
+  return aCounts.mixed;
+}
+
+} // namespace
+
+RolePlanner::RolePlanner(RolePolicy aPolicy)
+  : mPolicy(aPolicy)
+  , mForecast(aPolicy.levelTime, aPolicy.trendTime)
+{
+}
+
+void RolePlanner::OnMix(const MixSample& aSample, Time aNow)
+{
+  if (!mStarted) {
+    mStarted = aNow;
+  }
+  mForecast.Add(aSample, aNow);
+}
+
+void RolePlanner::OnEngine(const EngineStatus& aStatus, Time aTaken)
+{
+  EngineState& engine = mEngines[aStatus.engine];
+  engine.isHealthy = aStatus.isHealthy;
+  // A report from before the drain says nothing about what is left to finish.
+  if (engine.changed && aTaken <= *engine.changed) {
+    return;
+  }
+  engine.requests = aStatus.requests;
+  if (engine.phase == Phase::Serving) {
+    engine.role = aStatus.role;
+    engine.target = aStatus.role;
+  }
+}
+
+void RolePlanner::OnEngineGone(const EngineId& aEngine)
+{
+  mEngines.erase(aEngine);
+}
+
+void RolePlanner::OnRoleChanged(const EngineId& aEngine, Role aRole, Time aNow)
+{
+  EngineState& engine = mEngines[aEngine];
+  engine.role = aRole;
+  engine.target = aRole;
+  engine.phase = Phase::Serving;
+  engine.changed = aNow;
+}
+
+void RolePlanner::OnChangeFailed(const EngineId& aEngine, Time aNow)
+{
+  const auto it = mEngines.find(aEngine);
+  if (it != mEngines.end()) {
+    OnRoleChanged(aEngine, it->second.role, aNow);
+  }
+}
+
+std::size_t RolePlanner::Changing() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mEngines.begin(), mEngines.end(), [](const std::pair<const EngineId, EngineState>& aItem) {
+      return aItem.second.phase != Phase::Serving;
+    }));
+}
+
+std::size_t RolePlanner::MaximumChanging() const
+{
+  // A small data centre must still be able to change one engine.
+  const double share = std::floor(static_cast<double>(mEngines.size()) * mPolicy.maximumShare);
+  return mEngines.size() < 2 ? 0 : std::max<std::size_t>(1, static_cast<std::size_t>(share));
+}
+
+RoleCounts RolePlanner::CountsAfterChanges() const
+{
+  RoleCounts counts;
+  for (const std::pair<const EngineId, EngineState>& item : mEngines) {
+    if (item.second.isHealthy) {
+      ++CountOf(counts, item.second.target);
+    }
+  }
+  return counts;
+}
+
+std::vector<RoleAction> RolePlanner::Plan(Time aNow)
+{
+  std::vector<RoleAction> actions;
+  for (std::pair<const EngineId, EngineState>& item : mEngines) {
+    EngineState& engine = item.second;
+    if (engine.phase == Phase::Draining && engine.requests == 0) {
+      engine.phase = Phase::Changing;
+      actions.push_back({ RoleActionKind::SetRole, item.first, engine.target });
+    }
+  }
+  if (!mStarted || aNow - *mStarted < mPolicy.warmUp) {
+    return actions;
+  }
+  while (Changing() < MaximumChanging()) {
+    const std::optional<RoleAction> change = BestChange(CountsAfterChanges(), aNow);
+    if (!change) {
+      break;
+    }
+    EngineState& engine = mEngines[change->engine];
+    engine.phase = Phase::Draining;
+    engine.target = change->role;
+    engine.changed = aNow;
+    // Unknown until a report that was taken after the drain.
+    engine.requests = std::max(1U, engine.requests);
+    actions.push_back(*change);
+  }
+  return actions;
+}
+
+std::optional<RoleAction> RolePlanner::BestChange(const RoleCounts& aCounts, Time aNow) const
+{
+  std::optional<RoleAction> best;
+  double bestGain = std::max(kLeastGain, mPolicy.changeCost / ToSeconds(mPolicy.payback));
+  for (const Role from : kRoles) {
+    const std::optional<EngineId> engine = EngineFor(from, aNow);
+    if (!engine) {
+      continue;
+    }
+    for (const Role to : kRoles) {
+      if (from == to) {
+        continue;
+      }
+      RoleCounts after = aCounts;
+      --CountOf(after, from);
+      ++CountOf(after, to);
+      const double gain = Gain(aCounts, after, aNow);
+      if (gain > bestGain) {
+        bestGain = gain;
+        best = RoleAction{ RoleActionKind::Drain, *engine, to };
+      }
+    }
+  }
+  return best;
+}
+
+double RolePlanner::Gain(const RoleCounts& aBefore, const RoleCounts& aAfter, Time) const
+{
+  const MixExpectation mix = mForecast.At(mPolicy.lead);
+  double least = std::numeric_limits<double>::max();
+  for (const double prompt : { -1.0, 1.0 }) {
+    for (const double output : { -1.0, 1.0 }) {
+      const MixSample work{ std::max(0.0, mix.promptWork.value + prompt * mix.promptWork.margin),
+                            std::max(0.0, mix.outputWork.value + output * mix.outputWork.margin) };
+      least = std::min(least, ServedWork(aAfter, work, mPolicy.costs) -
+                                ServedWork(aBefore, work, mPolicy.costs));
+    }
+  }
+  return least;
+}
+
+std::optional<EngineId> RolePlanner::EngineFor(Role aFrom, Time aNow) const
+{
+  std::optional<EngineId> found;
+  std::uint32_t fewest = 0;
+  for (const std::pair<const EngineId, EngineState>& item : mEngines) {
+    const EngineState& engine = item.second;
+    if (engine.phase != Phase::Serving || !engine.isHealthy || engine.role != aFrom) {
+      continue;
+    }
+    if (engine.changed && aNow - *engine.changed < mPolicy.minimumInterval) {
+      continue;
+    }
+    if (!found || engine.requests < fewest) {
+      found = item.first;
+      fewest = engine.requests;
+    }
+  }
+  return found;
+}
+
+} // namespace masticstep::roles
--- /dev/null
+++ b/libs/roles/tests/RolePlannerTests.cpp
@@ -0,0 +1,97 @@
+#include "masticstep/roles/RolePlanner.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <set>
+#include <string>
+
+using namespace masticstep;
+using namespace masticstep::roles;
+
+namespace {
+
+Time At(std::int64_t aSeconds)
+{
+  return Time{ Seconds(aSeconds) };
+}
+
+// Six engines, two of them for prompts.
+RolePlanner Planner(const RolePolicy& aPolicy)
+{
+  RolePlanner planner(aPolicy);
+  for (int i = 0; i < 6; ++i) {
+    planner.OnEngine(
+      { EngineId("e" + std::to_string(i)), i < 2 ? Role::Prefill : Role::Decode, true, 3 }, At(0));
+  }
+  return planner;
+}
+
+} // namespace
+
+// Guards against changing the role of an engine that still runs streams (invariant I2).
+MASTICSTEP_TEST("an engine is drained before its role changes", "[roles][drain]")
+{
+  RolePlanner planner = Planner(RolePolicy{});
+  std::vector<RoleAction> actions;
+  int second = 0;
+  for (; second < 100 && actions.empty(); ++second) {
+    planner.OnMix({ 4.0, 1.0 }, At(second));
+    actions = planner.Plan(At(second));
+  }
+  CHECK_EQUAL(1U, actions.size());
+  CHECK_TRUE(actions[0].kind == RoleActionKind::Drain);
+  CHECK_TRUE(actions[0].role == Role::Prefill);
+  // A report from before the drain must not count as empty.
+  planner.OnEngine({ actions[0].engine, Role::Decode, true, 0 }, At(second - 2));
+  CHECK_TRUE(planner.Plan(At(second)).empty());
+  planner.OnEngine({ actions[0].engine, Role::Decode, true, 0 }, At(second + 1));
+  const std::vector<RoleAction> orders = planner.Plan(At(second + 1));
+  CHECK_EQUAL(1U, orders.size());
+  CHECK_TRUE(orders[0].kind == RoleActionKind::SetRole);
+}
+
+// Guards against a change whose gain is smaller than what it costs.
+MASTICSTEP_TEST("a higher change cost suppresses changes", "[roles][cost]")
+{
+  RolePolicy policy;
+  policy.changeCost = 500.0;
+  RolePlanner planner = Planner(policy);
+  for (int second = 0; second < 200; ++second) {
+    planner.OnMix({ 4.0, 1.0 }, At(second));
+    CHECK_TRUE(planner.Plan(At(second)).empty());
+  }
+}
+
+// Guards against engines that change too often or too many at once, whatever the mix does.
+MASTICSTEP_TEST("interval and share of changing engines hold for any mix", "[roles][property]")
+{
+  masticstep::testing::CheckProperty("role limits", [] {
+    RolePolicy policy;
+    policy.changeCost = 0.0;
+    policy.maximumShare = 0.4;
+    RolePlanner planner = Planner(policy);
+    std::map<EngineId, Time> changed;
+    std::set<EngineId> drained;
+    const std::vector<std::uint8_t> mixes =
+      *rc::gen::container<std::vector<std::uint8_t>>(150, rc::gen::arbitrary<std::uint8_t>());
+    int second = 0;
+    for (const std::uint8_t mix : mixes) {
+      second += 2;
+      planner.OnMix({ (mix & 15U) / 3.0, (mix >> 4U) / 3.0 }, At(second));
+      for (const RoleAction& action : planner.Plan(At(second))) {
+        if (action.kind == RoleActionKind::Drain) {
+          const auto last = changed.find(action.engine);
+          RC_ASSERT(last == changed.end() || At(second) - last->second >= policy.minimumInterval);
+          RC_ASSERT(drained.insert(action.engine).second);
+        } else {
+          RC_ASSERT(drained.erase(action.engine) == 1);
+          planner.OnRoleChanged(action.engine, action.role, At(second));
+          changed[action.engine] = At(second);
+        }
+      }
+      RC_ASSERT(drained.size() <= 2);
+      for (const EngineId& engine : drained) {
+        planner.OnEngine({ engine, Role::Decode, true, mix & 1U }, At(second + 1));
+      }
+    }
+  });
+}
