--- /dev/null
+++ b/libs/membership/src/MembershipProbing.cpp
@@ -0,0 +1,270 @@
+// The part of Membership that probes and judges members.
+#include "masticstep/membership/Membership.hpp"
+#include "masticstep/membership/Rendezvous.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace masticstep {
+
+void Membership::ProbeRound(Time aNow, MembershipActions& aActions)
+{
+  const std::optional<MemberRecord> successor = Successor();
+  const std::optional<MemberRecord> target = NextRandomTarget();
+  if (successor) {
+    SendProbe(successor->name, successor->address, aNow, aActions);
+  }
+  if (target && target->name != successor->name) {
+    SendProbe(target->name, target->address, aNow, aActions);
+  }
+  for (const MemberRecord& remote : RemoteLinks()) {
+    SendProbe(remote.name, remote.address, aNow, aActions);
+  }
+}
+
+void Membership::SendProbe(const HostName& aName, const std::string& aAddress, Time aNow,
+                           MembershipActions& aActions)
+{
+  MembershipMessage probe;
+  probe.kind = MembershipMessageKind::Probe;
+  probe.sequence = ++mSequence;
+  mPending[probe.sequence] = { aName, aAddress, aNow, false };
+  const MemberTable::Row* row = mTable.Find(aName);
+  if (row != nullptr && row->record.state != MemberState::Alive) {
+    probe.records = { Self(), row->record };
+  }
+  Send(aAddress, std::move(probe), aActions);
+}
+
+void Membership::HandleProbeRequest(const std::string& aFrom, const MembershipMessage& aMessage,
+                                    Time aNow, MembershipActions& aActions)
+{
+  MembershipMessage probe;
+  probe.kind = MembershipMessageKind::Probe;
+  probe.sequence = ++mSequence;
+  mRelayed[probe.sequence] = { aFrom, aMessage.sequence, aNow };
+  Send(aMessage.target, std::move(probe), aActions);
+}
+
+void Membership::HandleAck(const MembershipMessage& aMessage, MembershipActions& aActions)
+{
+  mPending.erase(aMessage.sequence);
+  const std::map<std::uint64_t, RelayedProbe>::iterator it = mRelayed.find(aMessage.sequence);
+  if (it == mRelayed.end()) {
+    return;
+  }
+  MembershipMessage ack;
+  ack.kind = MembershipMessageKind::Ack;
+  ack.sequence = it->second.originSequence;
+  Send(it->second.origin, std::move(ack), aActions);
+  mRelayed.erase(it);
+}
+
+void Membership::CheckPending(Time aNow, MembershipActions& aActions)
+{
+  std::vector<HostName> failed;
+  for (std::map<std::uint64_t, PendingProbe>::iterator it = mPending.begin();
+       it != mPending.end();) {
+    PendingProbe& probe = it->second;
+    const MemberTable::Row* row = mTable.Find(probe.target);
+    const bool isOwn = row != nullptr && row->record.dataCentre == mSettings.self.dataCentre &&
+                       IsPresent(row->record.state);
+    if (!probe.indirect && aNow >= probe.sent + kProbeTimeout) {
+      probe.indirect = true;
+      if (isOwn) {
+        AskOthers(it->first, probe, aActions);
+      }
+    }
+    if (aNow < probe.sent + kProbeTimeout + kIndirectTimeout) {
+      ++it;
+      continue;
+    }
+    if (isOwn) {
+      failed.push_back(probe.target);
+    }
+    it = mPending.erase(it);
+  }
+  for (const HostName& name : failed) {
+    Suspect(name, aNow, aActions);
+  }
+  std::erase_if(mRelayed, [aNow](const std::pair<const std::uint64_t, RelayedProbe>& aItem) {
+    return aNow >= aItem.second.sent + kProbeInterval;
+  });
+}
+
+void Membership::AskOthers(std::uint64_t aSequence, const PendingProbe& aProbe,
+                           MembershipActions& aActions)
+{
+  std::vector<MemberRecord> others = Neighbours();
+  std::erase_if(others, [&aProbe](const MemberRecord& aMember) {
+    return aMember.name == aProbe.target || aMember.state != MemberState::Alive;
+  });
+  const std::size_t n = std::min(kIndirectProbes, others.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    std::swap(others[i], others[i + mRandom.Below(others.size() - i)]);
+    MembershipMessage request;
+    request.kind = MembershipMessageKind::ProbeRequest;
+    request.sequence = aSequence;
+    request.target = aProbe.address;
+    Send(others[i].address, std::move(request), aActions);
+  }
+}
+
+void Membership::Suspect(const HostName& aName, Time aNow, MembershipActions& aActions)
+{
+  MemberRecord record = mTable.Find(aName)->record;
+  if (record.state == MemberState::Alive) {
+    record.state = MemberState::Suspect;
+    Learn(record, aNow, aActions);
+  }
+}
+
+void Membership::CheckSuspects(Time aNow, MembershipActions& aActions)
+{
+  std::vector<HostName> expired;
+  for (const std::pair<const HostName, Time>& suspect : mSuspects) {
+    if (aNow >= suspect.second) {
+      expired.push_back(suspect.first);
+    }
+  }
+  for (const HostName& name : expired) {
+    MemberRecord record = mTable.Find(name)->record;
+    record.state = MemberState::Dead;
+    Learn(record, aNow, aActions);
+  }
+}
+
+void Membership::AfterPause(Time aNow)
+{
+  mPending.clear();
+  mRelayed.clear();
+  for (std::pair<const HostName, Time>& suspect : mSuspects) {
+    suspect.second = std::max(suspect.second, aNow + kSuspicionTime);
+  }
+}
+
+void Membership::Reconnect(Time aNow, MembershipActions& aActions)
+{
+  const std::vector<std::string> addresses = ReconnectAddresses();
+  if (addresses.empty()) {
+    return;
+  }
+  const std::string& address = addresses[mRandom.Below(addresses.size())];
+  if (mTable.Present().size() < 2) {
+    SendSync(address, MembershipMessageKind::Sync, aActions);
+    return;
+  }
+  MembershipMessage probe;
+  probe.kind = MembershipMessageKind::Probe;
+  probe.sequence = ++mSequence;
+  probe.records = { Self() };
+  for (const std::pair<const HostName, MemberTable::Row>& row : mTable.Rows()) {
+    if (row.second.record.address == address && row.second.record.state == MemberState::Dead) {
+      probe.records.push_back(row.second.record);
+    }
+  }
+  mPending[probe.sequence] = { HostName(), address, aNow, false };
+  Send(address, std::move(probe), aActions);
+}
+
+std::vector<std::string> Membership::ReconnectAddresses() const
+{
+  std::set<std::string> present;
+  std::set<std::string> wanted(mSettings.seeds.begin(), mSettings.seeds.end());
+  for (const std::pair<const HostName, MemberTable::Row>& row : mTable.Rows()) {
+    const MemberRecord& record = row.second.record;
+    if (IsPresent(record.state)) {
+      present.insert(record.address);
+    } else if (record.state == MemberState::Dead) {
+      wanted.insert(record.address);
+    }
+  }
+  for (const Contact& contact : mContacts) {
+    wanted.insert(contact.address);
+  }
+  present.insert(mSettings.self.address);
+  std::vector<std::string> addresses;
+  std::set_difference(wanted.begin(), wanted.end(), present.begin(), present.end(),
+                      std::back_inserter(addresses));
+  return addresses;
+}
+
+std::vector<MemberRecord> Membership::Neighbours() const
+{
+  std::vector<MemberRecord> members = mTable.PresentIn(mSettings.self.dataCentre);
+  std::erase_if(
+    members, [this](const MemberRecord& aMember) { return aMember.name == mSettings.self.name; });
+  return members;
+}
+
+std::optional<MemberRecord> Membership::Successor() const
+{
+  const std::vector<MemberRecord> members = Neighbours();
+  if (members.empty()) {
+    return std::nullopt;
+  }
+  for (const MemberRecord& member : members) {
+    if (member.name > mSettings.self.name) {
+      return member;
+    }
+  }
+  return members.front();
+}
+
+std::optional<MemberRecord> Membership::NextRandomTarget()
+{
+  const std::vector<MemberRecord> members = Neighbours();
+  if (members.empty()) {
+    return std::nullopt;
+  }
+  // A shuffled order visits every member once before any a second time.
+  while (!mProbeOrder.empty()) {
+    const HostName name = mProbeOrder.back();
+    mProbeOrder.pop_back();
+    const MemberTable::Row* row = mTable.Find(name);
+    if (row != nullptr && IsPresent(row->record.state)) {
+      return row->record;
+    }
+  }
+  for (const MemberRecord& member : members) {
+    mProbeOrder.push_back(member.name);
+  }
+  for (std::size_t i = 0; i + 1 < mProbeOrder.size(); ++i) {
+    std::swap(mProbeOrder[i], mProbeOrder[i + mRandom.Below(mProbeOrder.size() - i)]);
+  }
+  const HostName name = mProbeOrder.back();
+  mProbeOrder.pop_back();
+  return mTable.Find(name)->record;
+}
+
+std::vector<MemberRecord> Membership::RemoteLinks() const
+{
+  std::map<DataCentreName, std::vector<MemberRecord>> byDataCentre;
+  for (const MemberRecord& member : mTable.Present()) {
+    byDataCentre[member.dataCentre].push_back(member);
+  }
+  const DataCentreName& own = mSettings.self.dataCentre;
+  std::vector<MemberRecord> links;
+  for (const std::pair<const DataCentreName, std::vector<MemberRecord>>& item : byDataCentre) {
+    if (item.first == own) {
+      continue;
+    }
+    // Both sides use one key, so that each knows which daemons of the other side keep the links.
+    const std::string key =
+      std::min(own, item.first).Text() + "/" + std::max(own, item.first).Text();
+    const std::vector<MemberRecord> here =
+      ChooseByRendezvous(byDataCentre[own], key, kLinksPerDataCentre);
+    const bool isChosen = std::any_of(here.begin(), here.end(), [this](const MemberRecord& aOne) {
+      return aOne.name == mSettings.self.name;
+    });
+    if (isChosen) {
+      const std::vector<MemberRecord> there =
+        ChooseByRendezvous(item.second, key, kLinksPerDataCentre);
+      links.insert(links.end(), there.begin(), there.end());
+    }
+  }
+  return links;
+}
+
+} // namespace masticstep
