--- a/libs/membership/tests/Cluster.cpp
+++ b/libs/membership/tests/Cluster.cpp
@@ -76,6 +76,7 @@
 bool Cluster::AllSee(const std::vector<std::string>& aMembers)
 {
   std::vector<HostName> wanted;
+  wanted.reserve(aMembers.size());
   for (const std::string& member : aMembers) {
     wanted.emplace_back(member);
   }
--- /dev/null
+++ b/libs/spread/include/masticstep/spread/SpreadMessage.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "masticstep/spread/Entry.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace masticstep {
+
+enum class SpreadMessageKind : std::uint8_t
+{
+  Delta = 1,    // new entries; hashes: owners whose periodic entries the sender gets from elsewhere
+  Exchange = 2, // versions that the sender has; answered with what is newer and a Request
+  Request = 3,  // hashes: keys whose entries the sender lacks
+  Digest = 4,   // hashes: digests of lasting entries and of the key set
+  Graft = 5     // hashes: owners whose periodic entries the sender misses
+};
+
+// Entry without its texts, for a receiver that has had them.
+struct CompactEntry
+{
+  std::uint64_t keyHash = 0;
+  std::uint64_t version = 0;
+  std::uint32_t ownerHash = 0;
+  std::uint16_t ageMs = 0;
+  std::string value;
+
+  bool operator==(const CompactEntry&) const = default;
+};
+
+struct KeyVersion
+{
+  std::uint64_t keyHash = 0;
+  std::uint64_t version = 0;
+
+  auto operator<=>(const KeyVersion&) const = default;
+};
+
+struct SpreadMessage
+{
+  SpreadMessageKind kind = SpreadMessageKind::Delta;
+  std::uint64_t generation = 0; // configuration that the sender has in whole
+  std::vector<CompactEntry> compact;
+  std::vector<Entry> full;
+  std::vector<KeyVersion> versions;
+  std::vector<std::uint64_t> hashes;
+
+  bool operator==(const SpreadMessage&) const = default;
+};
+
+enum class ContentMessageKind : std::uint8_t
+{
+  AskNotice = 1, // answered with Notice
+  Notice = 2,    // generation, manifest and digests of a configuration that the sender has in whole
+  Ask = 3,       // digest and offset; answered with Chunk
+  Chunk = 4      // bytes of a content at an offset
+};
+
+struct ContentMessage
+{
+  ContentMessageKind kind = ContentMessageKind::AskNotice;
+  std::uint64_t generation = 0;
+  std::string manifest;
+  std::vector<std::string> digests; // SHA-256, hexadecimal
+  std::string digest;
+  std::uint64_t offset = 0;
+  std::uint64_t total = 0;
+  std::string bytes;
+
+  bool operator==(const ContentMessage&) const = default;
+};
+
+struct SpreadSend
+{
+  std::string address;
+  std::variant<SpreadMessage, ContentMessage> message;
+
+  bool operator==(const SpreadSend&) const = default;
+};
+
+} // namespace masticstep
--- /dev/null
+++ b/libs/spread/src/Entry.cpp
@@ -0,0 +1,31 @@
+#include "masticstep/spread/Entry.hpp"
+
+#include "masticstep/base/Hash.hpp"
+
+#include <array>
+
+namespace masticstep {
+
+const EntryPolicy& PolicyOf(EntryKind aKind)
+{
+  constexpr Duration kHour = std::chrono::hours{ 1 };
+  // Engine load is published at least every 2 s, usage every 5 s, summaries every 2 s and 20 s.
+  static const std::array<EntryPolicy, 7> kPolicies = { {
+    {},
+    { true, false, false, true, Seconds(5), Seconds(4) + Milliseconds(500), Seconds(600) },
+    { true, false, true, false, Seconds(60), {}, kHour },
+    { true, false, false, true, Seconds(30), Seconds(12), Seconds(600) },
+    { true, true, true, false, 48 * kHour, {}, 48 * kHour },
+    { true, true, false, true, Seconds(15), Seconds(6), Seconds(600) },
+    { true, true, false, true, Seconds(60), Seconds(45), Seconds(600) },
+  } };
+  const std::size_t index = static_cast<std::size_t>(aKind);
+  return kPolicies[index < kPolicies.size() ? index : 0];
+}
+
+std::uint64_t HashOf(const EntryKey& aKey)
+{
+  return Hash64(aKey.name, static_cast<std::uint64_t>(aKey.kind));
+}
+
+} // namespace masticstep
--- /dev/null
+++ b/libs/spread/src/Spread.cpp
@@ -0,0 +1,314 @@
+#include "masticstep/spread/Spread.hpp"
+
+#include "NeighbourChoice.hpp"
+#include "masticstep/base/Hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep {
+
+namespace {
+
+// Half the frame limit, since the estimate of an entry's size is rough.
+constexpr std::size_t kDeltaSizeLimit = 128U * 1024U;
+constexpr std::size_t kMaximumCompactValue = 0xffff;
+constexpr Duration kMaximumCompactAge = Milliseconds(0xffff);
+
+} // namespace
+
+Spread::Spread(SpreadSettings aSettings, Time aNow)
+  : mSettings(std::move(aSettings))
+{
+  // The name sets the phase, so that daemons that start together do not send in step.
+  const std::uint64_t phase = Hash64(mSettings.self.Text());
+  mNextDelta = aNow + Microseconds(static_cast<std::int64_t>(
+                        phase % static_cast<std::uint64_t>(kDeltaInterval.count())));
+  mNextDigest = aNow + Microseconds(static_cast<std::int64_t>(
+                         phase % static_cast<std::uint64_t>(kDigestInterval.count())));
+}
+
+Result<Spread, SpreadError> Spread::Create(SpreadSettings aSettings, Time aNow)
+{
+  if (aSettings.self.IsEmpty() || aSettings.dataCentre.IsEmpty()) {
+    return Failure(SpreadError{ "name and data centre must not be empty" });
+  }
+  return Spread(std::move(aSettings), aNow);
+}
+
+SpreadActions Spread::OnView(const std::vector<MemberRecord>& aMembers,
+                             const std::vector<MemberRecord>& aRemote, Time aNow)
+{
+  std::map<std::string, bool> wanted; // address -> is remote
+  for (const MemberRecord& member : ChooseNeighbours(aMembers, mSettings.self)) {
+    wanted.emplace(member.address, false);
+  }
+  for (const MemberRecord& member : aRemote) {
+    wanted.emplace(member.address, true);
+    mRemoteAddresses.insert(member.address);
+  }
+  for (const MemberRecord& member : aMembers) {
+    mRemoteAddresses.erase(member.address);
+  }
+  const std::size_t before = mNeighbours.size();
+  std::erase_if(mNeighbours, [&wanted](const std::pair<const std::string, Neighbour>& aItem) {
+    return !wanted.contains(aItem.first);
+  });
+  const bool isSmaller = mNeighbours.size() != before;
+  std::vector<std::string> addresses;
+  for (const std::pair<const std::string, bool>& item : wanted) {
+    addresses.push_back(item.first);
+    mNeighbours[item.first].isRemote = item.second;
+  }
+  mConfiguration.SetNeighbours(std::move(addresses));
+  if (isSmaller) {
+    // A path of some owners went through the removed neighbour; asking again at once is cheaper than
+    // waiting until their entries go missing.
+    for (std::pair<const std::string, Neighbour>& item : mNeighbours) {
+      SpreadMessage graft;
+      graft.kind = SpreadMessageKind::Graft;
+      graft.hashes.assign(item.second.prunedHere.begin(), item.second.prunedHere.end());
+      item.second.prunedHere.clear();
+      if (!graft.hashes.empty()) {
+        item.second.prunesToSend.clear();
+        mGrafts.push_back({ item.first, std::move(graft) });
+      }
+    }
+  }
+  return Finish({}, aNow);
+}
+
+void Spread::OnLinkReset(const std::string& aAddress)
+{
+  const std::map<std::string, Neighbour>::iterator it = mNeighbours.find(aAddress);
+  if (it == mNeighbours.end()) {
+    return;
+  }
+  const bool isRemote = it->second.isRemote;
+  it->second = Neighbour();
+  it->second.isRemote = isRemote;
+}
+
+SpreadActions Spread::OnMessage(const std::string& aFrom, const SpreadMessage& aMessage, Time aNow)
+{
+  SpreadActions actions;
+  Merge(mConfiguration.OnGeneration(aFrom, aMessage.generation, aNow), actions);
+  switch (aMessage.kind) {
+    case SpreadMessageKind::Delta:
+      OnDelta(aFrom, aMessage, aNow, actions);
+      break;
+    case SpreadMessageKind::Exchange:
+      OnExchange(aFrom, aMessage, aNow, actions);
+      break;
+    case SpreadMessageKind::Request:
+      OnRequest(aFrom, aMessage, aNow, actions);
+      break;
+    case SpreadMessageKind::Digest:
+      OnDigest(aFrom, aMessage, actions);
+      break;
+    case SpreadMessageKind::Graft:
+      OnGraft(aFrom, aMessage);
+      break;
+  }
+  return Finish(std::move(actions), aNow);
+}
+
+SpreadActions Spread::OnMessage(const std::string& aFrom, const ContentMessage& aMessage,
+                                Time aNow)
+{
+  SpreadActions actions;
+  Merge(mConfiguration.OnMessage(aFrom, aMessage, aNow), actions);
+  return Finish(std::move(actions), aNow);
+}
+
+SpreadActions Spread::OnTime(Time aNow)
+{
+  SpreadActions actions;
+  Merge(mConfiguration.OnTime(aNow), actions);
+  if (aNow >= mNextDelta) {
+    mNextDelta = std::max(mNextDelta + kDeltaInterval, aNow);
+    bool hasExchanged = false;
+    for (std::pair<const std::string, Neighbour>& item : mNeighbours) {
+      // One exchange at a time: the next neighbour then has less to send.
+      if (item.second.needsExchange && !hasExchanged) {
+        hasExchanged = true;
+        item.second.needsExchange = false;
+        SendExchange(item.first, actions);
+      }
+      Flush(item.first, item.second, aNow, actions);
+    }
+    AskForMissing(aNow, actions);
+  }
+  if (aNow >= mNextDigest) {
+    mNextDigest = std::max(mNextDigest + kDigestInterval, aNow);
+    mTable.DropOld(aNow);
+    SendDigests(actions);
+  }
+  return Finish(std::move(actions), aNow);
+}
+
+std::optional<Time> Spread::NextWakeUp() const
+{
+  const Time next = std::min(mNextDelta, mNextDigest);
+  return std::min(next, mConfiguration.NextWakeUp().value_or(next));
+}
+
+SpreadActions Spread::Publish(const EntryKey& aKey, std::string aValue, Time aNow)
+{
+  const EntryTable::Row* known = mTable.Find(HashOf(aKey));
+  const std::uint64_t next = known == nullptr ? 0 : known->version + 1;
+  SpreadActions actions;
+  Accept({},
+         { aKey, mSettings.self, std::max(next, mSettings.firstVersion), {}, std::move(aValue) },
+         aNow, actions);
+  return Finish(std::move(actions), aNow);
+}
+
+SpreadActions Spread::PublishConfiguration(ConfigurationBundle aBundle, Time aNow)
+{
+  SpreadActions actions;
+  Merge(mConfiguration.Publish(std::move(aBundle), aNow), actions);
+  return Finish(std::move(actions), aNow);
+}
+
+// Stores an entry that came from a peer (or, with an empty address, from this daemon).
+void Spread::Accept(const std::string& aFrom, const Entry& aEntry, Time aNow,
+                    SpreadActions& aActions)
+{
+  if (IsRemote(aFrom) && !PolicyOf(aEntry.key.kind).isGlobal) {
+    return;
+  }
+  const std::uint64_t hash = HashOf(aEntry.key);
+  const EntryTable::Outcome outcome = mTable.Merge(aEntry, aNow);
+  const EntryTable::Row* row = mTable.Find(hash);
+  const std::map<std::string, Neighbour>::iterator from = mNeighbours.find(aFrom);
+  if (from != mNeighbours.end()) {
+    from->second.known[hash] = { aEntry.version,
+                                 static_cast<std::uint32_t>(OwnerHash(aEntry.owner)) };
+  }
+  if (outcome == EntryTable::Outcome::Stored) {
+    aActions.changes.push_back(aEntry);
+    Enqueue(*row, hash);
+  } else if (outcome == EntryTable::Outcome::Known) {
+    if (from != mNeighbours.end()) {
+      from->second.pending.erase(hash);
+    }
+    Prune(aFrom, *row);
+  } else if (row != nullptr && from != mNeighbours.end()) {
+    from->second.pending.insert(hash); // the peer is behind
+  }
+}
+
+void Spread::Enqueue(const EntryTable::Row& aRow, std::uint64_t aKeyHash)
+{
+  const EntryPolicy& policy = PolicyOf(aRow.key.kind);
+  for (std::pair<const std::string, Neighbour>& item : mNeighbours) {
+    Neighbour& neighbour = item.second;
+    const std::unordered_map<std::uint64_t, Sent>::iterator known = neighbour.known.find(aKeyHash);
+    const bool isBehind = known == neighbour.known.end() || known->second.version < aRow.version ||
+                          known->second.ownerHash != static_cast<std::uint32_t>(aRow.ownerHash);
+    const bool isPruned = policy.isPeriodic && neighbour.prunedByPeer.contains(aRow.ownerHash);
+    if (!isBehind || isPruned || (neighbour.isRemote && !policy.isGlobal)) {
+      continue;
+    }
+    neighbour.pending.insert(aKeyHash);
+    neighbour.isUrgent = neighbour.isUrgent || policy.isUrgent;
+  }
+}
+
+// The same entry came a second time: from now on only the path that was faster is used.
+void Spread::Prune(const std::string& aFrom, const EntryTable::Row& aRow)
+{
+  const std::map<std::string, Neighbour>::iterator from = mNeighbours.find(aFrom);
+  if (!mSettings.isPruning || from == mNeighbours.end() || !PolicyOf(aRow.key.kind).isPeriodic) {
+    return;
+  }
+  std::size_t open = 0;
+  for (const std::pair<const std::string, Neighbour>& item : mNeighbours) {
+    open += item.second.prunedHere.contains(aRow.ownerHash) ? 0U : 1U;
+  }
+  // The last path stays.
+  if (open > 1 && from->second.prunedHere.insert(aRow.ownerHash).second) {
+    from->second.prunesToSend.push_back(aRow.ownerHash);
+  }
+}
+
+void Spread::Flush(const std::string& aAddress, Neighbour& aNeighbour, Time aNow,
+                   SpreadActions& aActions)
+{
+  SpreadMessage message;
+  message.hashes = std::exchange(aNeighbour.prunesToSend, {});
+  std::size_t size = 0;
+  for (const std::uint64_t hash : std::exchange(aNeighbour.pending, {})) {
+    const EntryTable::Row* row = mTable.Find(hash);
+    if (row == nullptr || !AppendEntry(aNeighbour, hash, aNow, message)) {
+      continue;
+    }
+    size += row->value.size() + row->key.name.size() + 64;
+    if (size > kDeltaSizeLimit) {
+      Send(aAddress, std::exchange(message, {}), aActions);
+      size = 0;
+    }
+  }
+  aNeighbour.isUrgent = false;
+  if (!message.compact.empty() || !message.full.empty() || !message.hashes.empty()) {
+    Send(aAddress, std::move(message), aActions);
+  }
+}
+
+// Returns false if the neighbour has the version by now.
+bool Spread::AppendEntry(Neighbour& aNeighbour, std::uint64_t aKeyHash, Time aNow,
+                         SpreadMessage& aMessage) const
+{
+  const EntryTable::Row& row = *mTable.Find(aKeyHash);
+  const std::uint32_t ownerHash = static_cast<std::uint32_t>(row.ownerHash);
+  const std::unordered_map<std::uint64_t, Sent>::iterator known = aNeighbour.known.find(aKeyHash);
+  const bool isKnownOwner = known != aNeighbour.known.end() && known->second.ownerHash == ownerHash;
+  if (isKnownOwner && known->second.version >= row.version) {
+    return false;
+  }
+  const Entry entry = EntryTable::ToEntry(row, aNow);
+  if (isKnownOwner && entry.age <= kMaximumCompactAge && row.value.size() <= kMaximumCompactValue) {
+    const std::uint16_t ageMs = static_cast<std::uint16_t>(entry.age / Milliseconds(1));
+    aMessage.compact.push_back({ aKeyHash, row.version, ownerHash, ageMs, row.value });
+  } else {
+    aMessage.full.push_back(entry);
+  }
+  aNeighbour.known[aKeyHash] = { row.version, ownerHash };
+  return true;
+}
+
+void Spread::Send(const std::string& aAddress, SpreadMessage aMessage,
+                  SpreadActions& aActions) const
+{
+  aMessage.generation = mConfiguration.Generation();
+  aActions.sends.push_back({ aAddress, std::move(aMessage) });
+}
+
+void Spread::Merge(ConfigurationActions aFrom, SpreadActions& aInto) const
+{
+  std::move(aFrom.sends.begin(), aFrom.sends.end(), std::back_inserter(aInto.sends));
+  if (aFrom.ready) {
+    aInto.configuration = std::move(aFrom.ready);
+  }
+}
+
+bool Spread::IsRemote(const std::string& aAddress) const
+{
+  return mRemoteAddresses.contains(aAddress);
+}
+
+SpreadActions Spread::Finish(SpreadActions aActions, Time aNow)
+{
+  for (SpreadSend& graft : std::exchange(mGrafts, {})) {
+    Send(graft.address, std::get<SpreadMessage>(std::move(graft.message)), aActions);
+  }
+  for (std::pair<const std::string, Neighbour>& item : mNeighbours) {
+    if (item.second.isUrgent) {
+      Flush(item.first, item.second, aNow, aActions);
+    }
+  }
+  return aActions;
+}
+
+} // namespace masticstep
--- /dev/null
+++ b/libs/spread/src/SpreadExchange.cpp
@@ -0,0 +1,214 @@
+// The part of Spread that answers peers and repairs gaps.
+#include "masticstep/base/Hash.hpp"
+#include "masticstep/spread/Spread.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep {
+
+namespace {
+
+// 16 bytes each; 8,192 of them fill half a frame.
+constexpr std::size_t kVersionsPerMessage = 8192;
+// Estimated bytes of an entry beside its texts.
+constexpr std::size_t kEntryOverhead = 64;
+constexpr std::size_t kDeltaSizeLimit = 128U * 1024U;
+
+} // namespace
+
+void Spread::OnDelta(const std::string& aFrom, const SpreadMessage& aMessage, Time aNow,
+                     SpreadActions& aActions)
+{
+  for (const Entry& entry : aMessage.full) {
+    Accept(aFrom, entry, aNow, aActions);
+  }
+  SpreadMessage request;
+  request.kind = SpreadMessageKind::Request;
+  for (const CompactEntry& compact : aMessage.compact) {
+    const EntryTable::Row* row = mTable.Find(compact.keyHash);
+    if (row != nullptr && static_cast<std::uint32_t>(row->ownerHash) == compact.ownerHash) {
+      Accept(aFrom,
+             { row->key, row->owner, compact.version, Milliseconds(compact.ageMs), compact.value },
+             aNow, aActions);
+    } else if (row == nullptr || row->version <= compact.version) {
+      request.hashes.push_back(compact.keyHash);
+    }
+  }
+  if (!request.hashes.empty()) {
+    Send(aFrom, std::move(request), aActions);
+  }
+  const std::map<std::string, Neighbour>::iterator from = mNeighbours.find(aFrom);
+  if (from != mNeighbours.end()) {
+    from->second.prunedByPeer.insert(aMessage.hashes.begin(), aMessage.hashes.end());
+  }
+}
+
+void Spread::SendExchange(const std::string& aAddress, SpreadActions& aActions) const
+{
+  const bool isRemote = IsRemote(aAddress);
+  SpreadMessage message;
+  message.kind = SpreadMessageKind::Exchange;
+  for (const std::pair<const std::uint64_t, EntryTable::Row>& item : mTable.Rows()) {
+    const bool fits = message.versions.size() < kVersionsPerMessage;
+    if (fits && (!isRemote || PolicyOf(item.second.key.kind).isGlobal)) {
+      message.versions.push_back({ item.first, item.second.version });
+    }
+  }
+  Send(aAddress, std::move(message), aActions);
+}
+
+void Spread::OnExchange(const std::string& aFrom, const SpreadMessage& aMessage, Time aNow,
+                        SpreadActions& aActions)
+{
+  std::unordered_map<std::uint64_t, std::uint64_t> theirs;
+  SpreadMessage request;
+  request.kind = SpreadMessageKind::Request;
+  for (const KeyVersion& item : aMessage.versions) {
+    theirs[item.keyHash] = item.version;
+    const EntryTable::Row* row = mTable.Find(item.keyHash);
+    if (row == nullptr || row->version < item.version) {
+      request.hashes.push_back(item.keyHash);
+    }
+  }
+  std::vector<std::uint64_t> newer;
+  for (const std::pair<const std::uint64_t, EntryTable::Row>& item : mTable.Rows()) {
+    const std::unordered_map<std::uint64_t, std::uint64_t>::iterator it = theirs.find(item.first);
+    if (it == theirs.end() || it->second < item.second.version) {
+      newer.push_back(item.first);
+    }
+  }
+  SendFull(aFrom, newer, aNow, aActions);
+  if (!request.hashes.empty()) {
+    Send(aFrom, std::move(request), aActions);
+  }
+  const std::map<std::string, Neighbour>::iterator from = mNeighbours.find(aFrom);
+  if (from != mNeighbours.end()) {
+    from->second.needsExchange = false; // this one served both directions
+  }
+}
+
+void Spread::OnRequest(const std::string& aFrom, const SpreadMessage& aMessage, Time aNow,
+                       SpreadActions& aActions)
+{
+  SendFull(aFrom, aMessage.hashes, aNow, aActions);
+}
+
+void Spread::SendFull(const std::string& aAddress, const std::vector<std::uint64_t>& aHashes,
+                      Time aNow, SpreadActions& aActions)
+{
+  const bool isRemote = IsRemote(aAddress);
+  const std::map<std::string, Neighbour>::iterator to = mNeighbours.find(aAddress);
+  SpreadMessage message;
+  std::size_t size = 0;
+  for (const std::uint64_t hash : aHashes) {
+    const EntryTable::Row* row = mTable.Find(hash);
+    if (row == nullptr || (isRemote && !PolicyOf(row->key.kind).isGlobal)) {
+      continue;
+    }
+    if (to != mNeighbours.end()) {
+      to->second.known[hash] = { row->version, static_cast<std::uint32_t>(row->ownerHash) };
+      to->second.pending.erase(hash);
+    }
+    message.full.push_back(EntryTable::ToEntry(*row, aNow));
+    size += row->value.size() + row->key.name.size() + kEntryOverhead;
+    if (size > kDeltaSizeLimit) {
+      Send(aAddress, std::exchange(message, {}), aActions);
+      size = 0;
+    }
+  }
+  if (!message.full.empty()) {
+    Send(aAddress, std::move(message), aActions);
+  }
+}
+
+void Spread::SendDigests(SpreadActions& aActions)
+{
+  for (const std::pair<const std::string, Neighbour>& item : mNeighbours) {
+    SpreadMessage message;
+    message.kind = SpreadMessageKind::Digest;
+    message.hashes = Digests(item.second.isRemote);
+    Send(item.first, std::move(message), aActions);
+  }
+}
+
+void Spread::OnDigest(const std::string& aFrom, const SpreadMessage& aMessage,
+                      SpreadActions& aActions)
+{
+  if (aMessage.hashes != Digests(IsRemote(aFrom))) {
+    SendExchange(aFrom, aActions);
+  }
+}
+
+// Versions of periodic entries differ all the time, so only their keys are compared; a missing update
+// of a known one is found by its age.
+std::vector<std::uint64_t> Spread::Digests(bool aIsRemote) const
+{
+  std::uint64_t lasting = 0;
+  std::uint64_t keys = 0;
+  for (const std::pair<const std::uint64_t, EntryTable::Row>& item : mTable.Rows()) {
+    const EntryPolicy& policy = PolicyOf(item.second.key.kind);
+    if (aIsRemote && !policy.isGlobal) {
+      continue;
+    }
+    if (policy.isPeriodic) {
+      keys += item.first;
+    } else {
+      lasting += Hash64(item.second.owner.Text(), item.first + item.second.version);
+    }
+  }
+  return { lasting, keys };
+}
+
+void Spread::AskForMissing(Time aNow, SpreadActions& aActions)
+{
+  std::set<std::uint64_t> owners;
+  for (const std::pair<const std::uint64_t, EntryTable::Row>& item : mTable.Rows()) {
+    const EntryTable::Row& row = item.second;
+    const EntryPolicy& policy = PolicyOf(row.key.kind);
+    const Duration age = aNow - row.published;
+    // An entry that nobody publishes any more is asked for a while and then left to age.
+    const bool isMissing = policy.isPeriodic && age > policy.missingAfter &&
+                           age < policy.missingAfter + 2 * kGraftInterval;
+    if (isMissing && row.owner != mSettings.self && aNow >= mNextGraft[row.ownerHash]) {
+      owners.insert(row.ownerHash);
+    }
+  }
+  if (owners.empty()) {
+    return;
+  }
+  for (const std::uint64_t owner : owners) {
+    mNextGraft[owner] = aNow + kGraftInterval;
+  }
+  for (std::pair<const std::string, Neighbour>& item : mNeighbours) {
+    std::erase_if(item.second.prunedHere,
+                  [&owners](std::uint64_t aOwner) { return owners.contains(aOwner); });
+    std::erase_if(item.second.prunesToSend,
+                  [&owners](std::uint64_t aOwner) { return owners.contains(aOwner); });
+    SpreadMessage graft;
+    graft.kind = SpreadMessageKind::Graft;
+    graft.hashes.assign(owners.begin(), owners.end());
+    Send(item.first, std::move(graft), aActions);
+  }
+}
+
+void Spread::OnGraft(const std::string& aFrom, const SpreadMessage& aMessage)
+{
+  const std::map<std::string, Neighbour>::iterator from = mNeighbours.find(aFrom);
+  if (from == mNeighbours.end()) {
+    return;
+  }
+  const std::set<std::uint64_t> owners(aMessage.hashes.begin(), aMessage.hashes.end());
+  for (const std::uint64_t owner : owners) {
+    from->second.prunedByPeer.erase(owner);
+  }
+  for (const std::pair<const std::uint64_t, EntryTable::Row>& item : mTable.Rows()) {
+    const EntryPolicy& policy = PolicyOf(item.second.key.kind);
+    if (owners.contains(item.second.ownerHash) && policy.isPeriodic &&
+        (policy.isGlobal || !from->second.isRemote)) {
+      from->second.pending.insert(item.first); // left out of the delta if the peer has it
+    }
+  }
+}
+
+} // namespace masticstep
