Add the platform client, the order service and the publish driver

Cause: the protocols need the platform over HTTP and a place in the daemon and the command line that runs them. Change: HttpObjectStore maps calls to HTTP, tells not-sent from unknown, and holds calls back by a budget and a backoff with jitter. OrderService runs the order machine behind Execute(); each dispatch opens a new connection, so that "not sent" is true. RunPublish blocks for masticstep publish.

--- /dev/null
+++ b/libs/control/tests/RunPublishTests.cpp
@@ -0,0 +1,53 @@
+#include "masticstep/control/RunPublish.hpp"
+
+#include "masticstep/platform/InMemoryPlatform.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <thread>
+
+using namespace masticstep;
+using namespace masticstep::control;
+using publication::PublishStatus;
+
+namespace {
+
+// Answers each call on a thread of its own.
+class ThreadStore : public platform::ObjectStore
+{
+public:
+  ~ThreadStore() override
+  {
+    for (std::thread& thread : mThreads) {
+      thread.join();
+    }
+  }
+  void Submit(platform::PlatformRequest aRequest, Callback aCallback) override
+  {
+    platform::PlatformReply reply = platform.Apply(aRequest);
+    mThreads.emplace_back(
+      [reply = std::move(reply), callback = std::move(aCallback)] { callback(reply); });
+  }
+
+  platform::InMemoryPlatform platform;
+
+private:
+  std::vector<std::thread> mThreads;
+};
+
+std::vector<publication::ServiceContent> Accounts()
+{
+  return { { ServiceName{ "accounts" }, { { "a.accounts.json", R"({"accounts": []})" } } } };
+}
+
+} // namespace
+
+// Guards against a driver that loses replies or never ends.
+MASTICSTEP_TEST("a publish runs to its end on the calling thread", "[control][publication]")
+{
+  ThreadStore store;
+  CHECK_EQUAL(1U, RunPublish(store, Accounts(), "a", Seconds(60)).generation);
+  CHECK_EQUAL(2U, RunPublish(store, Accounts(), "b", Seconds(60)).generation);
+  store.platform.SetOutage(true);
+  CHECK_TRUE(RunPublish(store, Accounts(), "c", Milliseconds(1)).status ==
+             PublishStatus::Unavailable);
+}
--- /dev/null
+++ b/libs/order_service/src/Dispatch.cpp
@@ -0,0 +1,87 @@
+#include "Dispatch.hpp"
+
+#include "masticstep/net/Clock.hpp"
+
+#include <optional>
+#include <utility>
+
+namespace masticstep::order_service {
+
+using net::ConnectionPool;
+using orders::BackendReply;
+using orders::BackendStatus;
+
+namespace {
+
+Duration Left(Time aDeadline)
+{
+  return std::max(aDeadline - net::Now(), Milliseconds(1));
+}
+
+// Sends the request over an open connection. Empty if it may have run without a whole answer.
+net::Task<std::optional<BackendReply>> Exchange(net::HttpClientConnection& aConnection,
+                                                const net::HttpRequest& aRequest, Time aDeadline,
+                                                std::size_t aAnswerBytes)
+{
+  const Result<void, net::NetError> sent = co_await aConnection.Send(aRequest, Left(aDeadline));
+  if (!sent) {
+    co_return std::nullopt;
+  }
+  const Result<net::HttpResponseHead, net::NetError> head =
+    co_await aConnection.ReadHead(Left(aDeadline));
+  if (!head) {
+    co_return std::nullopt;
+  }
+  BackendReply reply;
+  reply.status = BackendStatus::Answered;
+  reply.httpStatus = head->status;
+  reply.contentType = std::string(net::FindHeader(head->headers, "Content-Type"));
+  for (;;) {
+    const Result<std::string, net::NetError> part =
+      co_await aConnection.ReadBodySome(Left(aDeadline));
+    if (!part || reply.body.size() + part->size() > aAnswerBytes) {
+      co_return std::nullopt;
+    }
+    if (part->empty()) {
+      co_return reply;
+    }
+    reply.body += *part;
+  }
+}
+
+} // namespace
+
+net::Task<BackendReply> Dispatch(std::shared_ptr<ConnectionPool> aPool, OrderCall aCall,
+                                 RequestId aId, DispatchLimits aLimits)
+{
+  BackendReply reply;
+  reply.id = aId;
+  reply.status = BackendStatus::NotSent;
+  for (const OrderTarget& target : aCall.targets) {
+    const Duration left = aCall.deadline - net::Now();
+    if (left <= Duration::zero()) {
+      co_return reply;
+    }
+    Result<ConnectionPool::Lease, net::NetError> lease =
+      co_await aPool->AcquireFresh(target.address, std::min(aLimits.connect, left));
+    if (!lease) {
+      continue;
+    }
+    // The process may have been paused while it connected.
+    if (net::Now() >= aCall.deadline) {
+      co_return reply;
+    }
+    std::optional<BackendReply> answer =
+      co_await Exchange(**lease, target.request, aCall.deadline, aLimits.answerBytes);
+    if (!answer) {
+      (*lease)->Close();
+      reply.status = BackendStatus::Unknown;
+      co_return reply;
+    }
+    answer->id = aId;
+    co_return std::move(*answer);
+  }
+  co_return reply;
+}
+
+} // namespace masticstep::order_service
--- a/libs/platform_client/tests/HttpObjectStoreTests.cpp
+++ b/libs/platform_client/tests/HttpObjectStoreTests.cpp
@@ -25,9 +25,13 @@
     if (mStatus != 0) {
       response.status = mStatus;
     }
-    if (!mDrop) {
-      co_await aResponder.Send(std::move(response));
+    if (mDrop) {
+      // An answer that is begun and not ended closes the connection.
+      aResponder.StartStream({ response.status, response.headers });
+      co_await aResponder.WriteChunk("x");
+      co_return;
     }
+    co_await aResponder.Send(std::move(response));
   }
   net::HttpResponse Refuse(unsigned aStatus, const net::NetError&) override
   {
