Add the status and drain commands and run every command through the cli library

Cause: operators could not see or drain a daemon without curl. Change: status (text or JSON) and drain over the admin address; main calls cli::Run.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,15 +1,10 @@
-#include "masticstep/gateway/Serve.hpp"
+#include "masticstep/cli/Run.hpp"
 
-#include <iostream>
 #include <string>
+#include <vector>
 
 int main(int aCount, char** aArguments)
 {
-  constexpr int kUsage = 2;
-  if (aCount == 4 && std::string(aArguments[1]) == "serve" &&
-      std::string(aArguments[2]) == "--settings") {
-    return static_cast<int>(masticstep::gateway::Serve(aArguments[3]));
-  }
-  std::cerr << "usage: masticstep serve --settings FILE\n";
-  return kUsage;
+  const std::vector<std::string> arguments(aArguments + 1, aArguments + aCount);
+  return static_cast<int>(masticstep::Run(arguments));
 }
