--- /dev/null
+++ b/libs/authority/include/masticstep/authority/EngineOrder.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+#include "masticstep/base/Time.hpp"
+#include "masticstep/platform/ObjectKey.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace masticstep::authority {
+
+// Order to an engine, such as set_role or load_model.
+struct EngineOrder
+{
+  std::string id; // unique; an engine that gets the same id again does not start anew
+  std::string kind;
+  std::string argument;
+
+  auto operator<=>(const EngineOrder&) const = default;
+};
+
+enum class IntentState
+{
+  Outstanding, // may have been sent and may still be sent until its time-out
+  Done         // the engine confirmed it, and no copy of it is on its way
+};
+
+// Content of the object engines/{engine}/intent.
+struct Intent
+{
+  EngineOrder order;
+  std::uint64_t fencing = 0;
+  Duration timeout{}; // the order is not sent later than this after the write
+  IntentState state = IntentState::Outstanding;
+  std::string nonce; // of the write, by which a lost answer is settled
+
+  auto operator<=>(const Intent&) const = default;
+};
+
+// Returns engines/{engine}/intent.
+platform::ObjectKey IntentKey(const EngineId& aEngine);
+
+std::string EncodeIntent(const Intent& aIntent);
+// Returns nothing if the text is not the content of an intent object.
+std::optional<Intent> ParseIntent(std::string_view aText);
+
+} // namespace masticstep::authority
