--- /dev/null
+++ b/libs/net/tests/ConnectionPoolTests.cpp
@@ -0,0 +1,143 @@
+#include "LoopbackServer.hpp"
+#include "masticstep/net/HttpClient.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <atomic>
+
+using namespace masticstep;
+using namespace masticstep::net;
+
+namespace {
+
+const std::string kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+using Reply = Result<HttpResponse, FetchError>;
+
+Reply Get(WorkerPool& aWorkers, ConnectionPool& aPool, const HostPort& aAddress,
+          FetchLimits aLimits = {})
+{
+  return Await<Reply>(aWorkers, [&aPool, aAddress, aLimits] {
+    return Fetch(aPool, aAddress, HttpRequest(), aLimits);
+  });
+}
+
+} // namespace
+
+// Guards against a new connection for each request, which costs a round trip.
+MASTICSTEP_TEST("a connection is used again after a whole answer", "[net][pool]")
+{
+  std::atomic<std::size_t> last{ 0 };
+  ScriptedServer server([&last](std::size_t aConnection, const std::string&) {
+    last = aConnection;
+    return kWhole;
+  });
+  WorkerPool workers(1);
+  const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create();
+  for (int i = 0; i < 3; ++i) {
+    CHECK_EQUAL(std::string("ok"), Get(workers, *pool, server.Address())->body);
+  }
+  CHECK_EQUAL(0U, last.load());
+  CHECK_EQUAL(1U, pool->IdleCount(server.Address()));
+}
+
+// Guards against one caller getting the rest of another caller's answer.
+MASTICSTEP_TEST("a connection with an unfinished answer is never used again", "[net][pool]")
+{
+  ScriptedServer server([](std::size_t aConnection, const std::string&) {
+    return aConnection == 0 ? std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nold")
+                            : kWhole;
+  });
+  WorkerPool workers(1);
+  const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create();
+  const HostPort address = server.Address();
+  const std::string part = Await<std::string>(workers, [&pool, address]() -> Task<std::string> {
+    Result<ConnectionPool::Lease, NetError> lease = co_await pool->Acquire(address, Seconds(5));
+    const HttpRequest request;
+    co_await (*lease)->Send(request, Seconds(5));
+    co_await (*lease)->ReadHead(Seconds(5));
+    const Result<std::string, NetError> first = co_await (*lease)->ReadBodySome(Seconds(5));
+    co_return *first;
+  });
+  CHECK_EQUAL(std::string("old"), part);
+  CHECK_EQUAL(0U, pool->IdleCount(address));
+  CHECK_EQUAL(std::string("ok"), Get(workers, *pool, address)->body);
+}
+
+// Guards against answers that arrive after their request and would be read by the next one.
+MASTICSTEP_TEST("a connection with bytes after its answer is never used again", "[net][pool]")
+{
+  ScriptedServer server([](std::size_t aConnection, const std::string&) {
+    return aConnection == 0 ? kWhole + kWhole : std::string(kWhole);
+  });
+  WorkerPool workers(1);
+  const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create();
+  CHECK_TRUE(Get(workers, *pool, server.Address()).has_value());
+  CHECK_EQUAL(0U, pool->IdleCount(server.Address()));
+}
+
+// Guards against sending on a connection that the server closed while it was idle.
+MASTICSTEP_TEST("a connection that the server closed is not used again", "[net][pool]")
+{
+  ScriptedServer server([](std::size_t aConnection, const std::string&) {
+    return aConnection == 0 ? std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                                          "Content-Length: 2\r\n\r\nok")
+                            : kWhole;
+  });
+  WorkerPool workers(1);
+  const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create();
+  CHECK_TRUE(Get(workers, *pool, server.Address()).has_value());
+  CHECK_EQUAL(0U, pool->IdleCount(server.Address()));
+  CHECK_EQUAL(std::string("ok"), Get(workers, *pool, server.Address())->body);
+}
+
+// Guards against a false "not run": only a failed connection proves that no byte arrived.
+MASTICSTEP_TEST("fetch errors tell whether the request may have arrived", "[net][not_run]")
+{
+  WorkerPool workers(1);
+  const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create();
+  HostPort unused;
+  {
+    ScriptedServer closed([](std::size_t, const std::string&) { return std::string(); });
+    const Reply reply = Get(workers, *pool, closed.Address());
+    CHECK_TRUE(reply.error().mayHaveArrived);
+    CHECK_EQUAL(NetErrorKind::Closed, reply.error().error.kind);
+    unused = closed.Address();
+  }
+  const Reply reply = Get(workers, *pool, unused);
+  CHECK_FALSE(reply.error().mayHaveArrived);
+  CHECK_EQUAL(NetErrorKind::ConnectFailed, reply.error().error.kind);
+}
+
+// Guards against waiting for ever for a server that accepts and stays silent.
+MASTICSTEP_TEST("a silent server times out", "[net]")
+{
+  ScriptedServer server([](std::size_t, const std::string&) {
+    return std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+  });
+  WorkerPool workers(1);
+  const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create();
+  FetchLimits limits;
+  limits.total = Milliseconds(50);
+  const Reply reply = Get(workers, *pool, server.Address(), limits);
+  CHECK_EQUAL(NetErrorKind::TimedOut, reply.error().error.kind);
+}
+
+// Guards against an answer cut short by a crash that passes for a whole one.
+MASTICSTEP_TEST("an answer that ends early is an error", "[net]")
+{
+  for (const char* head :
+       { "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "Content-Length: 9\r\n\r\npart" }) {
+    ScriptedServer server([head](std::size_t, const std::string&) {
+      return std::string("HTTP/1.1 200 OK\r\n") + head;
+    });
+    WorkerPool workers(1);
+    const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create();
+    const HostPort address = server.Address();
+    const Reply reply = Await<Reply>(workers, [&pool, address] {
+      HttpRequest request;
+      request.target = "/close";
+      return Fetch(*pool, address, std::move(request), {});
+    });
+    CHECK_EQUAL(NetErrorKind::Closed, reply.error().error.kind);
+  }
+}
--- /dev/null
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -0,0 +1,189 @@
+#include "LoopbackServer.hpp"
+#include "masticstep/net/Sleep.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <future>
+
+using namespace masticstep;
+using namespace masticstep::net;
+
+namespace {
+
+Task<void> AnswerOk(HttpRequest aRequest, HttpResponder& aResponder)
+{
+  HttpResponse response = JsonResponse(200, aRequest.body);
+  co_await aResponder.Send(std::move(response));
+}
+
+// Sends until the caller is gone, without an end.
+Task<void> StreamForever(HttpResponder& aResponder, std::promise<void>& aGone)
+{
+  HttpResponseHead head;
+  aResponder.StartStream(std::move(head));
+  const std::string piece(32768, 'x');
+  while (!aResponder.IsGone()) {
+    co_await aResponder.WriteChunk(piece);
+  }
+  aGone.set_value();
+}
+
+std::string Status(const std::string& aAnswer)
+{
+  return aAnswer.substr(0, 12);
+}
+
+} // namespace
+
+// Guards against headers that use memory without bound.
+MASTICSTEP_TEST("a header over the limit is refused with 431", "[net][bounds]")
+{
+  ServerLimits limits;
+  limits.headerBytes = 1024;
+  LoopbackServer server(limits, AnswerOk);
+  RawClient client(server.Address());
+  client.Send("GET / HTTP/1.1\r\nX-Long: " + std::string(2000, 'a') + "\r\n\r\n");
+  CHECK_EQUAL(std::string("HTTP/1.1 431"), Status(client.ReadUntilClosed()));
+}
+
+// Guards against bodies that use memory without bound, whether or not they state their length.
+MASTICSTEP_TEST("a body over the limit is refused with 413", "[net][bounds]")
+{
+  ServerLimits limits;
+  limits.bodyBytes = 100;
+  LoopbackServer server(limits, AnswerOk);
+  RawClient sized(server.Address());
+  sized.Send("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n");
+  CHECK_EQUAL(std::string("HTTP/1.1 413"), Status(sized.ReadUntilClosed()));
+  RawClient chunked(server.Address());
+  chunked.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" +
+               std::string(101, 'a') + "\r\n0\r\n\r\n");
+  CHECK_EQUAL(std::string("HTTP/1.1 413"), Status(chunked.ReadUntilClosed()));
+}
+
+// Guards against connections that hold a descriptor for ever, between requests or within one.
+MASTICSTEP_TEST("idle connections and unfinished requests are closed", "[net][bounds]")
+{
+  ServerLimits limits;
+  limits.idle = Milliseconds(50);
+  LoopbackServer server(limits, AnswerOk);
+  RawClient silent(server.Address());
+  CHECK_EQUAL(std::string(), silent.ReadUntilClosed());
+  RawClient unfinished(server.Address());
+  unfinished.Send("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+  CHECK_EQUAL(std::string(), unfinished.ReadUntilClosed());
+}
+
+// Guards against one source that takes all descriptors.
+MASTICSTEP_TEST("connections over the limit of a source are refused with 429", "[net][bounds]")
+{
+  ServerLimits limits;
+  limits.connectionsPerSource = 1;
+  LoopbackServer server(limits, AnswerOk);
+  RawClient first(server.Address());
+  first.Send("GET / HTTP/1.1\r\n\r\n");
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), Status(first.ReadUntil("\r\n\r\n")));
+  RawClient second(server.Address());
+  CHECK_EQUAL(std::string("HTTP/1.1 429"), Status(second.ReadUntilClosed()));
+  first.Send("GET / HTTP/1.1\r\n\r\n");
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), Status(first.ReadUntil("\r\n\r\n")));
+}
+
+// Guards against callers that never read and so hold an engine and memory.
+MASTICSTEP_TEST("a caller that does not read its answer is closed", "[net][bounds]")
+{
+  ServerLimits limits;
+  limits.slowReader = Milliseconds(50);
+  std::promise<void> gone;
+  LoopbackServer server(limits, [&gone](HttpRequest, HttpResponder& aResponder) {
+    return StreamForever(aResponder, gone);
+  });
+  RawClient client(server.Address());
+  client.LimitReceiveBuffer();
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  gone.get_future().wait();
+}
+
+// Guards against engines that work for callers who left before the first token.
+MASTICSTEP_TEST("the handler learns that its caller has closed", "[net]")
+{
+  std::promise<void> gone;
+  LoopbackServer server({}, [&gone](HttpRequest, HttpResponder& aResponder) -> Task<void> {
+    aResponder.OnGone([&gone] { gone.set_value(); });
+    while (!aResponder.IsGone()) {
+      co_await Sleep(Milliseconds(5));
+    }
+  });
+  RawClient client(server.Address());
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  client.Close();
+  gone.get_future().wait();
+}
+
+// Guards against losing a request that a caller sent before the answer to the one before.
+MASTICSTEP_TEST("pipelined requests are answered in order", "[net]")
+{
+  LoopbackServer server({}, AnswerOk);
+  RawClient client(server.Address());
+  client.Send("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\none"
+              "POST / HTTP/1.1\r\nContent-Length: 3\r\nConnection: close\r\n\r\ntwo");
+  const std::string answers = client.ReadUntilClosed();
+  const std::size_t first = answers.find("\r\n\r\none");
+  CHECK_TRUE(first != std::string::npos);
+  CHECK_TRUE(answers.find("\r\n\r\ntwo", first) != std::string::npos);
+}
+
+// Guards against a truncated answer that looks complete.
+MASTICSTEP_TEST("an answer that is not ended has no last chunk", "[net]")
+{
+  LoopbackServer server({}, [](HttpRequest, HttpResponder& aResponder) -> Task<void> {
+    HttpResponseHead head;
+    aResponder.StartStream(std::move(head));
+    co_await aResponder.WriteChunk("part");
+  });
+  RawClient client(server.Address());
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  const std::string answer = client.ReadUntilClosed();
+  CHECK_TRUE(answer.find("4\r\npart\r\n") != std::string::npos);
+  CHECK_TRUE(answer.find("0\r\n\r\n") == std::string::npos);
+}
+
+// Guards against a planned stop that cuts a running answer or keeps idle connections.
+MASTICSTEP_TEST("stopping closes idle connections and finishes running answers", "[net][drain]")
+{
+  std::promise<void> begun;
+  std::promise<void> mayFinish;
+  std::shared_future<void> allowed = mayFinish.get_future().share();
+  LoopbackServer server({}, [&](HttpRequest aRequest, HttpResponder& aResponder) -> Task<void> {
+    if (aRequest.target == "/slow") {
+      begun.set_value();
+      while (allowed.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+        co_await Sleep(Milliseconds(5));
+      }
+    }
+    co_await AnswerOk(std::move(aRequest), aResponder);
+  });
+  RawClient idle(server.Address());
+  idle.Send("GET / HTTP/1.1\r\n\r\n");
+  idle.ReadUntil("\r\n\r\n");
+  RawClient busy(server.Address());
+  busy.Send("POST /slow HTTP/1.1\r\nContent-Length: 4\r\n\r\ndone");
+  begun.get_future().wait();
+  server.Server().StopAccepting();
+  CHECK_EQUAL(std::string(), idle.ReadUntilClosed());
+  mayFinish.set_value();
+  const std::string answer = busy.ReadUntilClosed();
+  CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
+  CHECK_TRUE(answer.find("done") != std::string::npos);
+}
+
+// Guards against smuggling a request past the bounds inside another one.
+MASTICSTEP_TEST("a request with two lengths is refused with 400", "[net][bounds]")
+{
+  LoopbackServer server({}, AnswerOk);
+  for (const char* headers : { "Content-Length: 3\r\nContent-Length: 4\r\n",
+                               "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n" }) {
+    RawClient client(server.Address());
+    client.Send("POST / HTTP/1.1\r\n" + std::string(headers) + "\r\nabc");
+    CHECK_EQUAL(std::string("HTTP/1.1 400"), Status(client.ReadUntilClosed()));
+  }
+}
--- a/libs/telemetry/src/Series.cpp
+++ b/libs/telemetry/src/Series.cpp
@@ -67,8 +67,8 @@
   for (int i = 0; i < axis.size(); ++i) {
     below += mHistogram.at(i);
     const std::string bound = NumberText(axis.value(i + 1));
-    aOutput += aName + "_bucket{" + prefix + "le=\"";
-    aOutput += bound + "\"} " + std::to_string(below) + "\n";
+    aOutput.append(aName).append("_bucket{").append(prefix).append("le=\"").append(bound);
+    aOutput.append("\"} ").append(std::to_string(below)).append("\n");
   }
   const std::string labels = aLabels.empty() ? "" : "{" + aLabels + "}";
   aOutput += aName + "_bucket{" + prefix + "le=\"+Inf\"} " + std::to_string(mCount) + "\n";
