--- /dev/null
+++ b/libs/gateway/src/AdmissionGate.cpp
@@ -0,0 +1,178 @@
+#include "AdmissionGate.hpp"
+
+#include "masticstep/net/Clock.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace masticstep::gateway {
+
+namespace asio = boost::asio;
+using admission::RefusalReason;
+
+namespace {
+
+Refusal ToRefusal(const admission::Refusal& aRefusal)
+{
+  Refusal refusal{ 503, "overload", "the queue of the class is full", RunState::NotRun,
+                   aRefusal.retryAfter };
+  switch (aRefusal.reason) {
+    case RefusalReason::QueueFull:
+      break;
+    case RefusalReason::UnknownClass:
+      refusal.message = "the class has no queue";
+      break;
+    case RefusalReason::AccountLimit:
+      refusal.status = 429;
+      refusal.type = "limit";
+      refusal.message = "the token limit of the account is used up";
+      break;
+    case RefusalReason::AccountQueueFull:
+      refusal.status = 429;
+      refusal.type = "limit";
+      refusal.message = "the account's share of the queue is full";
+      break;
+    case RefusalReason::Deadline:
+      refusal.status = 504;
+      refusal.type = "deadline";
+      refusal.message = "the deadline of the class cannot be met";
+      break;
+  }
+  return refusal;
+}
+
+admission::AdmissionOptions OptionsOf(const Configuration& aConfiguration)
+{
+  admission::AdmissionOptions options;
+  for (const Service& service : aConfiguration.Services()) {
+    for (const ServiceClass& item : service.classes) {
+      options.classes.push_back({ service.name, item.name, item.priority, item.queueLimit });
+    }
+  }
+  for (const ClientAccount& account : aConfiguration.Accounts()) {
+    options.accounts.push_back({ account.name, static_cast<double>(account.weight),
+                                 static_cast<double>(account.tokensPerSecond),
+                                 static_cast<double>(account.burstTokens) });
+  }
+  return options;
+}
+
+} // namespace
+
+struct AdmissionGate::Waiter
+{
+  explicit Waiter(const net::Executor& aExecutor)
+    : executor(aExecutor)
+    , timer(aExecutor, asio::steady_timer::time_point::max())
+  {
+  }
+
+  net::Executor executor;
+  asio::steady_timer timer;
+  std::optional<Result<void, Refusal>> result; // written and read on the executor
+};
+
+AdmissionGate::AdmissionGate()
+  : mQueue(admission::AdmissionOptions())
+{
+}
+
+AdmissionGate::~AdmissionGate() = default;
+
+void AdmissionGate::OnConfiguration(const Configuration& aConfiguration)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mQueue.SetOptions(OptionsOf(aConfiguration));
+}
+
+net::Task<Result<void, Refusal>> AdmissionGate::Enter(admission::AdmissionRequest aRequest)
+{
+  const net::Executor executor = co_await asio::this_coro::executor;
+  std::shared_ptr<Waiter> waiter;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const admission::AdmissionDecision decision = mQueue.Offer(aRequest, net::Now());
+    if (decision.kind == admission::AdmissionKind::Admitted) {
+      co_return Result<void, Refusal>{};
+    }
+    if (decision.kind == admission::AdmissionKind::Refused) {
+      co_return Failure(ToRefusal(decision.refusal));
+    }
+    waiter = std::make_shared<Waiter>(executor);
+    mWaiters[aRequest.id] = waiter;
+  }
+  while (!waiter->result) {
+    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return *waiter->result;
+}
+
+void AdmissionGate::Wake(RequestId aId, Result<void, Refusal> aResult)
+{
+  const auto found = mWaiters.find(aId);
+  if (found == mWaiters.end()) {
+    return;
+  }
+  std::shared_ptr<Waiter> waiter = std::move(found->second);
+  mWaiters.erase(found);
+  const net::Executor executor = waiter->executor;
+  asio::post(executor, [waiter = std::move(waiter), result = std::move(aResult)]() mutable {
+    waiter->result = std::move(result);
+    waiter->timer.cancel();
+  });
+}
+
+void AdmissionGate::ReleaseDue(Time aNow)
+{
+  for (const admission::Refusal& refusal : mQueue.OnTime(aNow)) {
+    Wake(refusal.id, Failure(ToRefusal(refusal)));
+  }
+  for (const admission::AdmissionRequest& request : mQueue.Release(aNow)) {
+    Wake(request.id, {});
+  }
+}
+
+void AdmissionGate::Leave(RequestId aId, std::uint32_t aTokens)
+{
+  const Time now = net::Now();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mQueue.OnFinished(aId, aTokens, now);
+  ReleaseDue(now);
+}
+
+void AdmissionGate::Cancel(RequestId aId)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mQueue.Cancel(aId)) {
+    Wake(aId, Failure(Refusal{ 503, "cancelled", "the request no longer waits", RunState::NotRun,
+                               std::nullopt }));
+  }
+}
+
+void AdmissionGate::OnTime(Time aNow)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (!mWaiters.empty()) {
+    ReleaseDue(aNow);
+  }
+}
+
+void AdmissionGate::SetCapacity(const ServiceName& aService, std::uint64_t aTokens)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mQueue.SetCapacity(aService, aTokens);
+}
+
+std::size_t AdmissionGate::Waiting() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mQueue.Waiting();
+}
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/AdmissionGate.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Refusal.hpp"
+#include "masticstep/admission/AdmissionQueue.hpp"
+#include "masticstep/base/Result.hpp"
+#include "masticstep/config/Configuration.hpp"
+#include "masticstep/net/Task.hpp"
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace masticstep::gateway {
+
+// admission::AdmissionQueue behind one mutex, with the coroutines that wait in it.
+class AdmissionGate
+{
+public:
+  AdmissionGate();
+  ~AdmissionGate();
+  AdmissionGate(const AdmissionGate&) = delete;
+  AdmissionGate& operator=(const AdmissionGate&) = delete;
+
+  void OnConfiguration(const Configuration& aConfiguration);
+  // Waits until the request may be routed. After success Leave must be called once.
+  net::Task<Result<void, Refusal>> Enter(admission::AdmissionRequest aRequest);
+  void Leave(RequestId aId, std::uint32_t aTokens);
+  // Ends the wait of a request; Enter then fails. Does nothing if the request does not wait.
+  void Cancel(RequestId aId);
+  // Releases and refuses what is due.
+  void OnTime(Time aNow);
+  void SetCapacity(const ServiceName& aService, std::uint64_t aTokens);
+  std::size_t Waiting() const;
+
+private:
+  struct Waiter;
+  using Waiters = std::unordered_map<RequestId, std::shared_ptr<Waiter>>;
+
+  // Wakes a waiting coroutine with its result. The mutex must be held.
+  void Wake(RequestId aId, Result<void, Refusal> aResult);
+  void ReleaseDue(Time aNow);
+
+  mutable std::mutex mMutex;
+  admission::AdmissionQueue mQueue;
+  Waiters mWaiters;
+};
+
+} // namespace masticstep::gateway
--- a/libs/gateway/src/CompletionSession.cpp
+++ b/libs/gateway/src/CompletionSession.cpp
@@ -34,11 +34,25 @@
                                                               : EngineFailure::Refused;
     case StreamFailureKind::Broken:
     case StreamFailureKind::Crossed:
+    case StreamFailureKind::Failed:
       return EngineFailure::Broken;
   }
   return EngineFailure::Broken;
 }
 
+// Describes a failure to a caller, without text of the engine.
+std::string TextOf(const StreamFailure& aFailure)
+{
+  const bool hasStatus = aFailure.kind == StreamFailureKind::Rejected;
+  return hasStatus ? "it answered " + std::to_string(aFailure.status) : aFailure.detail;
+}
+
+// The stream may go on over another connection.
+bool IsConnectionFault(const StreamFailure& aFailure)
+{
+  return aFailure.kind != StreamFailureKind::Rejected && aFailure.kind != StreamFailureKind::Failed;
+}
+
 // Statuses by which an engine says that it did not take the request.
 bool IsNotTaken(const StreamFailure& aFailure)
 {
@@ -111,10 +125,34 @@
     mParts->running.Add(mName.number, executor, [this] { Interrupt(Interruption::Shutdown); });
   const net::Alarm alarm(executor, mDeadline, [this] { Interrupt(Interruption::DeadlinePassed); });
   mResponder.OnGone([this] { Interrupt(Interruption::CallerGone); });
-  co_await Serve();
+  Result<void, Refusal> admitted = co_await Admit();
+  if (admitted) {
+    co_await Serve();
+    mParts->admission.Leave(mName.number, mCall.promptTokens + mMetrics->Tokens());
+  } else if (mInterruption == Interruption::CallerGone) {
+    LogEnd("caller left");
+  } else {
+    co_await Refuse(admitted.error());
+  }
   mResponder.OnGone(nullptr);
 }
 
+net::Task<Result<void, Refusal>> CompletionSession::Admit()
+{
+  admission::AdmissionRequest request;
+  request.id = mName.number;
+  request.service = mService->name;
+  request.className = mClass->name;
+  request.account = mAccount->name;
+  request.tokens = mCall.promptTokens + mParts->engines->ExpectedOutput(Query());
+  request.arrived = mArrived;
+  request.deadline = mDeadline;
+  mIsWaiting = true;
+  Result<void, Refusal> admitted = co_await mParts->admission.Enter(std::move(request));
+  mIsWaiting = false;
+  co_return admitted;
+}
+
 void CompletionSession::Interrupt(Interruption aReason)
 {
   // A stream that has begun may run past the deadline: its caller is reading it.
@@ -123,6 +161,9 @@
     return;
   }
   mInterruption = aReason;
+  if (mIsWaiting) {
+    mParts->admission.Cancel(mName.number);
+  }
   if (mStream != nullptr) {
     mStream->Drop();
   }
@@ -203,8 +244,8 @@
                      { "problem", failure->detail },
                      { "status", failure->status },
                      { "tokens", mMetrics->Tokens() } });
-    const bool mayResume = aStream.MayHaveArrived() && !IsNotTaken(*failure);
-    if (!mayResume || Decide(AttemptProgress::Unknown, true).step != NextStep::Resume) {
+    const bool mayResume = aStream.MayHaveArrived() && IsConnectionFault(*failure);
+    if (!mayResume || Decide(retry::Progress::Unknown, true).kind != retry::RetryKind::Resume) {
       co_return co_await AfterFailure(aEngine, aStream, *failure);
     }
     ++mResumes;
@@ -237,20 +278,22 @@
   }
 }
 
-RetryDecision CompletionSession::Decide(AttemptProgress aProgress, bool aIsResumable)
+retry::RetryDecision CompletionSession::Decide(retry::Progress aProgress, bool aIsResumable)
 {
   const std::uint32_t tokens = mMetrics->Tokens();
-  FailedAttempt attempt;
+  retry::Attempt attempt;
   attempt.id = mName.number;
   attempt.service = mService->name;
-  attempt.progress = tokens > 0 ? AttemptProgress::Started : aProgress;
+  attempt.progress = tokens > 0 ? retry::Progress::Started : aProgress;
   attempt.isRepeatable = true;
   attempt.isResumable = aIsResumable;
   attempt.mayHaveRunBefore = mMayHaveRun;
   attempt.tokensRelayed = tokens;
   attempt.retries = mRetries;
   attempt.resumes = mResumes;
-  attempt.deadline = mDeadline;
+  // The deadline bounds the wait for a stream's first token, not the stream.
+  const bool isOpenEnded = mCall.streams && tokens > 0;
+  attempt.deadline = isOpenEnded ? Time::max() : mDeadline;
   return mParts->retry.Decide(attempt, net::Now());
 }
 
@@ -258,7 +301,7 @@
   const BackendServer& aEngine, EngineStream& aStream, StreamFailure aFailure)
 {
   mParts->engines->OnFailed(mName.number, ToEngineFailure(aFailure), net::Now());
-  const AttemptProgress progress = co_await ProgressOf(aEngine, aStream, aFailure);
+  const retry::Progress progress = co_await ProgressOf(aEngine, aStream, aFailure);
   if (mInterruption == Interruption::CallerGone) {
     LogEnd("caller left");
     co_return AttemptEnd::Interrupted;
@@ -267,33 +310,34 @@
     mRefusal = EngineRefusal(aFailure);
     co_return AttemptEnd::Refused;
   }
-  const RetryDecision decision = Decide(progress, false);
+  const retry::RetryDecision decision = Decide(progress, false);
   mMayHaveRun = decision.mayHaveRun;
-  if (decision.step == NextStep::Retry) {
+  if (decision.kind == retry::RetryKind::Retry) {
     ++mRetries;
     mExcluded.push_back(aEngine.name);
     mParts->metrics.GetCounter({ "masticstep_retries_total", "", "" })->Add();
     co_await net::Sleep(decision.delay);
     co_return AttemptEnd::TryAnother;
   }
-  mRefusal = { 503, "engine_failed", "the engine failed: " + aFailure.detail, decision.run,
-               kRetryAfterOverload };
+  const bool isLate = decision.reason == retry::GiveUpReason::Deadline;
+  mRefusal = { isLate ? 504U : 503U, isLate ? "deadline" : "engine_failed",
+               "the engine failed: " + TextOf(aFailure), decision.run, kRetryAfterOverload };
   co_return AttemptEnd::Refused;
 }
 
-net::Task<AttemptProgress> CompletionSession::ProgressOf(const BackendServer& aEngine,
+net::Task<retry::Progress> CompletionSession::ProgressOf(const BackendServer& aEngine,
                                                          EngineStream& aStream,
                                                          const StreamFailure& aFailure)
 {
   if (!aStream.MayHaveArrived()) {
-    co_return AttemptProgress::NotSent;
+    co_return retry::Progress::NotSent;
   }
   if (IsNotTaken(aFailure) && mResumes == 0) {
-    co_return AttemptProgress::NotStarted;
+    co_return retry::Progress::NotStarted;
   }
   // The engine may still be working; it must stop, and may say that it never began.
   const std::optional<bool> hasStarted = co_await CancelOnEngine(aEngine);
-  co_return hasStarted == false ? AttemptProgress::NotStarted : AttemptProgress::Unknown;
+  co_return hasStarted == false ? retry::Progress::NotStarted : retry::Progress::Unknown;
 }
 
 net::Task<CompletionSession::AttemptEnd> CompletionSession::AfterInterruption(
--- a/libs/gateway/src/CompletionSession.hpp
+++ b/libs/gateway/src/CompletionSession.hpp
@@ -40,6 +40,7 @@
   };
 
   Result<void, Refusal> Prepare(const net::HttpRequest& aRequest, bool aIsChat);
+  net::Task<Result<void, Refusal>> Admit();
   net::Task<void> Serve();
   net::Task<AttemptEnd> Attempt(const BackendServer& aEngine);
   net::Task<AttemptEnd> RelayWithResumes(const BackendServer& aEngine, EngineStream& aStream);
@@ -49,9 +50,9 @@
                                      StreamFailure aFailure);
   net::Task<AttemptEnd> AfterInterruption(const BackendServer& aEngine, EngineStream& aStream);
   AttemptEnd InterruptedBetweenAttempts();
-  net::Task<AttemptProgress> ProgressOf(const BackendServer& aEngine, EngineStream& aStream,
+  net::Task<retry::Progress> ProgressOf(const BackendServer& aEngine, EngineStream& aStream,
                                         const StreamFailure& aFailure);
-  RetryDecision Decide(AttemptProgress aProgress, bool aIsResumable);
+  retry::RetryDecision Decide(retry::Progress aProgress, bool aIsResumable);
   // Cancels the request on the engine. Returns whether it had started there, if the engine says.
   net::Task<std::optional<bool>> CancelOnEngine(const BackendServer& aEngine);
   void Interrupt(Interruption aReason);
@@ -80,6 +81,7 @@
   std::uint32_t mRetries = 0;
   std::uint32_t mResumes = 0;
   bool mMayHaveRun = false;
+  bool mIsWaiting = false; // for admission
 };
 
 } // namespace masticstep::gateway
--- a/libs/gateway/src/Daemon.cpp
+++ b/libs/gateway/src/Daemon.cpp
@@ -106,6 +106,9 @@
   asio::co_spawn(
     asio::make_strand(mWorkers.Context()), [parts = mParts] { return PollLoads(parts); },
     asio::detached);
+  asio::co_spawn(
+    asio::make_strand(mWorkers.Context()), [parts = mParts] { return PumpAdmission(parts); },
+    asio::detached);
   mSignals.add(SIGTERM);
   mSignals.add(SIGINT);
   mSignals.async_wait([this](boost::system::error_code aError, int) {
--- a/libs/gateway/src/EngineSelector.hpp
+++ b/libs/gateway/src/EngineSelector.hpp
@@ -6,6 +6,7 @@
 #include "masticstep/config/Configuration.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,11 +62,22 @@
   bool operator==(const EngineLoad&) const = default;
 };
 
+// Change of an engine's prefix cache.
+struct EngineCacheEvent
+{
+  EngineId engine;
+  std::uint64_t sequence = 0;
+  bool isStored = false;
+  std::uint64_t hash = 0;
+
+  bool operator==(const EngineCacheEvent&) const = default;
+};
+
 // What is believed of an engine or server, for the status page.
 struct EngineStatus
 {
   EngineId engine;
-  std::string state; // ready, draining, changing_role, ejected or down
+  std::string state; // ready, draining, changing, ejected or down
   std::uint64_t inFlight = 0;
 
   bool operator==(const EngineStatus&) const = default;
@@ -85,9 +97,14 @@
   virtual void OnFinished(RequestId aId, Time aNow) = 0;
   virtual void OnFailed(RequestId aId, EngineFailure aFailure, Time aNow) = 0;
   virtual void OnLoad(const EngineLoad& aLoad, Time aNow) = 0;
+  virtual void OnCacheEvent(const EngineCacheEvent& aEvent, Time aNow) = 0;
   virtual void OnUnreachable(const EngineId& aEngine, Time aNow) = 0;
   // Requests with a leaving backend server go elsewhere.
   virtual void SetLeaving(const EngineId& aEngine, bool aIsLeaving, Time aNow) = 0;
+  // Tokens that may be in flight for a service; nothing if that is not known.
+  virtual std::optional<std::uint64_t> Capacity(const ServiceName& aService, Time aNow) const = 0;
+  // Output tokens that a request will probably need.
+  virtual std::uint32_t ExpectedOutput(const EngineQuery& aQuery) const = 0;
   virtual std::vector<EngineStatus> Status(Time aNow) const = 0;
 };
 
--- a/libs/gateway/src/EngineStream.cpp
+++ b/libs/gateway/src/EngineStream.cpp
@@ -124,9 +124,12 @@
     mIsDone = true;
     return std::optional<TokenEvent>();
   }
-  std::optional<TokenEvent> token = TokenEvent::Parse(std::move(aData));
+  std::optional<TokenEvent> token = TokenEvent::Parse(aData);
   if (!token) {
     Drop();
+    if (IsErrorEvent(aData)) {
+      return Failure(StreamFailure{ StreamFailureKind::Failed, 0, "engine reported an error" });
+    }
     return Failure(StreamFailure{ StreamFailureKind::Broken, 0, "not a token event" });
   }
   if (token->id != mRequestId || token->offset != mExpected) {
--- a/libs/gateway/src/EngineStream.hpp
+++ b/libs/gateway/src/EngineStream.hpp
@@ -19,6 +19,7 @@
   Broken,       // the connection or the answer ended early, or the answer was not a stream
   Crossed,      // an answer of another request or offset
   Rejected,     // the engine answered with an error status; see status
+  Failed,       // the engine reported in the stream that the request failed
 };
 
 struct StreamFailure
--- a/libs/gateway/src/GatewayParts.hpp
+++ b/libs/gateway/src/GatewayParts.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdmissionGate.hpp"
 #include "ConfigurationHolder.hpp"
 #include "DrainState.hpp"
 #include "EngineSelector.hpp"
@@ -24,11 +25,15 @@
   ConfigurationHolder configuration;
   DrainState drain;
   RunningRequests running;
+  AdmissionGate admission; // to the engines of model services
   RetryDecider retry;
   std::unique_ptr<EngineSelector> engines; // of model services
   std::unique_ptr<EngineSelector> servers; // of plain services
 
   GatewayParts(Settings aSettings, std::uint64_t aStartNonce);
+
+  // Puts a configuration in force if its generation is newer. Requests that run keep theirs.
+  bool Apply(ConfigurationPointer aConfiguration, Time aNow);
 };
 
 // Returns the address of a backend server.
--- a/libs/gateway/src/LeastOutstandingSelector.hpp
+++ b/libs/gateway/src/LeastOutstandingSelector.hpp
@@ -23,8 +23,17 @@
   void OnFinished(RequestId aId, Time aNow) override;
   void OnFailed(RequestId aId, EngineFailure aFailure, Time aNow) override;
   void OnLoad(const EngineLoad& aLoad, Time aNow) override;
+  void OnCacheEvent(const EngineCacheEvent&, Time) override {}
   void OnUnreachable(const EngineId& aEngine, Time aNow) override;
   void SetLeaving(const EngineId& aEngine, bool aIsLeaving, Time aNow) override;
+  std::optional<std::uint64_t> Capacity(const ServiceName&, Time) const override
+  {
+    return std::nullopt;
+  }
+  std::uint32_t ExpectedOutput(const EngineQuery& aQuery) const override
+  {
+    return aQuery.maxTokens;
+  }
   std::vector<EngineStatus> Status(Time aNow) const override;
 
 private:
--- a/libs/gateway/src/LoadPoller.cpp
+++ b/libs/gateway/src/LoadPoller.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Duration kPollInterval = Milliseconds(500);
+// Requests are released at once when another one ends; this only bounds how late a deadline or
+// newly reported room is noticed.
+constexpr Duration kPumpInterval = Milliseconds(20);
 constexpr net::FetchLimits kPollLimits{ Milliseconds(300), Milliseconds(400), 65536 };
 
 std::uint64_t NumberIn(const boost::json::object& aObject, const char* aKey)
@@ -85,6 +88,16 @@
   }
 }
 
+void UpdateCapacities(GatewayParts& aParts, const Configuration& aConfiguration, Time aNow)
+{
+  for (const Service& service : aConfiguration.Services()) {
+    const std::optional<std::uint64_t> tokens = aParts.engines->Capacity(service.name, aNow);
+    if (service.kind == ServiceKind::Model && tokens) {
+      aParts.admission.SetCapacity(service.name, *tokens);
+    }
+  }
+}
+
 } // namespace
 
 net::Task<void> PollLoads(std::shared_ptr<GatewayParts> aParts)
@@ -99,4 +112,17 @@
   }
 }
 
+net::Task<void> PumpAdmission(std::shared_ptr<GatewayParts> aParts)
+{
+  while (aParts->drain.Phase() != DrainPhase::Stopping || aParts->running.Count() > 0) {
+    const ConfigurationPointer configuration = aParts->configuration.Current();
+    const Time now = net::Now();
+    if (configuration) {
+      UpdateCapacities(*aParts, *configuration, now);
+    }
+    aParts->admission.OnTime(now);
+    co_await net::Sleep(kPumpInterval);
+  }
+}
+
 } // namespace masticstep::gateway
--- a/libs/gateway/src/PlainSession.cpp
+++ b/libs/gateway/src/PlainSession.cpp
@@ -131,7 +131,7 @@
       reply->headers = ForwardedHeaders(reply->headers);
       co_return std::move(*reply);
     }
-    const Result<RetryDecision, Refusal> decision = AfterFailure(*server, reply.error());
+    const Result<retry::RetryDecision, Refusal> decision = AfterFailure(*server, reply.error());
     if (!decision) {
       co_return Failure(decision.error());
     }
@@ -139,8 +139,8 @@
   }
 }
 
-Result<RetryDecision, Refusal> PlainSession::AfterFailure(const BackendServer& aServer,
-                                                          const net::FetchError& aError)
+Result<retry::RetryDecision, Refusal> PlainSession::AfterFailure(const BackendServer& aServer,
+                                                                 const net::FetchError& aError)
 {
   const bool isTimeout = aError.error.kind == net::NetErrorKind::TimedOut;
   const EngineFailure failure =
@@ -150,17 +150,17 @@
                  { { "request_id", mName.text },
                    { "server", aServer.name.Text() },
                    { "problem", net::ToString(aError.error) } });
-  FailedAttempt attempt;
+  retry::Attempt attempt;
   attempt.id = mName.number;
   attempt.service = mService->name;
-  attempt.progress = aError.mayHaveArrived ? AttemptProgress::Unknown : AttemptProgress::NotSent;
+  attempt.progress = aError.mayHaveArrived ? retry::Progress::Unknown : retry::Progress::NotSent;
   attempt.isRepeatable = true;
   attempt.mayHaveRunBefore = mMayHaveRun;
   attempt.retries = mRetries;
   attempt.deadline = mDeadline;
-  const RetryDecision decision = mParts->retry.Decide(attempt, net::Now());
+  const retry::RetryDecision decision = mParts->retry.Decide(attempt, net::Now());
   mMayHaveRun = decision.mayHaveRun;
-  if (decision.step == NextStep::Retry) {
+  if (decision.kind == retry::RetryKind::Retry) {
     ++mRetries;
     mExcluded.push_back(aServer.name);
     return decision;
--- a/libs/gateway/src/PlainSession.hpp
+++ b/libs/gateway/src/PlainSession.hpp
@@ -25,8 +25,8 @@
   // Passes a call that may be repeated on to servers until one answers.
   net::Task<Result<net::HttpResponse, Refusal>> CallRepeatable(net::HttpRequest aRequest);
   Result<net::HttpResponse, Refusal> CallOnce(const net::HttpRequest& aRequest);
-  Result<RetryDecision, Refusal> AfterFailure(const BackendServer& aServer,
-                                              const net::FetchError& aError);
+  Result<retry::RetryDecision, Refusal> AfterFailure(const BackendServer& aServer,
+                                                     const net::FetchError& aError);
   net::HttpRequest ForwardedRequest(const net::HttpRequest& aRequest,
                                     const BackendServer& aServer) const;
   const BackendServer* ChooseServer();
--- a/libs/gateway/src/PlatformWatcher.cpp
+++ b/libs/gateway/src/PlatformWatcher.cpp
@@ -174,9 +174,7 @@
     return;
   }
   const ConfigurationPointer next = std::make_shared<const Configuration>(std::move(*created));
-  if (mParts->configuration.Apply(next)) {
-    mParts->engines->OnConfiguration(*next, net::Now());
-    mParts->servers->OnConfiguration(*next, net::Now());
+  if (mParts->Apply(next, net::Now())) {
     telemetry::Log(Level::Info, "configuration in force", { { "generation", aGeneration } });
   }
 }
--- a/libs/gateway/src/TokenEvent.cpp
+++ b/libs/gateway/src/TokenEvent.cpp
@@ -3,7 +3,6 @@
 #include <boost/json.hpp>
 
 #include <array>
-#include <utility>
 
 namespace masticstep::gateway {
 
@@ -35,13 +34,14 @@
 
 } // namespace
 
-std::optional<TokenEvent> TokenEvent::Parse(std::string aData)
+std::optional<TokenEvent> TokenEvent::Parse(std::string_view aData)
 {
   // Token events fit the stack buffer, which saves the allocations of a general parse.
   std::array<unsigned char, 2048> memory; // NOLINT(cppcoreguidelines-pro-type-member-init)
   boost::json::monotonic_resource resource(memory.data(), memory.size());
   boost::system::error_code ec;
-  const boost::json::value parsed = boost::json::parse(aData, ec, &resource);
+  const boost::json::value parsed =
+    boost::json::parse(boost::json::string_view(aData.data(), aData.size()), ec, &resource);
   if (ec || !parsed.is_object()) {
     return std::nullopt;
   }
@@ -56,8 +56,16 @@
   token.offset = static_cast<std::uint32_t>(offset->get_int64());
   token.text = TextOf(*choice);
   token.finishReason = StringMember(*choice, "finish_reason");
-  token.data = std::move(aData);
+  token.data = std::string(aData);
   return token;
 }
 
+bool IsErrorEvent(const std::string& aData)
+{
+  boost::system::error_code ec;
+  const boost::json::value parsed = boost::json::parse(aData, ec);
+  const boost::json::object* object = parsed.if_object();
+  return object != nullptr && object->contains("error");
+}
+
 } // namespace masticstep::gateway
--- a/libs/gateway/src/TokenEvent.hpp
+++ b/libs/gateway/src/TokenEvent.hpp
@@ -17,9 +17,12 @@
   std::string data;         // as the engine sent it
 
   // Returns nothing if the data are not a token event.
-  static std::optional<TokenEvent> Parse(std::string aData);
+  static std::optional<TokenEvent> Parse(std::string_view aData);
 
   bool operator==(const TokenEvent&) const = default;
 };
 
+// Returns true for the event by which an engine reports that the request failed.
+bool IsErrorEvent(const std::string& aData);
+
 } // namespace masticstep::gateway
--- a/libs/net/tests/HttpServerTests.cpp
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -94,7 +94,7 @@
   ServerLimits limits;
   limits.slowReader = Milliseconds(50);
   std::promise<void> gone;
-  LoopbackServer server(limits, [&gone](HttpRequest, HttpResponder& aResponder) {
+  LoopbackServer server(limits, [&gone](const HttpRequest&, HttpResponder& aResponder) {
     return StreamForever(aResponder, gone);
   });
   RawClient client(server.Address());
@@ -107,7 +107,7 @@
 MASTICSTEP_TEST("the handler learns that its caller has closed", "[net]")
 {
   std::promise<void> gone;
-  LoopbackServer server({}, [&gone](HttpRequest, HttpResponder& aResponder) -> Task<void> {
+  LoopbackServer server({}, [&gone](const HttpRequest&, HttpResponder& aResponder) -> Task<void> {
     aResponder.OnGone([&gone] { gone.set_value(); });
     while (!aResponder.IsGone()) {
       co_await Sleep(Milliseconds(5));
@@ -135,7 +135,7 @@
 // Guards against a truncated answer that looks complete.
 MASTICSTEP_TEST("an answer that is not ended has no last chunk", "[net]")
 {
-  LoopbackServer server({}, [](HttpRequest, HttpResponder& aResponder) -> Task<void> {
+  LoopbackServer server({}, [](const HttpRequest&, HttpResponder& aResponder) -> Task<void> {
     HttpResponseHead head;
     aResponder.StartStream(std::move(head));
     co_await aResponder.WriteChunk("part");
