Let the engine stand-in hash prompts as daemons do

Cause: the gateway hashes prompts in stretches of 1,024 bytes, the stand-in hashed blocks of 128, so that cache events would have named hashes that no daemon knows. Change: an entry of the prefix cache is eight blocks (256 tokens), hashed as in CompletionCall; the prompt of a chat is the JSON text of its messages, likewise.

--- a/libs/spread/src/Spread.cpp
+++ b/libs/spread/src/Spread.cpp
@@ -62,8 +62,8 @@
   }
   mConfiguration.SetNeighbours(std::move(addresses));
   if (isSmaller) {
-    // A path of some owners went through the removed neighbour; asking again at once is cheaper than
-    // waiting until their entries go missing.
+    // A path of some owners went through the removed neighbour; asking again at once is cheaper
+    // than waiting until their entries go missing.
     for (std::pair<const std::string, Neighbour>& item : mNeighbours) {
       SpreadMessage graft;
       graft.kind = SpreadMessageKind::Graft;
@@ -113,8 +113,7 @@
   return Finish(std::move(actions), aNow);
 }
 
-SpreadActions Spread::OnMessage(const std::string& aFrom, const ContentMessage& aMessage,
-                                Time aNow)
+SpreadActions Spread::OnMessage(const std::string& aFrom, const ContentMessage& aMessage, Time aNow)
 {
   SpreadActions actions;
   Merge(mConfiguration.OnMessage(aFrom, aMessage, aNow), actions);
--- a/libs/spread/src/SpreadExchange.cpp
+++ b/libs/spread/src/SpreadExchange.cpp
@@ -140,8 +140,8 @@
   }
 }
 
-// Versions of periodic entries differ all the time, so only their keys are compared; a missing update
-// of a known one is found by its age.
+// Versions of periodic entries differ all the time, so only their keys are compared; a missing
+// update of a known one is found by its age.
 std::vector<std::uint64_t> Spread::Digests(bool aIsRemote) const
 {
   std::uint64_t lasting = 0;
--- a/standins/common/GeneratedText.hpp
+++ b/standins/common/GeneratedText.hpp
@@ -17,12 +17,15 @@
 // Tokens of a prompt: one for each four bytes, rounded up, at least one.
 std::uint32_t PromptTokens(std::string_view aPrompt);
 
-// Tokens of one KV block, and so of one entry of the prefix cache.
+// Tokens of one KV block.
 constexpr std::uint32_t kBlockTokens = 32;
-constexpr std::uint32_t kBlockBytes = 4 * kBlockTokens;
+// The prefix cache works on stretches of whole blocks, as daemons hash prompts.
+constexpr std::uint32_t kBlocksPerHash = 8;
+constexpr std::uint32_t kTokensPerHash = kBlocksPerHash * kBlockTokens;
+constexpr std::uint32_t kBytesPerHash = 4 * kTokensPerHash;
 
-// Hash of each whole block of a prompt: Hash64 of the block's 128 bytes, with the hash of the block
-// before it as the seed (0 for the first). Equal hashes mean equal prefixes up to that block.
+// Hash of each whole stretch of a prompt: Hash64 of its 1,024 bytes, with the hash of the stretch
+// before it as the seed (0 for the first). Equal hashes mean equal prefixes up to that stretch.
 std::vector<std::uint64_t> PrefixHashes(std::string_view aPrompt);
 
 } // namespace masticstep::standins
--- a/standins/engine_standin/Batch.hpp
+++ b/standins/engine_standin/Batch.hpp
@@ -61,7 +61,7 @@
     std::uint32_t prefilled = 0; // tokens of prompt and text before it that are in memory
     std::uint32_t toPrefill = 0;
     std::uint32_t generated = 0;
-    std::size_t pinned = 0; // blocks of the prefix cache
+    std::size_t pinned = 0; // entries of the prefix cache
     std::size_t taken = 0;  // own blocks
     bool isRunning = false;
     bool hasStarted = false;
--- a/standins/engine_standin/CompletionRequest.hpp
+++ b/standins/engine_standin/CompletionRequest.hpp
@@ -21,8 +21,8 @@
   bool isStreamed = false;
 };
 
-// The error says what is wrong with the body. The prompt of a chat is one line "ROLE: CONTENT" for
-// each message.
+// The error says what is wrong with the body. The prompt of a chat is the JSON text of its
+// messages, one after the other.
 Result<CompletionRequest, std::string> ReadCompletion(const boost::json::object& aBody,
                                                       bool aIsChat);
 
--- a/standins/engine_standin/KvMemory.hpp
+++ b/standins/engine_standin/KvMemory.hpp
@@ -10,31 +10,34 @@
 
 namespace masticstep::standins {
 
-// KV memory in blocks. A block belongs to one sequence, or to the prefix cache, where sequences pin
-// it. Cached blocks that no sequence pins are evicted, least recently used first, when a sequence
-// needs memory or when there are more of them than the bound.
+// KV memory in blocks. Blocks belong to one sequence, or to an entry of the prefix cache, which
+// holds kBlocksPerHash of them and which sequences pin. Entries that no sequence pins are evicted,
+// least recently used first, when a sequence needs memory or when they hold more blocks than the
+// bound.
 class KvMemory
 {
 public:
   KvMemory(std::size_t aBlocks, std::size_t aCacheBound, CacheEventLog& aLog);
 
-  // Pins the longest cached prefix and returns its length in blocks.
+  // Pins the longest cached prefix and returns its length in entries.
   std::size_t PinPrefix(const std::vector<std::uint64_t>& aHashes, Time aNow);
-  // Returns how many leading blocks are cached, without pinning them.
+  // Returns how many leading entries are cached, without pinning them.
   std::size_t CachedPrefix(const std::vector<std::uint64_t>& aHashes) const;
   void Unpin(const std::vector<std::uint64_t>& aHashes, std::size_t aCount, Time aNow);
   // Takes blocks for a sequence; false and no change if they cannot be had.
   bool Take(std::size_t aCount, Time aNow);
   void Release(std::size_t aCount);
   // Moves blocks that a sequence has taken into the cache, pinned by the sequence, beginning at the
-  // given block of the prefix.
+  // given entry of the prefix.
   void Store(const std::vector<std::uint64_t>& aHashes, std::size_t aFrom, Time aNow);
-  // Stores blocks from another engine; returns how many are cached afterwards.
+  // Stores entries from another engine; returns how many are cached afterwards.
   std::size_t Import(const std::vector<std::uint64_t>& aHashes, Time aNow);
 
   std::size_t Total() const { return mBlocks; }
-  std::size_t InUse() const { return mTaken + mEntries.size() - mUnpinned.size(); }
-  std::size_t Cached() const { return mEntries.size(); }
+  // Blocks of sequences and of pinned entries.
+  std::size_t InUse() const;
+  // Blocks of all entries.
+  std::size_t Cached() const;
 
 private:
   struct Entry
