--- /dev/null
+++ b/libs/roles/include/masticstep/roles/WorkEstimate.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "masticstep/roles/MixSample.hpp"
+
+namespace masticstep::roles {
+
+// Engine time of a token on an engine of the role that suits it.
+struct TokenCosts
+{
+  double secondsPerPromptToken = 0.000135;
+  double secondsPerOutputToken = 0.00045;
+};
+
+// Engine seconds of one request, on the side of the sample that its larger part belongs to. The sum
+// over a span, divided by the span, is the planner's MixSample.
+MixSample WorkOf(double aPromptTokens, double aOutputTokens, const TokenCosts& aCosts);
+
+} // namespace masticstep::roles
