--- a/libs/cli/src/AdminCommands.cpp
+++ b/libs/cli/src/AdminCommands.cpp
@@ -70,7 +70,8 @@
         name = text;
         continue;
       }
-      details += (details.empty() ? ": " : ", ") + (key == "state" ? text : key + " " + text);
+      details += details.empty() ? ": " : ", ";
+      details += key == "state" ? text : key + " " + text;
     }
     aOutput << aKind << " " << name << details << "\n";
   }
--- a/libs/cli/src/BlockingRun.hpp
+++ b/libs/cli/src/BlockingRun.hpp
@@ -20,7 +20,7 @@
   std::exception_ptr failure;
   boost::asio::co_spawn(aContext, std::move(aTask),
                         [&result, &failure](std::exception_ptr aFailure, T aValue) {
-                          failure = aFailure;
+                          failure = std::move(aFailure);
                           result.emplace(std::move(aValue));
                         });
   while (!result.has_value() && aContext.run_one() > 0) {
--- a/libs/cli/src/Run.cpp
+++ b/libs/cli/src/Run.cpp
@@ -3,6 +3,7 @@
 #include "masticstep/cli/AdminCommands.hpp"
 #include "masticstep/cli/CheckCommand.hpp"
 #include "masticstep/cli/CommandLine.hpp"
+#include "masticstep/cli/PublishCommand.hpp"
 #include "masticstep/gateway/Serve.hpp"
 
 #include <iostream>
@@ -26,8 +27,7 @@
     case CommandKind::Drain:
       return RunDrain(*command, std::cout, std::cerr);
     case CommandKind::Publish:
-      std::cerr << "publish: not available in this build\n";
-      return ExitCode::Unavailable;
+      return RunPublishCommand(*command, std::cout, std::cerr);
     case CommandKind::PrintText:
       std::cout << command->text;
       return ExitCode::Done;
--- /dev/null
+++ b/libs/publication/tests/InForceReportTests.cpp
@@ -0,0 +1,23 @@
+#include "masticstep/publication/InForceReport.hpp"
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using namespace masticstep::publication;
+
+MASTICSTEP_TEST("an in-force report survives encoding, also with unknown keys", "[publication]")
+{
+  const InForceReport report{ DataCentreName("regina-a"), 12, 3, HostName("h1") };
+  CHECK_TRUE(ParseInForce(EncodeInForce(report)).value() == report);
+  std::string newer = EncodeInForce(report);
+  newer.insert(1, R"("load":1,)");
+  CHECK_TRUE(ParseInForce(newer).value() == report);
+}
+
+// Guards against `publish --wait` that takes damaged text for success.
+MASTICSTEP_TEST("damaged in-force reports are refused", "[publication]")
+{
+  CHECK_FALSE(ParseInForce("").has_value());
+  CHECK_FALSE(ParseInForce(R"({"data_centre":"a","members":1,"reporter":"h"})").has_value());
+  CHECK_FALSE(
+    ParseInForce(R"({"data_centre":"a","generation":-1,"members":1,"reporter":"h"})").has_value());
+}
