Append status details in place

Cause: clang-tidy reports a temporary string for each detail. Change: append key and value one after the other.

--- a/libs/cli/src/AdminCommands.cpp
+++ b/libs/cli/src/AdminCommands.cpp
@@ -71,7 +71,11 @@
         continue;
       }
       details += details.empty() ? ": " : ", ";
-      details += key == "state" ? text : key + " " + text;
+      if (key != "state") {
+        details += key;
+        details += ' ';
+      }
+      details += text;
     }
     aOutput << aKind << " " << name << details << "\n";
   }
