--- /dev/null
+++ b/libs/gateway/tests/GatewayBed.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "CallerHandler.hpp"
+#include "GatewayParts.hpp"
+#include "masticstep/net/HttpClient.hpp"
+#include "masticstep/net/HttpServer.hpp"
+#include "masticstep/net/WorkerPool.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace masticstep::gateway {
+
+// Engine or plain server inside the test. It records the requests that it got and answers them by a
+// function.
+class TestBackend : public net::HttpHandler
+{
+public:
+  using Function = std::function<net::Task<void>(net::HttpRequest, net::HttpResponder&)>;
+
+  explicit TestBackend(Function aFunction);
+  ~TestBackend() override;
+  TestBackend(const TestBackend&) = delete;
+  TestBackend& operator=(const TestBackend&) = delete;
+
+  net::Task<void> Handle(net::HttpRequest aRequest, net::HttpResponder& aResponder) override;
+  net::HttpResponse Refuse(unsigned aStatus, const net::NetError& aError) override;
+
+  std::string Url() const;
+  // Returns "METHOD PATH" of each request, with the request id replaced by "ID".
+  std::vector<std::string> Log() const;
+
+private:
+  Function mFunction;
+  mutable std::mutex mMutex;
+  std::vector<std::string> mLog;
+  net::WorkerPool mWorkers;
+  std::unique_ptr<net::HttpServer> mServer;
+};
+
+// Request id that the daemon put in a request to an engine.
+std::string RequestIdOf(const net::HttpRequest& aRequest);
+// Token event as engines send it.
+std::string TokenText(const std::string& aId, unsigned aOffset, bool aIsLast);
+// Answers tokens aFrom to aTo - 1 and, if aIsWhole, the end of the stream.
+net::Task<void> SendTokens(net::HttpResponder& aResponder, std::string aId, unsigned aFrom,
+                           unsigned aTo, bool aIsWhole);
+
+// Gateway with callers on loopback and a configuration that names the given servers.
+class GatewayBed
+{
+public:
+  GatewayBed(const std::vector<std::string>& aEngineUrls,
+             const std::vector<std::string>& aPlainUrls, unsigned aDeadlineMilliseconds = 30000);
+  ~GatewayBed();
+  GatewayBed(const GatewayBed&) = delete;
+  GatewayBed& operator=(const GatewayBed&) = delete;
+
+  GatewayParts& Parts() { return *mParts; }
+  net::HttpResponse Call(net::HttpRequest aRequest);
+  // Sends a completion of the test model for four tokens.
+  net::HttpResponse Complete(bool aStreams);
+
+private:
+  net::WorkerPool mWorkers;
+  std::shared_ptr<GatewayParts> mParts;
+  std::unique_ptr<net::HttpServer> mServer;
+};
+
+// Returns whether the text contains the part.
+bool Contains(const std::string& aText, const std::string& aPart);
+
+} // namespace masticstep::gateway
