--- /dev/null
+++ b/tests/integration/OrdersTests.cpp
@@ -0,0 +1,137 @@
+// Calls that must not run twice, through real processes while answers and the platform fail.
+#include "support/CallerLoad.hpp"
+
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using namespace masticstep::integration;
+using standins::HttpReply;
+
+namespace {
+
+constexpr Duration kLimit = Seconds(60);
+
+std::string TextOf(const HttpReply& aReply)
+{
+  return std::to_string(aReply.status) + " " + aReply.body + aReply.error;
+}
+
+} // namespace
+
+// Guards against orders that run again when they are asked for again, on any daemon.
+MASTICSTEP_TEST("an order runs once and its answer is repeated", "[integration][order]")
+{
+  Fleet fleet({});
+  const std::string key = NewOrderKey();
+  const HttpReply first = fleet.PlaceOrder(0, key);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(first), 200U, first.status);
+  for (std::size_t daemon = 0; daemon < fleet.DaemonCount(); ++daemon) {
+    const HttpReply again = fleet.PlaceOrder(daemon, key);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(again), 200U, again.status);
+    CHECK_EQUAL(first.body, again.body);
+  }
+  CHECK_EQUAL(std::int64_t{ 1 }, fleet.Executions(key));
+}
+
+// Guards against two daemons that run one order because both were asked at the same time.
+MASTICSTEP_TEST("an order placed on two daemons at once runs once", "[integration][order]")
+{
+  Fleet fleet({});
+  for (std::size_t round = 0; round < 10; ++round) {
+    const std::string key = NewOrderKey();
+    HttpReply first;
+    std::thread other([&fleet, &key, &first] { first = fleet.PlaceOrder(0, key); });
+    const HttpReply second = fleet.PlaceOrder(1, key);
+    other.join();
+    CHECK_EQUAL(std::int64_t{ 1 }, fleet.Executions(key));
+    for (const HttpReply& reply : { first, second }) {
+      CPPUNIT_ASSERT_MESSAGE(TextOf(reply), reply.status == 200 || RunOf(reply) == "unknown");
+    }
+  }
+}
+
+// Guards against an order that is run again, or called "not run", because its answer was lost.
+MASTICSTEP_TEST("an order whose answer is lost is unknown and never runs twice",
+                "[integration][order]")
+{
+  Fleet fleet({});
+  const std::string key = NewOrderKey();
+  fleet.Ordering().SetFaults(boost::json::object{ { "lose_answers", 1 } });
+  const HttpReply first = fleet.PlaceOrder(0, key);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(first), std::string("unknown"), RunOf(first));
+  const HttpReply again = fleet.PlaceOrder(1, key);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(again), std::string("unknown"), RunOf(again));
+  CHECK_EQUAL(std::int64_t{ 1 }, fleet.Executions(key));
+}
+
+// Guards against an order that is run again, or called "not run", because its answer was late.
+MASTICSTEP_TEST("an order whose answer is late is unknown and never runs twice",
+                "[integration][order]")
+{
+  Fleet fleet({});
+  const std::string key = NewOrderKey();
+  fleet.Ordering().SetFaults(boost::json::object{ { "late_answer_ms", 8000 } });
+  const HttpReply first = fleet.PlaceOrder(0, key);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(first), std::string("unknown"), RunOf(first));
+  fleet.Ordering().SetFaults(boost::json::object{ { "late_answer_ms", 0 } });
+  const HttpReply again = fleet.PlaceOrder(1, key);
+  // The late answer may have been recorded by then.
+  CPPUNIT_ASSERT_MESSAGE(TextOf(again), again.status == 200 || RunOf(again) == "unknown");
+  CHECK_EQUAL(std::int64_t{ 1 }, fleet.Executions(key));
+}
+
+// Guards against completions that need the platform, orders that run without a durable claim, and
+// daemons that do not recover.
+MASTICSTEP_TEST("in a platform outage completions go on and orders are refused",
+                "[integration][order]")
+{
+  Fleet fleet({});
+  fleet.Platform().SetFaults(boost::json::object{ { "outage", true } });
+  const std::string key = NewOrderKey();
+  for (std::size_t daemon = 0; daemon < fleet.DaemonCount(); ++daemon) {
+    const standins::CompletionCall call = fleet.Completion(daemon, "outage", 20);
+    CHECK_TRUE(standins::StreamNow(call).IsWholeAnswerTo(call));
+    const HttpReply refused = fleet.PlaceOrder(daemon, key);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(refused), std::string("not_run"), RunOf(refused));
+  }
+  CHECK_EQUAL(std::int64_t{ 0 }, fleet.Executions(key));
+  fleet.Platform().SetFaults(boost::json::object{ { "outage", false } });
+  for (std::size_t daemon = 0; daemon < fleet.DaemonCount(); ++daemon) {
+    const bool isRecovered = WaitUntil(kLimit, [&fleet, daemon] {
+      const std::string next = NewOrderKey();
+      const bool isPlaced = fleet.PlaceOrder(daemon, next).status == 200;
+      return isPlaced && fleet.Executions(next) == 1;
+    });
+    CHECK_TRUE(isRecovered);
+  }
+}
+
+// Guards against a silent platform: an order must be refused or end, and must not hang.
+MASTICSTEP_TEST("while the platform is silent orders are refused", "[integration][order]")
+{
+  Fleet fleet({});
+  fleet.Platform().SetFaults(boost::json::object{ { "silent", true } });
+  const std::string key = NewOrderKey();
+  const HttpReply reply = fleet.PlaceOrder(0, key);
+  fleet.Platform().SetFaults(boost::json::object{ { "silent", false } });
+  // A claim that was sent may still be taken, so the daemon may also say that it does not know.
+  CPPUNIT_ASSERT_MESSAGE(TextOf(reply), RunOf(reply) == "not_run" || RunOf(reply) == "unknown");
+  CHECK_EQUAL(std::int64_t{ 0 }, fleet.Executions(key));
+}
+
+// Guards against a daemon that takes a write whose answer was lost for one that was not made.
+MASTICSTEP_TEST("an order goes on after the answer of its claim is lost", "[integration][order]")
+{
+  Fleet fleet({});
+  for (std::uint64_t round = 1; round <= 5; ++round) {
+    const std::string key = NewOrderKey();
+    fleet.Platform().SetFaults(boost::json::object{ { "lose_answers", 1 } });
+    const HttpReply first = fleet.PlaceOrder(0, key);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(first), 200U, first.status);
+    CHECK_EQUAL(std::int64_t{ 1 }, fleet.Executions(key));
+    CHECK_TRUE(fleet.Platform().Counter("lost_answers") >= round);
+    const HttpReply again = fleet.PlaceOrder(1, key);
+    CHECK_EQUAL(first.body, again.body);
+    CHECK_EQUAL(std::int64_t{ 1 }, fleet.Executions(key));
+  }
+}
