--- a/tests/integration/support/Process.cpp
+++ b/tests/integration/support/Process.cpp
@@ -12,12 +12,11 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <mutex>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
 
-extern char** environ; // NOLINT(readability-identifier-naming)
-
 namespace masticstep::integration {
 
 namespace {
@@ -40,16 +39,17 @@
   _exit(EXIT_FAILURE);
 }
 
+void ArmWatchdog()
+{
+  std::signal(SIGALRM, EndAll);
+  std::signal(SIGTERM, EndAll);
+  std::signal(SIGINT, EndAll);
+  alarm(kWatchdogSeconds);
+}
+
+// Puts a child into the list, or another one (0 for none) into its place.
 void Remember(pid_t aPid, pid_t aReplaced)
 {
-  static const bool sIsArmed = [] {
-    std::signal(SIGALRM, EndAll); // NOLINT(bugprone-signal-handler)
-    std::signal(SIGTERM, EndAll); // NOLINT(bugprone-signal-handler)
-    std::signal(SIGINT, EndAll);  // NOLINT(bugprone-signal-handler)
-    alarm(kWatchdogSeconds);
-    return true;
-  }();
-  static_cast<void>(sIsArmed);
   for (std::atomic<pid_t>& child : sChildren) {
     pid_t expected = aReplaced;
     if (child.compare_exchange_strong(expected, aPid)) {
@@ -70,10 +70,13 @@
                  std::string aFile)
   : mFile(std::move(aFile))
 {
+  static std::once_flag sIsArmed;
+  std::call_once(sIsArmed, ArmWatchdog);
   const std::string path = BuildFolder() + "/bin/" + aProgram;
   std::vector<std::string> texts = { path };
   texts.insert(texts.end(), aArguments.begin(), aArguments.end());
   std::vector<char*> arguments;
+  arguments.reserve(texts.size() + 1);
   for (std::string& text : texts) {
     arguments.push_back(text.data());
   }
--- a/tests/integration/support/StandIn.cpp
+++ b/tests/integration/support/StandIn.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-StandIn::StandIn(const std::string& aProgram, std::vector<std::string> aArguments,
+StandIn::StandIn(const std::string& aProgram, const std::vector<std::string>& aArguments,
                  const std::string& aFile)
   : mProcess(aProgram, aArguments, aFile)
 {
--- a/tests/integration/support/StandIn.hpp
+++ b/tests/integration/support/StandIn.hpp
@@ -10,7 +10,7 @@
 {
 public:
   // Starts the program and waits for its address; throws std::runtime_error without one.
-  StandIn(const std::string& aProgram, std::vector<std::string> aArguments,
+  StandIn(const std::string& aProgram, const std::vector<std::string>& aArguments,
           const std::string& aFile);
 
   const standins::Address& Address() const { return mAddress; }
