--- a/libs/routing/include/masticstep/routing/RouteError.hpp
+++ b/libs/routing/include/masticstep/routing/RouteError.hpp
@@ -11,7 +11,8 @@
   UnknownService,
   NoEngine,            // none is ready and not excluded
   DeadlineCannotBeMet, // predicted completion is after the deadline on every engine
-  AlreadyInFlight      // the same request id has not finished
+  Overload,       // the first token would miss its target on every engine, because of their load
+  AlreadyInFlight // the same request id has not finished
 };
 
 struct RouteError
--- a/libs/routing/include/masticstep/routing/RouterOptions.hpp
+++ b/libs/routing/include/masticstep/routing/RouterOptions.hpp
@@ -37,6 +37,9 @@
   // Pairs of class and account whose output length is remembered.
   std::size_t outputHistories = 8192;
   bool ejection = true;
+  // A request is refused if the load makes its first token later than this multiple of the target
+  // on every engine, since it would only delay others. 0 never refuses for this reason.
+  double shedFactor = 0.6;
   std::uint64_t seed = 1;
 };
 
--- a/libs/routing/src/CostModel.cpp
+++ b/libs/routing/src/CostModel.cpp
@@ -21,13 +21,13 @@
 {
   switch (aRole) {
     case EngineRole::Prefill:
-      return { 0.05F, 0.13F, 0.01F };
+      return { 0.05F, 0.13F, 0.13F, 0.01F };
     case EngineRole::Decode:
-      return { 0.03F, 0.25F, 0.01F };
+      return { 0.03F, 0.25F, 0.25F, 0.01F };
     case EngineRole::Mixed:
       break;
   }
-  return { 0.04F, 0.16F, 0.01F };
+  return { 0.04F, 0.16F, 0.16F, 0.01F };
 }
 
 BetweenTokensFeatures BetweenTokensPrior(EngineRole aRole)
@@ -47,7 +47,8 @@
 
 FirstTokenFeatures FirstTokenFeaturesOf(const EngineLoad& aLoad, double aUncachedTokens)
 {
-  return { 1.0F, static_cast<float>((aLoad.waitingTokens + aUncachedTokens) / kTokenScale),
+  return { 1.0F, static_cast<float>(aUncachedTokens / kTokenScale),
+           static_cast<float>(aLoad.waitingTokens / kTokenScale),
            static_cast<float>(aLoad.running / kRunningScale) };
 }
 
@@ -59,19 +60,23 @@
 }
 
 CostModel::CostModel(EngineRole aRole)
-  : mFirstToken(FirstTokenPrior(aRole))
+  : mPrior(FirstTokenPrior(aRole))
   , mBetweenTokens(BetweenTokensPrior(aRole))
 {
 }
 
-double CostModel::SecondsPerPromptToken() const
+double CostModel::SecondsPerPromptToken(std::size_t aClass) const
 {
-  return mFirstToken.Weights()[1] / kTokenScale;
+  return ModelOf(aClass).Weights()[1] / kTokenScale;
 }
 
-void CostModel::LearnFirstToken(const FirstTokenFeatures& aFeatures, double aSeconds)
+void CostModel::LearnFirstToken(std::size_t aClass, const FirstTokenFeatures& aFeatures,
+                                double aSeconds)
 {
-  mFirstToken.Learn(aFeatures, std::min(aSeconds, kLongestLearned));
+  if (aClass >= mFirstToken.size()) {
+    mFirstToken.resize(aClass + 1, mPrior);
+  }
+  mFirstToken[aClass].Learn(aFeatures, std::min(aSeconds, kLongestLearned));
 }
 
 void CostModel::LearnBetweenTokens(const BetweenTokensFeatures& aFeatures, double aSeconds)
--- a/libs/routing/src/CostModel.hpp
+++ b/libs/routing/src/CostModel.hpp
@@ -3,6 +3,9 @@
 #include "OnlineRegression.hpp"
 #include "masticstep/routing/EngineDescription.hpp"
 
+#include <cstddef>
+#include <vector>
+
 namespace masticstep::routing {
 
 // Believed load of an engine at one moment.
@@ -13,7 +16,7 @@
   double usedBlocks = 0.0;
 };
 
-using FirstTokenFeatures = OnlineRegression<3>::Features;
+using FirstTokenFeatures = OnlineRegression<4>::Features;
 using BetweenTokensFeatures = OnlineRegression<4>::Features;
 
 FirstTokenFeatures FirstTokenFeaturesOf(const EngineLoad& aLoad, double aUncachedTokens);
@@ -27,22 +30,30 @@
 public:
   explicit CostModel(EngineRole aRole);
 
-  double FirstToken(const FirstTokenFeatures& aFeatures) const
+  // Classes have models of their own, since engines honour priorities: the work that waits on an
+  // engine delays a class of high priority less.
+  double FirstToken(std::size_t aClass, const FirstTokenFeatures& aFeatures) const
   {
-    return mFirstToken.Predict(aFeatures);
+    return ModelOf(aClass).Predict(aFeatures);
   }
   double BetweenTokens(const BetweenTokensFeatures& aFeatures) const
   {
     return mBetweenTokens.Predict(aFeatures);
   }
   // Seconds of engine time for one prompt token.
-  double SecondsPerPromptToken() const;
+  double SecondsPerPromptToken(std::size_t aClass) const;
 
-  void LearnFirstToken(const FirstTokenFeatures& aFeatures, double aSeconds);
+  void LearnFirstToken(std::size_t aClass, const FirstTokenFeatures& aFeatures, double aSeconds);
   void LearnBetweenTokens(const BetweenTokensFeatures& aFeatures, double aSeconds);
 
 private:
-  OnlineRegression<3> mFirstToken;
+  const OnlineRegression<4>& ModelOf(std::size_t aClass) const
+  {
+    return aClass < mFirstToken.size() ? mFirstToken[aClass] : mPrior;
+  }
+
+  OnlineRegression<4> mPrior;
+  std::vector<OnlineRegression<4>> mFirstToken;
   OnlineRegression<4> mBetweenTokens;
 };
 
--- a/libs/routing/src/EngineBelief.hpp
+++ b/libs/routing/src/EngineBelief.hpp
@@ -27,6 +27,8 @@
   std::array<CostModel, kEngineRoles> models;
   EngineBreaker breaker;
   std::size_t ownInFlight = 0;
+  // Of own requests sent to it, not cached; a report counts waiting requests and not their tokens.
+  double meanPromptTokens = 500.0;
   double roundTrip = 0.0;
   double zoneCost = 0.0;
   std::uint64_t cacheSequence = 0;
--- a/libs/routing/src/Prediction.cpp
+++ b/libs/routing/src/Prediction.cpp
@@ -11,6 +11,8 @@
 constexpr double kMissWeight = 4.0;
 // Slope below the safe share, which still prefers the less loaded engine.
 constexpr double kSafeSlope = 0.1;
+// Part of the target that waiting must take before a late request counts as late by load.
+constexpr double kLoadShare = 0.5;
 constexpr double kWorkWeight = 0.5;
 
 // Penalty of using aShare of a target.
@@ -42,10 +44,12 @@
   const double uncached = std::max(0.0, aDemand.promptTokens - aCachedTokens);
   Prediction prediction;
   prediction.betweenTokens = model.BetweenTokens(BetweenTokensFeaturesOf(load));
-  prediction.promptSeconds = uncached * model.SecondsPerPromptToken();
+  prediction.promptSeconds = uncached * model.SecondsPerPromptToken(aDemand.classIndex);
   prediction.firstToken =
-    aEngine.roundTrip + model.FirstToken(FirstTokenFeaturesOf(load, uncached)) +
+    aEngine.roundTrip + model.FirstToken(aDemand.classIndex, FirstTokenFeaturesOf(load, uncached)) +
     BlockWait(load, aEngine.load.TotalBlocks(), aDemand, prediction.betweenTokens);
+  prediction.idleFirstToken =
+    aEngine.roundTrip + model.FirstToken(aDemand.classIndex, FirstTokenFeaturesOf({}, uncached));
   prediction.completion = prediction.firstToken + aDemand.outputTokens * prediction.betweenTokens;
   return prediction;
 }
@@ -58,6 +62,13 @@
          aEngine.zoneCost;
 }
 
+bool IsLateByLoad(const Demand& aDemand, const Prediction& aPrediction, double aFactor)
+{
+  const double first = aDemand.waited + aPrediction.firstToken;
+  return first > aFactor * aDemand.firstTokenTarget &&
+         first - aPrediction.idleFirstToken > kLoadShare * aFactor * aDemand.firstTokenTarget;
+}
+
 bool MeetsTargets(const Demand& aDemand, const Prediction& aPrediction)
 {
   return aDemand.waited + aPrediction.firstToken <= aDemand.firstTokenTarget &&
--- a/libs/routing/src/RouterChoice.cpp
+++ b/libs/routing/src/RouterChoice.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr double kMeanStep = 0.02;
+// Weight of the newest request in an engine's mean prompt length.
+constexpr double kMeanStep = 0.05;
 // Engines within this cost of the best are equal as far as stale reports can tell.
 constexpr double kNearMargin = 0.05;
 constexpr double kNearShare = 0.15;
@@ -48,6 +49,10 @@
     return Failure(
       Error(RouteErrorKind::DeadlineCannotBeMet, "predicted completion is after the deadline"));
   }
+  if (mOptions.shedFactor > 0.0 && IsLateByLoad(demand, chosen->prediction, mOptions.shedFactor)) {
+    return Failure(Error(RouteErrorKind::Overload, "all engines of service '" +
+                                                     aRequest.service.Text() + "' are too loaded"));
+  }
   return Commit(aRequest, demand, classIndex, *chosen, aNow);
 }
 
@@ -55,6 +60,7 @@
 {
   const ClassTargets targets = aClass < mClasses.size() ? mClasses[aClass] : ClassTargets{};
   Demand demand;
+  demand.classIndex = aClass;
   demand.promptTokens = aRequest.promptTokens;
   demand.outputTokens = mOutputs.Predict(aClass, aRequest.account, aRequest.maxTokens);
   demand.firstTokenTarget = std::max(1e-3, ToSeconds(targets.firstToken));
@@ -145,8 +151,7 @@
   request.betweenFeatures = BetweenTokensFeaturesOf(load);
   request.prefixHashes = aRequest.prefixHashes;
 
-  ServiceState& service = mServices[aRequest.service];
-  service.meanPromptTokens += kMeanStep * (request.uncachedTokens - service.meanPromptTokens);
+  engine.meanPromptTokens += kMeanStep * (request.uncachedTokens - engine.meanPromptTokens);
   engine.load.Add({ 1.0, request.uncachedTokens, request.blocks }, aNow);
   ++engine.ownInFlight;
 
--- a/libs/routing/src/RouterState.cpp
+++ b/libs/routing/src/RouterState.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Weight of the newest request in the means of a service.
-constexpr double kMeanStep = 0.02;
 // A gap in the cache events halves what is counted on; events without a gap restore it slowly.
 constexpr double kTrustAfterGap = 0.5;
 constexpr double kTrustRestored = 0.01;
@@ -113,7 +111,8 @@
     engine.load.Add({ 0.0, -request.uncachedTokens, 0.0 }, aNow);
     engine.breaker.OnSuccess(request.breakerGeneration, aNow);
     engine.models[static_cast<std::size_t>(request.role)].LearnFirstToken(
-      request.firstTokenFeatures, ToSeconds(aNow - request.sent) - engine.roundTrip);
+      request.classIndex, request.firstTokenFeatures,
+      ToSeconds(aNow - request.sent) - engine.roundTrip);
     for (const std::uint64_t hash : request.prefixHashes) {
       mPrefixes.Store(request.engine, hash);
     }
@@ -140,8 +139,6 @@
 {
   EngineBelief& engine = mEngines[aRequest.engine];
   mOutputs.Learn(aRequest.classIndex, aRequest.account, aRequest.tokens);
-  ServiceState& service = mServices[engine.description.service];
-  service.meanOutputTokens += kMeanStep * (aRequest.tokens - service.meanOutputTokens);
   if (aRequest.tokens < 2) {
     return;
   }
@@ -185,8 +182,7 @@
   if (engine == nullptr) {
     return;
   }
-  const double meanPrompt = mServices[engine->description.service].meanPromptTokens;
-  if (!engine->load.OnReport(aReport, meanPrompt, aNow)) {
+  if (!engine->load.OnReport(aReport, engine->meanPromptTokens, aNow)) {
     return;
   }
   engine->description.role = aReport.role;
--- a/libs/routing/src/RouterState.hpp
+++ b/libs/routing/src/RouterState.hpp
@@ -68,9 +68,6 @@
   struct ServiceState
   {
     std::vector<std::size_t> engines;
-    // Mean prompt tokens not cached, for reports that count waiting requests only.
-    double meanPromptTokens = 500.0;
-    double meanOutputTokens = 200.0;
   };
 
   EngineBelief* Find(const EngineId& aEngine);
