--- a/libs/roles/include/masticstep/roles/FleetCapacity.hpp
+++ b/libs/roles/include/masticstep/roles/FleetCapacity.hpp
@@ -19,11 +19,11 @@
 // those of the batching model in bench/FakeEngine.hpp; see docs/ROUTING.md.
 struct RoleCosts
 {
-  double promptOnDecode = 2.2;
+  double promptOnDecode = 2.5;
   double promptOnMixed = 1.4;
   double outputOnMixed = 1.8;
   // Load of an engine above which targets are missed.
-  double targetLoad = 0.8;
+  double targetLoad = 0.85;
 };
 
 // Work per second, in engines, that the fleet serves within the targets.
--- a/libs/roles/include/masticstep/roles/WorkEstimate.hpp
+++ b/libs/roles/include/masticstep/roles/WorkEstimate.hpp
@@ -8,7 +8,7 @@
 struct TokenCosts
 {
   double secondsPerPromptToken = 0.000135;
-  double secondsPerOutputToken = 0.00045;
+  double secondsPerOutputToken = 0.00035;
 };
 
 // Engine seconds of one request, on the side of the sample that its larger part belongs to. The sum
--- a/libs/routing/src/CostModel.cpp
+++ b/libs/routing/src/CostModel.cpp
@@ -49,7 +49,8 @@
 {
   return { 1.0F, static_cast<float>(aUncachedTokens / kTokenScale),
            static_cast<float>(aLoad.waitingTokens / kTokenScale),
-           static_cast<float>(aLoad.running / kRunningScale) };
+           static_cast<float>((aUncachedTokens + aLoad.waitingTokens) / kTokenScale *
+                              aLoad.running / kRunningScale) };
 }
 
 BetweenTokensFeatures BetweenTokensFeaturesOf(const EngineLoad& aLoad)
