--- a/libs/cli/src/AdminCommands.cpp
+++ b/libs/cli/src/AdminCommands.cpp
@@ -70,7 +70,12 @@
         name = text;
         continue;
       }
-      details += (details.empty() ? ": " : ", ") + (key == "state" ? text : key + " " + text);
+      details += details.empty() ? ": " : ", ";
+      if (key != "state") {
+        details += key;
+        details += ' ';
+      }
+      details += text;
     }
     aOutput << aKind << " " << name << details << "\n";
   }
