Run calls that must not be repeated through the order service

They were refused with 503. PlainSession now claims them through order_service::OrderService with the usable servers in order of load, and a shutdown waits until their outcomes are recorded. Two new tests: an order runs once and its answer is repeated, and during a platform outage an order is refused as not run.

--- a/libs/gateway/src/CallerHandler.cpp
+++ b/libs/gateway/src/CallerHandler.cpp
@@ -90,7 +90,7 @@
     refusal.type = "internal";
     refusal.run = RunState::Unknown;
   }
-  mParts->metrics.GetCounter({ "masticstep_refusals_total", "type", refusal.type })->Add();
+  mParts->metrics->GetCounter({ "masticstep_refusals_total", "type", refusal.type })->Add();
   return ToResponse(refusal, mParts->names.Next().text);
 }
 
--- a/libs/gateway/src/CompletionSession.cpp
+++ b/libs/gateway/src/CompletionSession.cpp
@@ -119,7 +119,7 @@
   }
   aRequest = net::HttpRequest();
   mAnswer = CompletionAnswer::Create(mCall, mName.text, mResponder);
-  mMetrics.emplace(mParts->metrics, mClass->name, mAccount->name, mArrived);
+  mMetrics.emplace(*mParts->metrics, mClass->name, mAccount->name, mArrived);
   const net::Executor executor = co_await boost::asio::this_coro::executor;
   const std::unique_ptr<RunningRequests::Entry> entry =
     mParts->running.Add(mName.number, executor, [this] { Interrupt(Interruption::Shutdown); });
@@ -249,7 +249,7 @@
       co_return co_await AfterFailure(aEngine, aStream, *failure);
     }
     ++mResumes;
-    mParts->metrics.GetCounter({ "masticstep_stream_resumes_total", "", "" })->Add();
+    mParts->metrics->GetCounter({ "masticstep_stream_resumes_total", "", "" })->Add();
     opened = co_await aStream.Resume(mMetrics->Tokens());
   }
 }
@@ -315,7 +315,7 @@
   if (decision.kind == retry::RetryKind::Retry) {
     ++mRetries;
     mExcluded.push_back(aEngine.name);
-    mParts->metrics.GetCounter({ "masticstep_retries_total", "", "" })->Add();
+    mParts->metrics->GetCounter({ "masticstep_retries_total", "", "" })->Add();
     co_await net::Sleep(decision.delay);
     co_return AttemptEnd::TryAnother;
   }
@@ -417,7 +417,7 @@
 
 net::Task<void> CompletionSession::Refuse(Refusal aRefusal)
 {
-  mParts->metrics.GetCounter({ "masticstep_refusals_total", "type", aRefusal.type })->Add();
+  mParts->metrics->GetCounter({ "masticstep_refusals_total", "type", aRefusal.type })->Add();
   telemetry::Log(Level::Info, "request refused",
                  { { "request_id", mName.text },
                    { "status", aRefusal.status },
--- a/libs/gateway/src/Daemon.cpp
+++ b/libs/gateway/src/Daemon.cpp
@@ -66,6 +66,9 @@
 Daemon::~Daemon()
 {
   mWorkers.Stop();
+  // Their timers belong to the event loop, which is destroyed before the other parts.
+  mParts->orders = nullptr;
+  mStore = nullptr;
 }
 
 Result<std::unique_ptr<Daemon>, net::NetError> Daemon::Create(const Settings& aSettings)
@@ -99,6 +102,7 @@
     return Failure(admin.error());
   }
   mAdmin = std::move(*admin);
+  StartOrders();
   mWatcher = std::make_shared<PlatformWatcher>(mParts);
   asio::co_spawn(
     asio::make_strand(mWorkers.Context()), [watcher = mWatcher] { return watcher->Run(); },
@@ -121,6 +125,22 @@
   return {};
 }
 
+void Daemon::StartOrders()
+{
+  const Settings& settings = mParts->settings;
+  platform_client::StoreOptions options;
+  options.address = gateway::AddressOf(settings.platformUrl);
+  options.path = settings.platformUrl.path;
+  options.seed = StartNonce();
+  mStore = std::make_shared<platform_client::HttpObjectStore>(mWorkers.Context().get_executor(),
+                                                              std::move(options));
+  order_service::OrderServiceOptions orderOptions;
+  orderOptions.daemon = settings.host;
+  orderOptions.processNonce = HexText(StartNonce());
+  mParts->orders = std::make_shared<order_service::OrderService>(
+    mWorkers.Context().get_executor(), mStore, std::move(orderOptions), mParts->metrics);
+}
+
 void Daemon::Wait()
 {
   mStopped.get_future().wait();
@@ -154,8 +174,9 @@
   while ((mParts->running.Count() > 0 || mCallers->ConnectionCount() > 0) && net::Now() < end) {
     co_await net::Sleep(kDrainCheckInterval);
   }
+  const bool areRecorded = co_await mParts->orders->Drain(end);
   telemetry::Log(unfinished == 0 ? Level::Info : Level::Warning, "shutdown ends",
-                 { { "cut", unfinished } });
+                 { { "cut", unfinished }, { "outcomes_recorded", areRecorded } });
   mStopped.set_value();
 }
 
--- a/libs/gateway/src/Daemon.hpp
+++ b/libs/gateway/src/Daemon.hpp
@@ -5,6 +5,7 @@
 #include "masticstep/net/HttpServer.hpp"
 #include "masticstep/net/TlsContext.hpp"
 #include "masticstep/net/WorkerPool.hpp"
+#include "masticstep/platform_client/HttpObjectStore.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -35,6 +36,7 @@
 private:
   explicit Daemon(const Settings& aSettings);
   Result<void, net::NetError> Start();
+  void StartOrders();
   net::Task<void> Shutdown();
 
   std::shared_ptr<GatewayParts> mParts;
@@ -43,6 +45,7 @@
   boost::asio::signal_set mSignals;
   std::unique_ptr<net::HttpServer> mCallers;
   std::unique_ptr<net::HttpServer> mAdmin;
+  std::shared_ptr<platform_client::HttpObjectStore> mStore;
   std::shared_ptr<PlatformWatcher> mWatcher;
 };
 
--- a/libs/gateway/src/EngineStream.cpp
+++ b/libs/gateway/src/EngineStream.cpp
@@ -98,7 +98,7 @@
   while (true) {
     std::optional<std::string> data = mParser.Next();
     if (data) {
-      co_return Check(std::move(*data));
+      co_return Check(*data);
     }
     if (mParser.IsOverlong()) {
       Drop();
@@ -118,7 +118,7 @@
   }
 }
 
-Result<std::optional<TokenEvent>, StreamFailure> EngineStream::Check(std::string aData)
+Result<std::optional<TokenEvent>, StreamFailure> EngineStream::Check(const std::string& aData)
 {
   if (aData == "[DONE]") {
     mIsDone = true;
--- a/libs/gateway/src/EngineStream.hpp
+++ b/libs/gateway/src/EngineStream.hpp
@@ -54,7 +54,7 @@
 
 private:
   net::Task<Result<void, StreamFailure>> Exchange(net::HttpRequest aRequest);
-  Result<std::optional<TokenEvent>, StreamFailure> Check(std::string aData);
+  Result<std::optional<TokenEvent>, StreamFailure> Check(const std::string& aData);
   StreamFailure FailureOf(const net::NetError& aError) const;
 
   std::shared_ptr<net::ConnectionPool> mPool;
--- a/libs/gateway/src/GatewayParts.hpp
+++ b/libs/gateway/src/GatewayParts.hpp
@@ -9,6 +9,7 @@
 #include "RunningRequests.hpp"
 #include "masticstep/config/Settings.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
+#include "masticstep/order_service/OrderService.hpp"
 #include "masticstep/telemetry/Metrics.hpp"
 
 #include <memory>
@@ -21,14 +22,15 @@
   Settings settings;
   RequestNames names;
   std::shared_ptr<net::ConnectionPool> pool = net::ConnectionPool::Create();
-  telemetry::Metrics metrics;
+  std::shared_ptr<telemetry::Metrics> metrics = std::make_shared<telemetry::Metrics>();
   ConfigurationHolder configuration;
   DrainState drain;
   RunningRequests running;
   AdmissionGate admission; // to the engines of model services
   RetryDecider retry;
-  std::unique_ptr<EngineSelector> engines; // of model services
-  std::unique_ptr<EngineSelector> servers; // of plain services
+  std::unique_ptr<EngineSelector> engines;             // of model services
+  std::unique_ptr<EngineSelector> servers;             // of plain services
+  std::shared_ptr<order_service::OrderService> orders; // null until the daemon has started
 
   GatewayParts(Settings aSettings, std::uint64_t aStartNonce);
 
--- a/libs/gateway/src/HealthPages.cpp
+++ b/libs/gateway/src/HealthPages.cpp
@@ -36,7 +36,7 @@
     return ReadyPage(aParts);
   }
   if (path == "/metrics") {
-    return Text(200, aParts.metrics.PrometheusText());
+    return Text(200, aParts.metrics->PrometheusText());
   }
   return std::nullopt;
 }
--- a/libs/gateway/src/PlainSession.cpp
+++ b/libs/gateway/src/PlainSession.cpp
@@ -21,6 +21,46 @@
 constexpr std::size_t kMaximumAnswer = 16777216;
 constexpr Duration kRetryAfter = Seconds(1);
 
+const char* TypeOf(orders::AnswerReason aReason)
+{
+  switch (aReason) {
+    case orders::AnswerReason::OtherBody:
+      return "key_conflict";
+    case orders::AnswerReason::BadKey:
+    case orders::AnswerReason::KeyTooFarAhead:
+    case orders::AnswerReason::KeyTooOld:
+      return "bad_key";
+    case orders::AnswerReason::DeadlinePassed:
+      return "deadline";
+    case orders::AnswerReason::BackendNotReached:
+    case orders::AnswerReason::BackendSilent:
+      return "server_failed";
+    default:
+      return "order_refused";
+  }
+}
+
+Result<net::HttpResponse, Refusal> ToResult(const orders::OrderAnswer& aAnswer)
+{
+  if (aAnswer.kind != orders::AnswerKind::Executed) {
+    const bool hasNotRun = aAnswer.kind == orders::AnswerKind::NotRun;
+    Refusal refusal{ aAnswer.httpStatus, TypeOf(aAnswer.reason), orders::MessageOf(aAnswer.reason),
+                     hasNotRun ? RunState::NotRun : RunState::Unknown, std::nullopt };
+    if (refusal.status == 503 && hasNotRun) {
+      refusal.retryAfter = kRetryAfter;
+    }
+    return Failure(std::move(refusal));
+  }
+  net::HttpResponse response{ aAnswer.httpStatus, {}, aAnswer.body };
+  if (!aAnswer.contentType.empty()) {
+    response.headers.push_back({ "Content-Type", aAnswer.contentType });
+  }
+  if (aAnswer.replayed) {
+    response.headers.push_back({ "Idempotent-Replayed", "true" });
+  }
+  return response;
+}
+
 } // namespace
 
 PlainSession::PlainSession(std::shared_ptr<GatewayParts> aParts, RequestName aName,
@@ -72,12 +112,12 @@
   if (IsRepeatable(*mService, aRequest.method, mPath.path)) {
     result = co_await CallRepeatable(std::move(aRequest));
   } else {
-    result = CallOnce(aRequest);
+    result = co_await CallOnce(std::move(aRequest));
   }
   co_await Answer(std::move(result));
 }
 
-const BackendServer* PlainSession::ChooseServer()
+EngineQuery PlainSession::Query() const
 {
   EngineQuery query;
   query.id = mName.number;
@@ -86,16 +126,40 @@
   query.arrived = mArrived;
   query.deadline = mDeadline;
   query.excluded = mExcluded;
-  const Result<EngineId, SelectionFailure> chosen = mParts->servers->Choose(query, net::Now());
-  if (!chosen) {
-    return nullptr;
-  }
+  return query;
+}
+
+const BackendServer* PlainSession::FindServer(const EngineId& aServer) const
+{
   const auto found =
     std::find_if(mService->backendServers.begin(), mService->backendServers.end(),
-                 [&chosen](const BackendServer& aServer) { return aServer.name == *chosen; });
+                 [&aServer](const BackendServer& aOther) { return aOther.name == aServer; });
   return found == mService->backendServers.end() ? nullptr : &*found;
 }
 
+const BackendServer* PlainSession::ChooseServer()
+{
+  const Result<EngineId, SelectionFailure> chosen = mParts->servers->Choose(Query(), net::Now());
+  return chosen ? FindServer(*chosen) : nullptr;
+}
+
+std::vector<order_service::OrderTarget> PlainSession::OrderTargets(const net::HttpRequest& aRequest)
+{
+  std::vector<order_service::OrderTarget> targets;
+  std::vector<EngineId> order;
+  while (const BackendServer* server = ChooseServer()) {
+    mParts->servers->OnFinished(mName.number, net::Now());
+    targets.push_back({ AddressOf(server->url), ForwardedRequest(aRequest, *server) });
+    order.push_back(server->name);
+    mExcluded.push_back(server->name);
+  }
+  if (!order.empty()) {
+    mExcluded.assign(order.begin() + 1, order.end());
+    ChooseServer();
+  }
+  return targets;
+}
+
 net::HttpRequest PlainSession::ForwardedRequest(const net::HttpRequest& aRequest,
                                                 const BackendServer& aServer) const
 {
@@ -170,14 +234,27 @@
                           kRetryAfter });
 }
 
-Result<net::HttpResponse, Refusal> PlainSession::CallOnce(const net::HttpRequest& aRequest)
+net::Task<Result<net::HttpResponse, Refusal>> PlainSession::CallOnce(net::HttpRequest aRequest)
 {
-  if (net::FindHeader(aRequest.headers, "Idempotency-Key").empty()) {
-    return Failure(BadInput("Idempotency-Key: missing; this call is not repeatable and needs one"));
+  std::string key(net::FindHeader(aRequest.headers, "Idempotency-Key"));
+  if (key.empty()) {
+    co_return Failure(
+      BadInput("Idempotency-Key: missing; this call is not repeatable and needs one"));
   }
-  return Failure(Refusal{ 503, "orders_unavailable",
-                          "calls that must not be repeated are not available yet", RunState::NotRun,
-                          kRetryAfter });
+  if (!mParts->orders) {
+    co_return Failure(
+      Refusal{ 503, "not_ready", "the daemon is starting", RunState::NotRun, kRetryAfter });
+  }
+  order_service::OrderCall call;
+  call.service = mService->name;
+  call.account = mAccount->name;
+  call.key = std::move(key);
+  call.digest = order_service::DigestOf(aRequest);
+  call.targets = OrderTargets(aRequest);
+  call.deadline = mDeadline;
+  const orders::OrderAnswer answer = co_await mParts->orders->Execute(std::move(call));
+  mParts->servers->OnFinished(mName.number, net::Now());
+  co_return ToResult(answer);
 }
 
 net::Task<void> PlainSession::Answer(Result<net::HttpResponse, Refusal> aResult)
@@ -193,7 +270,7 @@
                    { "service", mPath.service.Text() },
                    { "milliseconds", ToSeconds(spent) * 1000.0 } });
   if (!aResult) {
-    mParts->metrics.GetCounter({ "masticstep_refusals_total", "type", aResult.error().type })
+    mParts->metrics->GetCounter({ "masticstep_refusals_total", "type", aResult.error().type })
       ->Add();
     co_await mResponder.Send(ToResponse(aResult.error(), mName.text));
     co_return;
--- a/libs/gateway/src/PlainSession.hpp
+++ b/libs/gateway/src/PlainSession.hpp
@@ -24,7 +24,12 @@
   Result<void, Refusal> Prepare(const net::HttpRequest& aRequest);
   // Passes a call that may be repeated on to servers until one answers.
   net::Task<Result<net::HttpResponse, Refusal>> CallRepeatable(net::HttpRequest aRequest);
-  Result<net::HttpResponse, Refusal> CallOnce(const net::HttpRequest& aRequest);
+  // Has a call that must not be repeated run at most once.
+  net::Task<Result<net::HttpResponse, Refusal>> CallOnce(net::HttpRequest aRequest);
+  // Lists the usable servers, the one with the fewest requests first, and counts the call there.
+  std::vector<order_service::OrderTarget> OrderTargets(const net::HttpRequest& aRequest);
+  const BackendServer* FindServer(const EngineId& aServer) const;
+  EngineQuery Query() const;
   Result<retry::RetryDecision, Refusal> AfterFailure(const BackendServer& aServer,
                                                      const net::FetchError& aError);
   net::HttpRequest ForwardedRequest(const net::HttpRequest& aRequest,
--- a/libs/gateway/src/RequestNames.cpp
+++ b/libs/gateway/src/RequestNames.cpp
@@ -6,8 +6,6 @@
 
 namespace masticstep::gateway {
 
-namespace {
-
 std::string HexText(std::uint64_t aNumber)
 {
   std::array<char, 20> text{};
@@ -15,8 +13,6 @@
   return text.data();
 }
 
-} // namespace
-
 RequestNames::RequestNames(const HostName& aHost, std::uint64_t aStartNonce)
   : mPrefix(aHost.Text() + "-" + HexText(aStartNonce) + "-")
 {
--- a/libs/gateway/src/RequestNames.hpp
+++ b/libs/gateway/src/RequestNames.hpp
@@ -30,4 +30,7 @@
   std::atomic<std::uint64_t> mNext{ 1 };
 };
 
+// Returns 16 hexadecimal digits.
+std::string HexText(std::uint64_t aNumber);
+
 } // namespace masticstep::gateway
--- a/libs/gateway/tests/CompletionSessionTests.cpp
+++ b/libs/gateway/tests/CompletionSessionTests.cpp
@@ -58,7 +58,7 @@
 // Guards against a token that is lost or sent twice when a stream goes on over a new connection.
 MASTICSTEP_TEST("a broken stream is resumed at its offset", "[gateway][resume]")
 {
-  TestBackend engine([](net::HttpRequest aRequest, net::HttpResponder& aResponder) {
+  TestBackend engine([](const net::HttpRequest& aRequest, net::HttpResponder& aResponder) {
     const bool isResume = aRequest.method == "GET";
     return SendTokens(aResponder, RequestIdOf(aRequest), isResume ? OffsetOf(aRequest) : 0,
                       isResume ? 4 : 2, isResume);
@@ -90,7 +90,7 @@
 // Guards against giving a caller another request's answer.
 MASTICSTEP_TEST("an answer with another request id is never relayed", "[gateway][crossed]")
 {
-  TestBackend engine([](net::HttpRequest aRequest, net::HttpResponder& aResponder) {
+  TestBackend engine([](const net::HttpRequest& aRequest, net::HttpResponder& aResponder) {
     const std::string own = RequestIdOf(aRequest);
     return SendTokens(aResponder, aRequest.method == "GET" ? own : "other", 0, 4, true);
   });
@@ -122,7 +122,7 @@
 // Guards against a stream that stops without saying that it is not complete.
 MASTICSTEP_TEST("a stream that cannot be resumed ends with an error event", "[gateway][not_run]")
 {
-  TestBackend engine([](net::HttpRequest aRequest, net::HttpResponder& aResponder) {
+  TestBackend engine([](const net::HttpRequest& aRequest, net::HttpResponder& aResponder) {
     return aRequest.method == "POST" ? SendTokens(aResponder, RequestIdOf(aRequest), 0, 2, false)
                                      : AnswerStatus(aResponder, 404, "{}");
   });
@@ -137,7 +137,7 @@
 // Guards against an answer that is cut to what had arrived.
 MASTICSTEP_TEST("a whole answer that breaks is refused as unknown", "[gateway][not_run]")
 {
-  TestBackend engine([](net::HttpRequest aRequest, net::HttpResponder& aResponder) {
+  TestBackend engine([](const net::HttpRequest& aRequest, net::HttpResponder& aResponder) {
     return aRequest.method == "POST" ? SendTokens(aResponder, RequestIdOf(aRequest), 0, 2, false)
                                      : AnswerStatus(aResponder, 404, "{}");
   });
@@ -171,13 +171,14 @@
 MASTICSTEP_TEST("a refusal says what the engine said about the start", "[gateway][not_run]")
 {
   for (const bool hasStarted : { false, true }) {
-    TestBackend engine([hasStarted](net::HttpRequest aRequest, net::HttpResponder& aResponder) {
-      if (aRequest.method == "DELETE") {
-        return AnswerStatus(aResponder, 200,
-                            hasStarted ? R"({"started":true})" : R"({"started":false})");
-      }
-      return AnswerStatus(aResponder, 500, "{}");
-    });
+    TestBackend engine(
+      [hasStarted](const net::HttpRequest& aRequest, net::HttpResponder& aResponder) {
+        if (aRequest.method == "DELETE") {
+          return AnswerStatus(aResponder, 200,
+                              hasStarted ? R"({"started":true})" : R"({"started":false})");
+        }
+        return AnswerStatus(aResponder, 500, "{}");
+      });
     GatewayBed bed({ engine.Url() }, {});
     const net::HttpResponse answer = bed.Complete(false);
     CHECK_EQUAL(503U, answer.status);
--- a/libs/gateway/tests/GatewayBed.cpp
+++ b/libs/gateway/tests/GatewayBed.cpp
@@ -5,7 +5,7 @@
 #include "masticstep/testing/Test.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/strand.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
 
@@ -29,9 +29,9 @@
 
 std::string ModelText(const std::vector<std::string>& aUrls, unsigned aDeadline)
 {
-  const boost::json::object item{ { "name", "counter" },      { "deadline_ms", aDeadline },
+  const boost::json::object item{ { "name", "counter" },     { "deadline_ms", aDeadline },
                                   { "first_token_ms", 100 }, { "between_tokens_ms", 67 },
-                                  { "priority", 1 },          { "queue_limit", 8 } };
+                                  { "priority", 1 },         { "queue_limit", 8 } };
   return boost::json::serialize(
     boost::json::object{ { "service", "drafting" },
                          { "kind", "model" },
@@ -173,19 +173,48 @@
   }
 }
 
+MemoryStore::MemoryStore(net::Executor aExecutor)
+  : mExecutor(std::move(aExecutor))
+{
+}
+
+void MemoryStore::Submit(platform::PlatformRequest aRequest, Callback aCallback)
+{
+  platform::PlatformReply reply;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    reply = mPlatform.Apply(aRequest);
+  }
+  boost::asio::post(
+    mExecutor, [callback = std::move(aCallback), reply = std::move(reply)] { callback(reply); });
+}
+
+void MemoryStore::SetOutage(bool aOutage)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mPlatform.SetOutage(aOutage);
+}
+
 GatewayBed::GatewayBed(const std::vector<std::string>& aEngineUrls,
                        const std::vector<std::string>& aPlainUrls, unsigned aDeadlineMilliseconds)
   : mWorkers(2)
   , mParts(std::make_shared<GatewayParts>(TestSettings(), 1))
+  , mStore(std::make_shared<MemoryStore>(mWorkers.Context().get_executor()))
   , mServer(std::move(*net::HttpServer::Create(mWorkers.Context(), { "127.0.0.1", 0 }, {},
                                                std::make_shared<CallerHandler>(mParts))))
 {
+  order_service::OrderServiceOptions options;
+  options.daemon = HostName("host");
+  options.processNonce = "0123456789abcdef";
+  mParts->orders = std::make_shared<order_service::OrderService>(
+    mWorkers.Context().get_executor(), mStore, std::move(options), mParts->metrics);
   mParts->Apply(MakeConfiguration(aEngineUrls, aPlainUrls, aDeadlineMilliseconds), net::Now());
 }
 
 GatewayBed::~GatewayBed()
 {
   mWorkers.Stop();
+  mParts->orders = nullptr;
 }
 
 net::HttpResponse GatewayBed::Call(net::HttpRequest aRequest)
@@ -205,6 +234,12 @@
   return *reply;
 }
 
+void GatewayBed::FinishOrders()
+{
+  const auto drain = [this]() { return mParts->orders->Drain(net::Now() + Seconds(60)); };
+  CPPUNIT_ASSERT(boost::asio::co_spawn(mWorkers.Context(), drain, boost::asio::use_future).get());
+}
+
 net::HttpResponse GatewayBed::Complete(bool aStreams)
 {
   net::HttpRequest request{ "POST", "/v1/completions", {}, {}, {} };
--- a/libs/gateway/tests/GatewayBed.hpp
+++ b/libs/gateway/tests/GatewayBed.hpp
@@ -5,6 +5,8 @@
 #include "masticstep/net/HttpClient.hpp"
 #include "masticstep/net/HttpServer.hpp"
 #include "masticstep/net/WorkerPool.hpp"
+#include "masticstep/platform/InMemoryPlatform.hpp"
+#include "masticstep/platform/ObjectStore.hpp"
 
 #include <atomic>
 #include <functional>
@@ -50,6 +52,21 @@
 net::Task<void> SendTokens(net::HttpResponder& aResponder, std::string aId, unsigned aFrom,
                            unsigned aTo, bool aIsWhole);
 
+// Object store in memory. Callbacks run on the executor.
+class MemoryStore : public platform::ObjectStore
+{
+public:
+  explicit MemoryStore(net::Executor aExecutor);
+
+  void Submit(platform::PlatformRequest aRequest, Callback aCallback) override;
+  void SetOutage(bool aOutage);
+
+private:
+  net::Executor mExecutor;
+  std::mutex mMutex;
+  platform::InMemoryPlatform mPlatform;
+};
+
 // Gateway with callers on loopback and a configuration that names the given servers.
 class GatewayBed
 {
@@ -61,13 +78,17 @@
   GatewayBed& operator=(const GatewayBed&) = delete;
 
   GatewayParts& Parts() { return *mParts; }
+  MemoryStore& Store() { return *mStore; }
   net::HttpResponse Call(net::HttpRequest aRequest);
+  // Waits until the outcomes of all orders are recorded.
+  void FinishOrders();
   // Sends a completion of the test model for four tokens.
   net::HttpResponse Complete(bool aStreams);
 
 private:
   net::WorkerPool mWorkers;
   std::shared_ptr<GatewayParts> mParts;
+  std::shared_ptr<MemoryStore> mStore;
   std::unique_ptr<net::HttpServer> mServer;
 };
 
--- a/libs/gateway/tests/PlainSessionTests.cpp
+++ b/libs/gateway/tests/PlainSessionTests.cpp
@@ -2,6 +2,9 @@
 #include "PlainPath.hpp"
 #include "masticstep/testing/Test.hpp"
 
+#include <array>
+#include <ctime>
+
 using namespace masticstep;
 using namespace masticstep::gateway;
 
@@ -22,6 +25,20 @@
   return request;
 }
 
+// Order with a key dated now.
+net::HttpRequest Order()
+{
+  const std::time_t now = std::time(nullptr);
+  std::tm parts{};
+  gmtime_r(&now, &parts);
+  std::array<char, 32> date{};
+  std::strftime(date.data(), date.size(), "%Y%m%dT%H%M%SZ-test-order", &parts);
+  net::HttpRequest request = Request("POST", "/services/ordering/orders");
+  request.headers.push_back({ "Idempotency-Key", date.data() });
+  request.body = "one beam";
+  return request;
+}
+
 std::string ClosedUrl()
 {
   const TestBackend closed(Echo);
@@ -65,6 +82,37 @@
   CHECK_TRUE(server.Log().empty());
 }
 
+// Guards against a second execution, and against another answer, when a caller repeats an order.
+MASTICSTEP_TEST("an order runs once and its answer is repeated", "[gateway][orders]")
+{
+  TestBackend server(Echo);
+  GatewayBed bed({}, { ClosedUrl(), server.Url() });
+  const net::HttpRequest order = Order();
+  for (int i = 0; i < 3; ++i) {
+    const net::HttpResponse answer = bed.Call(order);
+    CHECK_EQUAL(201U, answer.status);
+    CHECK_EQUAL(std::string("/orders without key"), answer.body);
+    // The outcome is recorded after the answer; until then a repetition is answered "unknown".
+    bed.FinishOrders();
+  }
+  CHECK_EQUAL(1U, server.Log().size());
+  net::HttpRequest other = order;
+  other.body = "another";
+  CHECK_EQUAL(409U, bed.Call(std::move(other)).status);
+}
+
+// Guards against an order that runs without a durable claim.
+MASTICSTEP_TEST("an order is refused as not run while the platform is down", "[gateway][orders]")
+{
+  TestBackend server(Echo);
+  GatewayBed bed({}, { server.Url() });
+  bed.Store().SetOutage(true);
+  const net::HttpResponse answer = bed.Call(Order());
+  CHECK_EQUAL(503U, answer.status);
+  CHECK_TRUE(Contains(answer.body, "\"run\":\"not_run\""));
+  CHECK_TRUE(server.Log().empty());
+}
+
 // Guards against a path that the rules read differently from the server.
 MASTICSTEP_TEST("ambiguous paths are refused", "[gateway][plain]")
 {
