Connect the daemons: peering, configuration from peers, shared engine loads

Each daemon followed the platform and polled every engine by itself. Now the watchers of a data centre read the manifest and pass it on through peering, one of them reports the lowest generation in force, engines are polled by their owner and deputy, and drain entries of peers take effect.

--- a/libs/gateway/src/AdminHandler.cpp
+++ b/libs/gateway/src/AdminHandler.cpp
@@ -38,6 +38,37 @@
   return engines;
 }
 
+const char* ToString(MemberState aState)
+{
+  switch (aState) {
+    case MemberState::Alive:
+      return "alive";
+    case MemberState::Suspect:
+      return "suspect";
+    case MemberState::Dead:
+      return "dead";
+    case MemberState::Left:
+      return "left";
+  }
+  return "dead";
+}
+
+boost::json::array Members(const GatewayParts& aParts)
+{
+  boost::json::array members;
+  if (!aParts.peering) {
+    return members;
+  }
+  for (const MemberRecord& member : aParts.peering->Members()) {
+    members.push_back(boost::json::object{ { "host", member.name.Text() },
+                                           { "data_centre", member.dataCentre.Text() },
+                                           { "region", member.region.Text() },
+                                           { "address", member.address },
+                                           { "state", ToString(member.state) } });
+  }
+  return members;
+}
+
 } // namespace
 
 AdminHandler::AdminHandler(std::shared_ptr<GatewayParts> aParts, std::function<void()> aDrain)
@@ -69,16 +100,16 @@
 {
   const ConfigurationPointer configuration = mParts->configuration.Current();
   const Settings& settings = mParts->settings;
-  return boost::json::serialize(boost::json::object{
-    { "host", settings.host.Text() },
-    { "region", settings.region.Text() },
-    { "data_centre", settings.dataCentre.Text() },
-    { "state", ToString(mParts->drain.Phase()) },
-    { "generation", configuration ? configuration->Generation() : 0 },
-    { "members", boost::json::array{ boost::json::object{ { "host", settings.host.Text() } } } },
-    { "engines", StatusOf(*mParts->engines) },
-    { "servers", StatusOf(*mParts->servers) },
-    { "running_requests", mParts->running.Count() } });
+  return boost::json::serialize(
+    boost::json::object{ { "host", settings.host.Text() },
+                         { "region", settings.region.Text() },
+                         { "data_centre", settings.dataCentre.Text() },
+                         { "state", ToString(mParts->drain.Phase()) },
+                         { "generation", configuration ? configuration->Generation() : 0 },
+                         { "members", Members(*mParts) },
+                         { "engines", StatusOf(*mParts->engines) },
+                         { "servers", StatusOf(*mParts->servers) },
+                         { "running_requests", mParts->running.Count() } });
 }
 
 net::HttpResponse AdminHandler::Refuse(unsigned aStatus, const net::NetError& aError)
--- a/libs/gateway/src/Daemon.cpp
+++ b/libs/gateway/src/Daemon.cpp
@@ -1,9 +1,10 @@
 #include "Daemon.hpp"
 
 #include "AdminHandler.hpp"
+#include "AdmissionPump.hpp"
 #include "CallerHandler.hpp"
-#include "LoadPoller.hpp"
-#include "PlatformWatcher.hpp"
+#include "ConfigurationFollower.hpp"
+#include "EngineLoads.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -12,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -33,6 +35,24 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+std::uint64_t WallMilliseconds()
+{
+  const std::chrono::system_clock::duration n = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(n).count());
+}
+
+void OnEntry(GatewayParts& aParts, const Entry& aEntry)
+{
+  if (aEntry.key.kind == EntryKind::EngineLoad) {
+    OnLoadEntry(aParts, aEntry);
+  } else if (aEntry.key.kind == EntryKind::Drain) {
+    const BackendServerName server{ aEntry.key.name };
+    aParts.engines->SetLeaving(server, !aEntry.value.empty(), net::Now());
+    aParts.servers->SetLeaving(server, !aEntry.value.empty(), net::Now());
+  }
+}
+
 net::HostPort AddressOf(const SocketAddress& aAddress)
 {
   return { aAddress.ip, aAddress.port };
@@ -65,8 +85,13 @@
 
 Daemon::~Daemon()
 {
+  if (mParts->peering) {
+    mParts->peering->Stop();
+  }
   mWorkers.Stop();
   // Their timers belong to the event loop, which is destroyed before the other parts.
+  mFollower = nullptr;
+  mParts->peering = nullptr;
   mParts->orders = nullptr;
   mStore = nullptr;
 }
@@ -88,6 +113,13 @@
   if (!tls) {
     return Failure(tls.error());
   }
+  // The parts are complete before the first request can arrive.
+  StartOrders();
+  mFollower = std::make_shared<ConfigurationFollower>(mParts, mStore);
+  const Result<void, net::NetError> peering = StartPeering();
+  if (!peering) {
+    return Failure(peering.error());
+  }
   Result<std::unique_ptr<net::HttpServer>, net::NetError> callers = net::HttpServer::Create(
     mWorkers.Context(), AddressOf(settings.callerAddress), LimitsOf(settings.limits),
     std::make_shared<CallerHandler>(mParts), *tls);
@@ -102,17 +134,7 @@
     return Failure(admin.error());
   }
   mAdmin = std::move(*admin);
-  StartOrders();
-  mWatcher = std::make_shared<PlatformWatcher>(mParts);
-  asio::co_spawn(
-    asio::make_strand(mWorkers.Context()), [watcher = mWatcher] { return watcher->Run(); },
-    asio::detached);
-  asio::co_spawn(
-    asio::make_strand(mWorkers.Context()), [parts = mParts] { return PollLoads(parts); },
-    asio::detached);
-  asio::co_spawn(
-    asio::make_strand(mWorkers.Context()), [parts = mParts] { return PumpAdmission(parts); },
-    asio::detached);
+  StartLoops();
   mSignals.add(SIGTERM);
   mSignals.add(SIGINT);
   mSignals.async_wait([this](boost::system::error_code aError, int) {
@@ -141,6 +163,49 @@
     mWorkers.Context().get_executor(), mStore, std::move(orderOptions), mParts->metrics);
 }
 
+Result<void, net::NetError> Daemon::StartPeering()
+{
+  const Settings& settings = mParts->settings;
+  PeeringSettings options;
+  options.host = settings.host;
+  options.region = settings.region;
+  options.dataCentre = settings.dataCentre;
+  options.address = ToString(settings.peerAddress);
+  for (const SocketAddress& seed : settings.peers) {
+    options.seeds.push_back(ToString(seed));
+  }
+  if (settings.tls) {
+    options.tls =
+      net::TlsFiles{ settings.tls->certificate, settings.tls->key, settings.tls->authority };
+  }
+  options.startNumber = WallMilliseconds();
+  options.randomSeed = StartNonce();
+  PeeringEvents events;
+  events.onEntry = [parts = mParts](const Entry& aEntry) { OnEntry(*parts, aEntry); };
+  events.onConfiguration = [follower = mFollower](const ConfigurationBundle& aBundle) {
+    follower->OnBundle(aBundle);
+  };
+  Result<std::unique_ptr<Peering>, PeeringError> peering =
+    Peering::Create(mWorkers.Context(), std::move(options), std::move(events));
+  if (!peering) {
+    return Failure(net::NetError{ net::NetErrorKind::ConnectFailed, peering.error().message });
+  }
+  mParts->peering = std::move(*peering);
+  mParts->peering->Start();
+  return {};
+}
+
+void Daemon::StartLoops()
+{
+  const auto spawn = [this](auto aFunction) {
+    asio::co_spawn(asio::make_strand(mWorkers.Context()), std::move(aFunction), asio::detached);
+  };
+  spawn([follower = mFollower] { return follower->Watch(); });
+  spawn([follower = mFollower] { return follower->ReportInForce(); });
+  spawn([parts = mParts] { return PollLoads(parts); });
+  spawn([parts = mParts] { return PumpAdmission(parts); });
+}
+
 void Daemon::Wait()
 {
   mStopped.get_future().wait();
@@ -162,10 +227,11 @@
   const Time cut = begin + std::max(mParts->settings.shutdown - kCutReserve, Duration::zero());
   const Time end = begin + mParts->settings.shutdown;
   mCallers->CloseAfterAnswers();
+  mParts->peering->Leave();
   co_await net::Sleep(std::min(mParts->settings.balancerNotice, mParts->settings.shutdown));
   mParts->drain.Advance(DrainPhase::Stopping);
   mCallers->StopAccepting();
-  mWatcher->Stop();
+  mFollower->Stop();
   while (mParts->running.Count() > 0 && net::Now() < cut) {
     co_await net::Sleep(kDrainCheckInterval);
   }
--- a/libs/gateway/src/Daemon.hpp
+++ b/libs/gateway/src/Daemon.hpp
@@ -14,7 +14,7 @@
 
 namespace masticstep::gateway {
 
-class PlatformWatcher;
+class ConfigurationFollower;
 
 // The daemon of one host: its servers, worker pool and shutdown.
 class Daemon
@@ -37,6 +37,8 @@
   explicit Daemon(const Settings& aSettings);
   Result<void, net::NetError> Start();
   void StartOrders();
+  Result<void, net::NetError> StartPeering();
+  void StartLoops();
   net::Task<void> Shutdown();
 
   std::shared_ptr<GatewayParts> mParts;
@@ -46,7 +48,7 @@
   std::unique_ptr<net::HttpServer> mCallers;
   std::unique_ptr<net::HttpServer> mAdmin;
   std::shared_ptr<platform_client::HttpObjectStore> mStore;
-  std::shared_ptr<PlatformWatcher> mWatcher;
+  std::shared_ptr<ConfigurationFollower> mFollower;
 };
 
 } // namespace masticstep::gateway
--- a/libs/gateway/src/GatewayParts.hpp
+++ b/libs/gateway/src/GatewayParts.hpp
@@ -10,6 +10,7 @@
 #include "masticstep/config/Settings.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
 #include "masticstep/order_service/OrderService.hpp"
+#include "masticstep/peering/Peering.hpp"
 #include "masticstep/telemetry/Metrics.hpp"
 
 #include <memory>
@@ -30,6 +31,7 @@
   RetryDecider retry;
   std::unique_ptr<EngineSelector> engines;             // of model services
   std::unique_ptr<EngineSelector> servers;             // of plain services
+  std::shared_ptr<Peering> peering;                    // null until the daemon has started
   std::shared_ptr<order_service::OrderService> orders; // null until the daemon has started
 
   GatewayParts(Settings aSettings, std::uint64_t aStartNonce);
--- a/libs/gateway/src/LeastOutstandingSelector.cpp
+++ b/libs/gateway/src/LeastOutstandingSelector.cpp
@@ -48,7 +48,7 @@
 bool LeastOutstandingSelector::IsUsable(const EngineId& aEngine, const Server& aServer,
                                         const EngineQuery& aQuery, Time aNow) const
 {
-  return aServer.isConfigured && !aServer.isLeaving && aServer.state == "ready" &&
+  return aServer.isConfigured && !mLeaving.contains(aEngine) && aServer.state == "ready" &&
          aServer.service == aQuery.service && aNow >= aServer.avoidedUntil &&
          !IsExcluded(aQuery, aEngine);
 }
@@ -131,9 +131,10 @@
 void LeastOutstandingSelector::SetLeaving(const EngineId& aEngine, bool aIsLeaving, Time /*aNow*/)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  const auto found = mServers.find(aEngine);
-  if (found != mServers.end()) {
-    found->second.isLeaving = aIsLeaving;
+  if (aIsLeaving) {
+    mLeaving.insert(aEngine);
+  } else {
+    mLeaving.erase(aEngine);
   }
 }
 
@@ -143,7 +144,8 @@
   std::vector<EngineStatus> all;
   for (const auto& [name, server] : mServers) {
     const bool isDown = aNow < server.avoidedUntil;
-    const std::string state = server.isLeaving || !server.isConfigured ? "draining" : server.state;
+    const std::string state =
+      mLeaving.contains(name) || !server.isConfigured ? "draining" : server.state;
     all.push_back({ name, isDown ? "down" : state, server.inFlight });
   }
   return all;
--- a/libs/gateway/src/LeastOutstandingSelector.hpp
+++ b/libs/gateway/src/LeastOutstandingSelector.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 #include <unordered_map>
 
 namespace masticstep::gateway {
@@ -42,7 +43,6 @@
     ServiceName service;
     std::uint64_t inFlight = 0;
     bool isConfigured = true;
-    bool isLeaving = false;
     std::string state = "ready";
     Time avoidedUntil; // after a failed connection
   };
@@ -55,6 +55,7 @@
   mutable std::mutex mMutex;
   Random mRandom;
   std::map<EngineId, Server> mServers;
+  std::set<EngineId> mLeaving;
   std::unordered_map<RequestId, EngineId> mRequests;
 };
 
