Accept the load reports of restarted engines

A restarted engine counts its reports from one again and the router ignores numbers that it has seen, so that a killed engine stayed down for as long as it had run before. RouterSelector now numbers the reports across restarts.

--- a/libs/gateway/src/RouterSelector.cpp
+++ b/libs/gateway/src/RouterSelector.cpp
@@ -130,6 +130,7 @@
   for (const auto& [name, service] : mEngines) {
     if (!engines.contains(name)) {
       mRouter.RemoveEngine(name);
+      mSequences.erase(name);
     }
   }
   mEngines = std::move(engines);
@@ -189,7 +190,6 @@
 {
   routing::LoadReport report;
   report.engine = aLoad.engine;
-  report.sequence = aLoad.sequence;
   report.age = aLoad.age;
   report.running = aLoad.running;
   report.waiting = aLoad.waiting;
@@ -198,6 +198,7 @@
   report.role = RoleOf(aLoad.role);
   report.state = StateOf(aLoad.state);
   const std::lock_guard<std::mutex> lock(mMutex);
+  report.sequence = mSequences[aLoad.engine].Next(aLoad.sequence);
   mRouter.OnLoadReport(report, aNow);
 }
 
--- a/libs/gateway/src/RouterSelector.hpp
+++ b/libs/gateway/src/RouterSelector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EngineSelector.hpp"
+#include "ReportSequence.hpp"
 #include "masticstep/config/Settings.hpp"
 #include "masticstep/routing/Router.hpp"
 
@@ -37,6 +38,7 @@
   routing::Router mRouter;
   std::map<EngineId, ServiceName> mEngines; // of the configuration in force
   std::set<EngineId> mLeaving;
+  std::map<EngineId, ReportSequence> mSequences;
 };
 
 } // namespace masticstep::gateway
