--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -85,7 +85,7 @@
            Milliseconds(20),
            Microseconds(500),
            Seconds(5),
-           15.0,
+           20.0,
            { { "query", 200, 600, 200, 500, Milliseconds(1100), Milliseconds(67), 10 },
              { "review", 4000, 8000, 60, 160, Milliseconds(4000), Milliseconds(400), 5 },
              { "order", 200, 400, 30, 90, Milliseconds(1100), Milliseconds(67), 10 } } };
--- a/libs/roles/include/masticstep/roles/RolePlanner.hpp
+++ b/libs/roles/include/masticstep/roles/RolePlanner.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace masticstep::roles {
@@ -55,12 +56,17 @@
   std::optional<RoleAction> BestChange(const RoleCounts& aCounts, Time aNow) const;
   // Least gain over the corners of the forecast's margins.
   double Gain(const RoleCounts& aBefore, const RoleCounts& aAfter, Time aNow) const;
+  // Whether the change has paid for the whole confirmation time.
+  bool IsConfirmed(const std::optional<RoleAction>& aChange, Time aNow);
   std::optional<EngineId> EngineFor(Role aFrom, Time aNow) const;
   std::size_t MaximumChanging() const;
 
   RolePolicy mPolicy;
   MixForecast mForecast;
   std::optional<Time> mStarted;
+  // The roles of the change that pays at present, and since when.
+  std::optional<std::pair<Role, Role>> mPaying;
+  Time mPayingSince{};
   std::map<EngineId, EngineState> mEngines;
 };
 
--- a/libs/roles/include/masticstep/roles/RolePolicy.hpp
+++ b/libs/roles/include/masticstep/roles/RolePolicy.hpp
@@ -17,8 +17,10 @@
   Duration payback = Seconds(90);
   // From the decision until the engine serves in its new role.
   Duration lead = Seconds(15);
-  Duration levelTime = Seconds(15);
+  Duration levelTime = Seconds(20);
   Duration trendTime = Seconds(40);
+  // Hysteresis: the same change must pay for this long without a break.
+  Duration confirmation = Seconds(4);
   // No decision before the forecast has seen this much.
   Duration warmUp = Seconds(30);
 };
--- a/libs/roles/src/MixForecast.cpp
+++ b/libs/roles/src/MixForecast.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Standard errors of the level that the margin spans; nine in ten errors are smaller.
-constexpr double kMarginErrors = 1.6;
+// Standard errors of the forecast that the margin spans on either side.
+constexpr double kMarginErrors = 1.0;
 
 double Step(double aSpan, double aTime)
 {
@@ -48,8 +48,10 @@
 
 Expected TrendFilter::At(Duration aAhead) const
 {
-  // Part of the sample variance that is left in the level of exponential smoothing.
-  const double margin = kMarginErrors * std::sqrt(mVariance * mWeight);
+  // Part of the sample variance that is left in the level of exponential smoothing. The trend's
+  // error grows with the span ahead.
+  const double ahead = 1.0 + ToSeconds(aAhead) / mLevelTime;
+  const double margin = kMarginErrors * std::sqrt(mVariance * mWeight) * ahead;
   return { std::max(0.0, mLevel + mTrend * ToSeconds(aAhead)), margin };
 }
 
--- a/libs/roles/src/RolePlanner.cpp
+++ b/libs/roles/src/RolePlanner.cpp
@@ -119,7 +119,7 @@
   }
   while (Changing() < MaximumChanging()) {
     const std::optional<RoleAction> change = BestChange(CountsAfterChanges(), aNow);
-    if (!change) {
+    if (!IsConfirmed(change, aNow)) {
       break;
     }
     EngineState& engine = mEngines[change->engine];
@@ -133,6 +133,20 @@
   return actions;
 }
 
+bool RolePlanner::IsConfirmed(const std::optional<RoleAction>& aChange, Time aNow)
+{
+  if (!aChange) {
+    mPaying.reset();
+    return false;
+  }
+  const std::pair<Role, Role> roles{ mEngines[aChange->engine].role, aChange->role };
+  if (mPaying != roles) {
+    mPaying = roles;
+    mPayingSince = aNow;
+  }
+  return aNow - mPayingSince >= mPolicy.confirmation;
+}
+
 std::optional<RoleAction> RolePlanner::BestChange(const RoleCounts& aCounts, Time aNow) const
 {
   std::optional<RoleAction> best;
