--- a/libs/gateway/src/LoadPoller.cpp
+++ b/libs/gateway/src/LoadPoller.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Duration kPollInterval = Milliseconds(500);
+// Requests are released at once when another one ends; this only bounds how late a deadline or
+// newly reported room is noticed.
+constexpr Duration kPumpInterval = Milliseconds(20);
 constexpr net::FetchLimits kPollLimits{ Milliseconds(300), Milliseconds(400), 65536 };
 
 std::uint64_t NumberIn(const boost::json::object& aObject, const char* aKey)
@@ -72,6 +75,29 @@
   }
 }
 
+void PollAll(const std::shared_ptr<GatewayParts>& aParts, const Configuration& aConfiguration,
+             const net::Executor& aExecutor)
+{
+  for (const Service& service : aConfiguration.Services()) {
+    if (service.kind != ServiceKind::Model) {
+      continue;
+    }
+    for (const BackendServer& engine : service.backendServers) {
+      boost::asio::co_spawn(aExecutor, PollOne(aParts, engine), boost::asio::detached);
+    }
+  }
+}
+
+void UpdateCapacities(GatewayParts& aParts, const Configuration& aConfiguration, Time aNow)
+{
+  for (const Service& service : aConfiguration.Services()) {
+    const std::optional<std::uint64_t> tokens = aParts.engines->Capacity(service.name, aNow);
+    if (service.kind == ServiceKind::Model && tokens) {
+      aParts.admission.SetCapacity(service.name, *tokens);
+    }
+  }
+}
+
 } // namespace
 
 net::Task<void> PollLoads(std::shared_ptr<GatewayParts> aParts)
@@ -79,17 +105,24 @@
   const net::Executor executor = co_await boost::asio::this_coro::executor;
   while (aParts->drain.Phase() != DrainPhase::Stopping || aParts->running.Count() > 0) {
     const ConfigurationPointer configuration = aParts->configuration.Current();
-    for (const Service& service :
-         configuration ? configuration->Services() : std::vector<Service>()) {
-      if (service.kind != ServiceKind::Model) {
-        continue;
-      }
-      for (const BackendServer& engine : service.backendServers) {
-        boost::asio::co_spawn(executor, PollOne(aParts, engine), boost::asio::detached);
-      }
+    if (configuration) {
+      PollAll(aParts, *configuration, executor);
     }
     co_await net::Sleep(kPollInterval);
   }
 }
 
+net::Task<void> PumpAdmission(std::shared_ptr<GatewayParts> aParts)
+{
+  while (aParts->drain.Phase() != DrainPhase::Stopping || aParts->running.Count() > 0) {
+    const ConfigurationPointer configuration = aParts->configuration.Current();
+    const Time now = net::Now();
+    if (configuration) {
+      UpdateCapacities(*aParts, *configuration, now);
+    }
+    aParts->admission.OnTime(now);
+    co_await net::Sleep(kPumpInterval);
+  }
+}
+
 } // namespace masticstep::gateway
--- a/libs/gateway/src/PlainSession.cpp
+++ b/libs/gateway/src/PlainSession.cpp
@@ -68,10 +68,12 @@
   }
   const std::unique_ptr<RunningRequests::Entry> entry =
     mParts->running.Add(mName.number, co_await boost::asio::this_coro::executor, nullptr);
-  const bool isRepeatable = IsRepeatable(*mService, aRequest.method, mPath.path);
-  Result<net::HttpResponse, Refusal> result = isRepeatable
-                                                ? co_await CallRepeatable(std::move(aRequest))
-                                                : co_await CallOnce(std::move(aRequest));
+  Result<net::HttpResponse, Refusal> result;
+  if (IsRepeatable(*mService, aRequest.method, mPath.path)) {
+    result = co_await CallRepeatable(std::move(aRequest));
+  } else {
+    result = CallOnce(aRequest);
+  }
   co_await Answer(std::move(result));
 }
 
@@ -129,7 +131,7 @@
       reply->headers = ForwardedHeaders(reply->headers);
       co_return std::move(*reply);
     }
-    const Result<RetryDecision, Refusal> decision = AfterFailure(*server, reply.error());
+    const Result<retry::RetryDecision, Refusal> decision = AfterFailure(*server, reply.error());
     if (!decision) {
       co_return Failure(decision.error());
     }
@@ -137,8 +139,8 @@
   }
 }
 
-Result<RetryDecision, Refusal> PlainSession::AfterFailure(const BackendServer& aServer,
-                                                          const net::FetchError& aError)
+Result<retry::RetryDecision, Refusal> PlainSession::AfterFailure(const BackendServer& aServer,
+                                                                 const net::FetchError& aError)
 {
   const bool isTimeout = aError.error.kind == net::NetErrorKind::TimedOut;
   const EngineFailure failure =
@@ -148,17 +150,17 @@
                  { { "request_id", mName.text },
                    { "server", aServer.name.Text() },
                    { "problem", net::ToString(aError.error) } });
-  FailedAttempt attempt;
+  retry::Attempt attempt;
   attempt.id = mName.number;
   attempt.service = mService->name;
-  attempt.progress = aError.mayHaveArrived ? AttemptProgress::Unknown : AttemptProgress::NotSent;
+  attempt.progress = aError.mayHaveArrived ? retry::Progress::Unknown : retry::Progress::NotSent;
   attempt.isRepeatable = true;
   attempt.mayHaveRunBefore = mMayHaveRun;
   attempt.retries = mRetries;
   attempt.deadline = mDeadline;
-  const RetryDecision decision = mParts->retry.Decide(attempt, net::Now());
+  const retry::RetryDecision decision = mParts->retry.Decide(attempt, net::Now());
   mMayHaveRun = decision.mayHaveRun;
-  if (decision.step == NextStep::Retry) {
+  if (decision.kind == retry::RetryKind::Retry) {
     ++mRetries;
     mExcluded.push_back(aServer.name);
     return decision;
@@ -168,15 +170,14 @@
                           kRetryAfter });
 }
 
-net::Task<Result<net::HttpResponse, Refusal>> PlainSession::CallOnce(net::HttpRequest aRequest)
+Result<net::HttpResponse, Refusal> PlainSession::CallOnce(const net::HttpRequest& aRequest)
 {
   if (net::FindHeader(aRequest.headers, "Idempotency-Key").empty()) {
-    co_return Failure(
-      BadInput("Idempotency-Key: missing; this call is not repeatable and needs one"));
+    return Failure(BadInput("Idempotency-Key: missing; this call is not repeatable and needs one"));
   }
-  co_return Failure(Refusal{ 503, "orders_unavailable",
-                             "calls that must not be repeated are not available yet",
-                             RunState::NotRun, kRetryAfter });
+  return Failure(Refusal{ 503, "orders_unavailable",
+                          "calls that must not be repeated are not available yet", RunState::NotRun,
+                          kRetryAfter });
 }
 
 net::Task<void> PlainSession::Answer(Result<net::HttpResponse, Refusal> aResult)
--- a/libs/gateway/src/PlainSession.hpp
+++ b/libs/gateway/src/PlainSession.hpp
@@ -24,9 +24,9 @@
   Result<void, Refusal> Prepare(const net::HttpRequest& aRequest);
   // Passes a call that may be repeated on to servers until one answers.
   net::Task<Result<net::HttpResponse, Refusal>> CallRepeatable(net::HttpRequest aRequest);
-  net::Task<Result<net::HttpResponse, Refusal>> CallOnce(net::HttpRequest aRequest);
-  Result<RetryDecision, Refusal> AfterFailure(const BackendServer& aServer,
-                                              const net::FetchError& aError);
+  Result<net::HttpResponse, Refusal> CallOnce(const net::HttpRequest& aRequest);
+  Result<retry::RetryDecision, Refusal> AfterFailure(const BackendServer& aServer,
+                                                     const net::FetchError& aError);
   net::HttpRequest ForwardedRequest(const net::HttpRequest& aRequest,
                                     const BackendServer& aServer) const;
   const BackendServer* ChooseServer();
