Add benchmark cases for the cost of control and for detection

Cause: the targets for a daemon (8 KB/s, 3.2 % of a core, 64 MB) need a measurement. Change: cases control_8, control_74, control_370, config_spread_370 and detection_killed_74 on the virtual network with encoded frames; TLS, TCP/IP and acknowledgement bytes are counted.

--- /dev/null
+++ b/bench/ControlCases.cpp
@@ -0,0 +1,199 @@
+#include "BenchCase.hpp"
+#include "ControlFleet.hpp"
+#include "masticstep/base/Hash.hpp"
+#include "masticstep/wire/FrameCodec.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <malloc.h>
+#include <utility>
+
+namespace masticstep::bench {
+
+namespace {
+
+constexpr int kMeasuredSeconds = 60;
+
+struct ControlCost
+{
+  double bytesPerSecond = 0.0; // sent by a daemon, mean
+  double worstBytesPerSecond = 0.0;
+  double framesPerSecond = 0.0;
+  double cpuShare = 0.0;
+  double memory = 0.0;
+};
+
+double CpuSeconds()
+{
+  return static_cast<double>(std::clock()) / static_cast<double>(CLOCKS_PER_SEC);
+}
+
+// Steady state of a fleet. The processor time includes the queue of the virtual network; it leaves
+// out the kernel and TLS.
+ControlCost MeasureControl(const ControlSettings& aSettings)
+{
+  const double before = static_cast<double>(mallinfo2().uordblks);
+  ControlFleet fleet(aSettings);
+  fleet.Settle();
+  fleet.mSent.clear();
+  fleet.mFrames = 0;
+  const double start = CpuSeconds();
+  fleet.mNetwork.RunFor(Seconds(kMeasuredSeconds));
+  const double daemonSeconds = static_cast<double>(aSettings.daemons) * kMeasuredSeconds;
+  ControlCost cost;
+  cost.cpuShare = (CpuSeconds() - start) / daemonSeconds;
+  cost.memory =
+    (static_cast<double>(mallinfo2().uordblks) - before) / static_cast<double>(aSettings.daemons);
+  for (const std::pair<const std::string, std::uint64_t>& sent : fleet.mSent) {
+    const double bytes = static_cast<double>(sent.second);
+    cost.bytesPerSecond += bytes / daemonSeconds;
+    cost.worstBytesPerSecond = std::max(cost.worstBytesPerSecond, bytes / kMeasuredSeconds);
+  }
+  cost.framesPerSecond = static_cast<double>(fleet.mFrames) / daemonSeconds;
+  return cost;
+}
+
+// What one daemon sends when it tells everything to everyone by itself: a heartbeat each second to
+// all, the load of its engines and its usage to its data centre, its share of the summaries to all.
+ControlCost MeasureFullMesh(const ControlSettings& aSettings)
+{
+  const double all = aSettings.daemons - 1;
+  const double local = static_cast<double>(aSettings.daemons) / aSettings.dataCentres - 1;
+  const double enginesEach = static_cast<double>(aSettings.engines) / aSettings.daemons;
+  const double summariesEach = 6.0 * aSettings.dataCentres / aSettings.daemons;
+  const auto frameOf = [](EntryKind aKind, std::size_t aValueSize) {
+    SpreadMessage message;
+    message.full = {
+      { { aKind, "service-1/dc0" }, HostName("host-100"), 1000, {}, std::string(aValueSize, 'v') }
+    };
+    return message;
+  };
+  MembershipMessage heartbeat;
+  heartbeat.sequence = 1000;
+  const std::vector<std::pair<PeerMessage, double>> traffic = {
+    { heartbeat, all },
+    { frameOf(EntryKind::EngineLoad, 18), enginesEach * local },
+    { frameOf(EntryKind::AccountUsage, 48), local / 5 },
+    { frameOf(EntryKind::ServiceSummary, 32), summariesEach * all / 2 },
+  };
+  ControlCost cost;
+  constexpr int kRepeats = 2000;
+  for (const std::pair<PeerMessage, double>& item : traffic) {
+    const std::string frame = *wire::EncodeFrame(ToWire(item.first));
+    cost.bytesPerSecond += item.second * static_cast<double>(BytesOnNetwork(frame.size()));
+    const double start = CpuSeconds();
+    for (int i = 0; i < kRepeats; ++i) {
+      wire::FrameDecoder decoder;
+      decoder.Append(*wire::EncodeFrame(ToWire(item.first)));
+      FromWire(**decoder.Next());
+    }
+    cost.cpuShare += item.second * (CpuSeconds() - start) / kRepeats;
+  }
+  return cost;
+}
+
+std::vector<Measurement> ControlCase(const ControlSettings& aSettings)
+{
+  const ControlCost cost = MeasureControl(aSettings);
+  ControlSettings flooding = aSettings;
+  flooding.isPruning = false;
+  const ControlCost unpruned = MeasureControl(flooding);
+  const ControlCost mesh = MeasureFullMesh(aSettings);
+  return {
+    { "bytes_per_s",
+      cost.bytesPerSecond,
+      "B/s",
+      { { "full_mesh", mesh.bytesPerSecond }, { "without_pruning", unpruned.bytesPerSecond } } },
+    { "worst_bytes_per_s",
+      cost.worstBytesPerSecond,
+      "B/s",
+      { { "without_pruning", unpruned.worstBytesPerSecond } } },
+    { "frames_per_s", cost.framesPerSecond, "1/s", {} },
+    { "cpu_share",
+      cost.cpuShare,
+      "cores",
+      { { "full_mesh", mesh.cpuShare }, { "without_pruning", unpruned.cpuShare } } },
+    { "memory", cost.memory, "B", {} },
+  };
+}
+
+std::vector<Measurement> Control8()
+{
+  return ControlCase({ 8, 3, 21, true });
+}
+
+std::vector<Measurement> Control74()
+{
+  return ControlCase({ 74, 1, 120, true });
+}
+
+std::vector<Measurement> Control370()
+{
+  return ControlCase({ 370, 5, 600, true });
+}
+
+// From the publication at one daemon to the last one that has it in whole.
+std::vector<Measurement> ConfigSpread370()
+{
+  ControlFleet fleet({ 370, 5, 600, true });
+  fleet.Settle();
+  ConfigurationBundle bundle;
+  bundle.generation = 1;
+  for (int service = 0; service < 6; ++service) {
+    const std::string content(service == 0 ? kMaximumContentSize : 20000,
+                              static_cast<char>('a' + service));
+    bundle.contents[Sha256Hex(content)] = std::make_shared<const std::string>(content);
+  }
+  const Time start = fleet.mNetwork.Now();
+  fleet.mSent.clear();
+  fleet.mNetwork.Send(
+    fleet.NameOf(7),
+    fleet.At(7).Take(fleet.At(7).mMachine.PublishConfiguration(bundle, start), start));
+  fleet.mNetwork.RunFor(Seconds(20));
+  Duration worst{};
+  double missing = 0.0;
+  for (const std::pair<const std::string, std::unique_ptr<ControlNode>>& node : fleet.Nodes()) {
+    const bool hasIt = node.second->mMachine.Entries().Configuration().generation == 1;
+    missing += hasIt ? 0.0 : 1.0;
+    worst = std::max(worst, hasIt ? node.second->mGenerationAt - start : Seconds(20));
+  }
+  return { { "seconds", ToSeconds(worst), "s", { { "target", 5.0 } } },
+           { "daemons_without", missing, "daemons", {} } };
+}
+
+// From the kill to the removal by every daemon of its data centre, over 20 kills.
+std::vector<Measurement> DetectionKilled74()
+{
+  constexpr int kKills = 20;
+  ControlFleet fleet({ 74, 1, 120, true });
+  fleet.Settle();
+  std::vector<double> seconds;
+  for (int kill = 0; kill < kKills; ++kill) {
+    const int victim = 10 + 3 * kill;
+    const HostName name("host-" + std::to_string(victim));
+    fleet.mNetwork.RunFor(Milliseconds(10000 + 137 * kill));
+    const Time start = fleet.mNetwork.Now();
+    fleet.Kill(victim);
+    fleet.mNetwork.RunFor(Seconds(10));
+    Duration worst{};
+    for (const std::pair<const std::string, std::unique_ptr<ControlNode>>& node : fleet.Nodes()) {
+      const std::map<HostName, Time>::const_iterator it = node.second->mRemovedAt.find(name);
+      worst =
+        std::max(worst, it == node.second->mRemovedAt.end() ? Seconds(10) : it->second - start);
+    }
+    seconds.push_back(ToSeconds(worst));
+  }
+  std::sort(seconds.begin(), seconds.end());
+  return { { "median_seconds", seconds[kKills / 2], "s", { { "target", 5.0 } } },
+           { "worst_seconds", seconds.back(), "s", { { "target", 5.0 } } } };
+}
+
+const CaseRegistration kControl8({ "control_8", Control8 });
+const CaseRegistration kControl74({ "control_74", Control74 });
+const CaseRegistration kControl370({ "control_370", Control370 });
+const CaseRegistration kConfigSpread({ "config_spread_370", ConfigSpread370 });
+const CaseRegistration kDetection({ "detection_killed_74", DetectionKilled74 });
+
+} // namespace
+
+} // namespace masticstep::bench
--- a/libs/membership/tests/Cluster.cpp
+++ b/libs/membership/tests/Cluster.cpp
@@ -34,7 +34,7 @@
 Cluster::Cluster(int aDataCentres, int aPerDataCentre, std::uint64_t aSeed)
   : mNetwork(aSeed)
 {
-  mNetwork.mDelay = [](const std::string& aFrom, const std::string& aTo) {
+  mNetwork.mDelay = [](const std::string& aFrom, const std::string& aTo, const MembershipMessage&) {
     return DataCentreOf(aFrom) == DataCentreOf(aTo) ? Milliseconds(1) : Milliseconds(20);
   };
   for (int dataCentre = 0; dataCentre < aDataCentres; ++dataCentre) {
--- a/libs/membership/tests/MembershipPropertyTests.cpp
+++ b/libs/membership/tests/MembershipPropertyTests.cpp
@@ -107,8 +107,8 @@
 {
   testing::CheckProperty("leave is final", [](std::uint64_t aSeed) {
     Cluster cluster(kDataCentres, kDaemonsPerDataCentre, aSeed);
-    cluster.mNetwork.mDelay = [random = Random(aSeed)](const std::string&,
-                                                       const std::string&) mutable {
+    cluster.mNetwork.mDelay = [random = Random(aSeed)](const std::string&, const std::string&,
+                                                       const MembershipMessage&) mutable {
       return Milliseconds(static_cast<std::int64_t>(1 + random.Below(400)));
     };
     cluster.mNetwork.RunFor(Seconds(8));
--- a/libs/spread/tests/SpreadTests.cpp
+++ b/libs/spread/tests/SpreadTests.cpp
@@ -154,7 +154,8 @@
   testing::CheckProperty("versions grow", [](std::uint64_t aSeed) {
     Random random(aSeed);
     SpreadCluster cluster(2, 5, aSeed);
-    cluster.mNetwork.mDelay = [&random](const std::string&, const std::string&) {
+    cluster.mNetwork.mDelay = [&random](const std::string&, const std::string&,
+                                        const SpreadPayload&) {
       return Milliseconds(static_cast<std::int64_t>(1 + random.Below(800)));
     };
     cluster.mNetwork.mLoss = 0.2;
--- a/libs/testing/include/masticstep/testing/VirtualNetwork.hpp
+++ b/libs/testing/include/masticstep/testing/VirtualNetwork.hpp
@@ -42,8 +42,8 @@
   }
 
   // Hooks; the defaults are 1 ms of delay, no loss and no cut. Each gets sender and receiver.
-  std::function<Duration(const std::string&, const std::string&)> mDelay =
-    [](const std::string&, const std::string&) { return Milliseconds(1); };
+  std::function<Duration(const std::string&, const std::string&, const Message&)> mDelay =
+    [](const std::string&, const std::string&, const Message&) { return Milliseconds(1); };
   std::function<bool(const std::string&, const std::string&)> mIsCut =
     [](const std::string&, const std::string&) { return false; };
   std::function<void(const std::string&, const std::string&, const Message&)> mOnSend =
@@ -69,7 +69,7 @@
       if (mRandom.Chance(mLoss) || mIsCut(aFrom, item.first)) {
         continue;
       }
-      const Time at = mNow + mDelay(aFrom, item.first);
+      const Time at = mNow + mDelay(aFrom, item.first, item.second);
       mQueue.push({ at, mOrder++, aFrom, item.first, std::move(item.second) });
     }
     ScheduleWakeUp(aFrom);
