Report exit codes of daemons in the lifecycle tests

Cause: a daemon that crashed at the end of its shutdown showed only as 'not 0'. Change: compare the exit code itself.

--- a/libs/gateway/tests/GatewayBed.cpp
+++ b/libs/gateway/tests/GatewayBed.cpp
@@ -29,9 +29,9 @@
 
 std::string ModelText(const std::vector<std::string>& aUrls, unsigned aDeadline)
 {
-  const boost::json::object item{ { "name", "counter" },      { "deadline_ms", aDeadline },
+  const boost::json::object item{ { "name", "counter" },     { "deadline_ms", aDeadline },
                                   { "first_token_ms", 100 }, { "between_tokens_ms", 67 },
-                                  { "priority", 1 },          { "queue_limit", 8 } };
+                                  { "priority", 1 },         { "queue_limit", 8 } };
   return boost::json::serialize(
     boost::json::object{ { "service", "drafting" },
                          { "kind", "model" },
--- a/tests/integration/LifecycleTests.cpp
+++ b/tests/integration/LifecycleTests.cpp
@@ -18,10 +18,14 @@
 // Longest time that the design page allows between a notice and its effect on every daemon.
 constexpr Duration kNoticeBound = Seconds(5);
 
-std::optional<int> StopGracefully(DaemonProcess& aDaemon)
+// Stands for a process that did not end.
+constexpr int kStillRunning = -1;
+
+// Returns the exit code, or 128 + the signal that ended the process.
+int StopGracefully(DaemonProcess& aDaemon)
 {
   aDaemon.Child().Signal(SIGTERM);
-  return aDaemon.Child().WaitForEnd(kLimit);
+  return aDaemon.Child().WaitForEnd(kLimit).value_or(kStillRunning);
 }
 
 } // namespace
@@ -32,7 +36,7 @@
   Fleet fleet({});
   CallerLoad load(fleet, kCallers, kTokens);
   CHECK_TRUE(load.WaitForMore(20));
-  CHECK_TRUE(StopGracefully(fleet.Daemon(0)) == std::optional<int>(0));
+  CHECK_EQUAL(0, StopGracefully(fleet.Daemon(0)));
   CHECK_TRUE(load.WaitForMore(20));
   load.Stop();
   CHECK_EQUAL(std::string(), load.Failures());
@@ -45,7 +49,7 @@
   CallerLoad load(fleet, kCallers, kTokens);
   CHECK_TRUE(load.WaitForMore(20));
   CHECK_TRUE(fleet.Daemon(1).Admin("POST", "/drain").status < 300);
-  CHECK_TRUE(fleet.Daemon(1).Child().WaitForEnd(kLimit) == std::optional<int>(0));
+  CHECK_EQUAL(0, fleet.Daemon(1).Child().WaitForEnd(kLimit).value_or(kStillRunning));
   CHECK_TRUE(load.WaitForMore(20));
   load.Stop();
   CHECK_EQUAL(std::string(), load.Failures());
@@ -91,7 +95,7 @@
   CHECK_TRUE(WaitUntil(kLimit, [&] { return fleet.PlaceOrder(0, during).status == 200; }));
   const std::unique_ptr<Process> publish =
     fleet.StartPublish({ fleet.WriteDrafting("drafting", 50000) }, false);
-  CHECK_TRUE(publish->WaitForEnd(kLimit) == std::optional<int>(0));
+  CHECK_EQUAL(0, publish->WaitForEnd(kLimit).value_or(kStillRunning));
   CHECK_TRUE(WaitUntil(kLimit, [&] { return fleet.Daemon(0).Generation() > generation; }));
   fleet.Daemon(1).Child().Signal(SIGCONT);
   CHECK_TRUE(WaitUntil(kLimit, [&] { return fleet.Daemon(1).Generation() > generation; }));
@@ -114,7 +118,7 @@
   CallerLoad load(fleet, kCallers, kTokens);
   CHECK_TRUE(load.WaitForMore(20));
   for (std::size_t i = 0; i < fleet.DaemonCount(); ++i) {
-    CHECK_TRUE(StopGracefully(fleet.Daemon(i)) == std::optional<int>(0));
+    CHECK_EQUAL(0, StopGracefully(fleet.Daemon(i)));
     fleet.Daemon(i).Start();
     CHECK_TRUE(WaitUntil(kLimit, [&fleet, i] { return fleet.Daemon(i).IsReady(); }));
     CHECK_TRUE(load.WaitForMore(20));
