--- a/tests/integration/PublicationTests.cpp
+++ b/tests/integration/PublicationTests.cpp
@@ -22,6 +22,12 @@
   return true;
 }
 
+void CheckSucceeds(Process& aCommand)
+{
+  const std::optional<int> code = aCommand.WaitForEnd(kLimit);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(aCommand.ErrorText(), 0, code.value_or(-1));
+}
+
 } // namespace
 
 // Guards against a configuration that overwrites another one unseen, and a generation that is lost.
@@ -60,11 +66,26 @@
     fleet.StartPublish({ fleet.WriteDrafting("drafting", 40000) }, false);
   const std::unique_ptr<Process> second =
     fleet.StartPublish({ fleet.WriteOrdering("ordering", 4000) }, false);
-  CPPUNIT_ASSERT_MESSAGE(first->ErrorText(), first->WaitForEnd(kLimit) == std::optional<int>(0));
-  CPPUNIT_ASSERT_MESSAGE(second->ErrorText(), second->WaitForEnd(kLimit) == std::optional<int>(0));
+  CheckSucceeds(*first);
+  CheckSucceeds(*second);
   CHECK_TRUE(WaitUntil(kLimit, [&] { return AllHave(fleet, generation + 2); }));
 }
 
+// Guards against a publisher that waits in vain, or returns before every daemon has the
+// configuration.
+MASTICSTEP_TEST("publishing with --wait ends when the configuration is in force",
+                "[integration][publish]")
+{
+  FleetShape shape;
+  shape.dataCentres = 2;
+  Fleet fleet(shape);
+  const std::int64_t generation = fleet.Daemon(0).Generation();
+  const std::unique_ptr<Process> publish =
+    fleet.StartPublish({ fleet.WriteDrafting("drafting", 40000) }, true);
+  CheckSucceeds(*publish);
+  CHECK_TRUE(AllHave(fleet, generation + 1));
+}
+
 // Guards against a publisher that takes a lost answer for a failure, or publishes twice.
 MASTICSTEP_TEST("a publisher settles a lost answer by reading back", "[integration][publish]")
 {
@@ -73,8 +94,7 @@
   fleet.Platform().SetFaults(boost::json::object{ { "lose_answers", 2 } });
   const std::unique_ptr<Process> publish =
     fleet.StartPublish({ fleet.WriteDrafting("drafting", 40000) }, false);
-  CPPUNIT_ASSERT_MESSAGE(publish->ErrorText(),
-                         publish->WaitForEnd(kLimit) == std::optional<int>(0));
+  CheckSucceeds(*publish);
   CHECK_EQUAL(std::uint64_t{ 2 }, fleet.Platform().Counter("lost_answers"));
   CHECK_TRUE(WaitUntil(kLimit, [&] { return AllHave(fleet, generation + 1); }));
 }
--- a/tests/integration/support/Fleet.cpp
+++ b/tests/integration/support/Fleet.cpp
@@ -68,7 +68,7 @@
   const std::vector<std::string> folders = { WriteDrafting("drafting", 60000),
                                              WriteOrdering("ordering", 5000),
                                              WriteAccounts("accounts") };
-  const std::unique_ptr<Process> publish = StartPublish(folders, true);
+  const std::unique_ptr<Process> publish = StartPublish(folders, false);
   const std::optional<int> code = publish->WaitForEnd(kReadyLimit);
   if (code != 0) {
     throw std::runtime_error("publish failed: " + publish->ErrorText());
