--- /dev/null
+++ b/libs/control/src/EngineAuthority.cpp
@@ -0,0 +1,46 @@
+#include "masticstep/control/EngineAuthority.hpp"
+
+#include "EngineAuthorityCore.hpp"
+
+#include <utility>
+
+namespace masticstep::control {
+
+EngineAuthority::EngineAuthority(net::Executor aExecutor,
+                                 std::shared_ptr<platform::ObjectStore> aStore,
+                                 AuthorityOptions aOptions)
+  : mCore(std::make_shared<Core>(std::move(aExecutor), std::move(aStore), std::move(aOptions)))
+{
+}
+
+EngineAuthority::~EngineAuthority()
+{
+  mCore->Stop();
+}
+
+void EngineAuthority::Start()
+{
+  mCore->Start();
+}
+
+void EngineAuthority::SetEngines(std::vector<EngineTarget> aEngines)
+{
+  mCore->SetEngines(std::move(aEngines));
+}
+
+bool EngineAuthority::IsHolder() const
+{
+  return mCore->IsHolder();
+}
+
+void EngineAuthority::Give(const EngineCommand& aCommand, Callback aCallback)
+{
+  mCore->Give(aCommand, std::move(aCallback));
+}
+
+void EngineAuthority::Release()
+{
+  mCore->Release();
+}
+
+} // namespace masticstep::control
--- /dev/null
+++ b/libs/control/src/RoleController.cpp
@@ -0,0 +1,104 @@
+#include "masticstep/control/RoleController.hpp"
+
+#include "masticstep/net/Clock.hpp"
+#include "masticstep/telemetry/Log.hpp"
+
+#include <utility>
+
+namespace masticstep::control {
+
+using roles::RoleAction;
+using roles::RoleActionKind;
+
+namespace {
+
+const char* NameOf(roles::Role aRole)
+{
+  switch (aRole) {
+    case roles::Role::Prefill:
+      return "prefill";
+    case roles::Role::Decode:
+      return "decode";
+    case roles::Role::Mixed:
+      break;
+  }
+  return "mixed";
+}
+
+} // namespace
+
+RoleController::RoleController(std::shared_ptr<EngineAuthority> aAuthority,
+                               std::shared_ptr<EngineDrains> aDrains, roles::RolePolicy aPolicy)
+  : mAuthority(std::move(aAuthority))
+  , mDrains(std::move(aDrains))
+  , mPlanner(aPolicy)
+{
+}
+
+void RoleController::SetPolicy(const roles::RolePolicy& aPolicy)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mPlanner.SetPolicy(aPolicy);
+}
+
+void RoleController::OnMix(const roles::MixSample& aSample, Time aNow)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mPlanner.OnMix(aSample, aNow);
+}
+
+void RoleController::OnEngine(const roles::EngineStatus& aStatus, Time aTaken)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mPlanner.OnEngine(aStatus, aTaken);
+}
+
+void RoleController::OnEngineGone(const EngineId& aEngine)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mPlanner.OnEngineGone(aEngine);
+}
+
+void RoleController::Tick(Time aNow)
+{
+  if (!mAuthority->IsHolder()) {
+    return;
+  }
+  std::vector<RoleAction> actions;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    actions = mPlanner.Plan(aNow);
+  }
+  for (const RoleAction& action : actions) {
+    if (action.kind == RoleActionKind::Drain) {
+      mDrains->Drain(action.engine);
+    } else {
+      SetRole(action);
+    }
+  }
+}
+
+void RoleController::SetRole(const RoleAction& aAction)
+{
+  telemetry::Log(telemetry::Level::Info, "role_change",
+                 { { "engine", aAction.engine.Text() }, { "role", NameOf(aAction.role) } });
+  mAuthority->Give({ aAction.engine, "set_role", NameOf(aAction.role) },
+                   [self = shared_from_this(), aAction](CommandResult aResult) {
+                     self->OnResult(aAction, aResult);
+                   });
+}
+
+void RoleController::OnResult(const RoleAction& aAction, CommandResult aResult)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (aResult == CommandResult::Done) {
+      mPlanner.OnRoleChanged(aAction.engine, aAction.role, net::Now());
+    } else {
+      mPlanner.OnChangeFailed(aAction.engine, net::Now());
+    }
+  }
+  mDrains->Resume(aAction.engine);
+}
+
+} // namespace masticstep::control
--- /dev/null
+++ b/libs/control/tests/EngineAuthorityTests.cpp
@@ -0,0 +1,211 @@
+#include "masticstep/control/EngineAuthority.hpp"
+
+#include "masticstep/control/RoleController.hpp"
+#include "masticstep/net/HttpServer.hpp"
+#include "masticstep/net/WorkerPool.hpp"
+#include "masticstep/platform/InMemoryPlatform.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <thread>
+
+using namespace masticstep;
+using namespace masticstep::control;
+
+namespace {
+
+class ImmediateStore : public platform::ObjectStore
+{
+public:
+  explicit ImmediateStore(net::Executor aExecutor)
+    : mExecutor(std::move(aExecutor))
+  {
+  }
+  void Submit(platform::PlatformRequest aRequest, Callback aCallback) override
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    boost::asio::post(mExecutor, [reply = mPlatform.Apply(aRequest),
+                                  callback = std::move(aCallback)] { callback(reply); });
+  }
+
+private:
+  net::Executor mExecutor;
+  std::mutex mMutex;
+  platform::InMemoryPlatform mPlatform;
+};
+
+// Engine that is busy with each new order for one repeat.
+class Engine : public net::HttpHandler
+{
+public:
+  net::Task<void> Handle(net::HttpRequest aRequest, net::HttpResponder& aResponder) override
+  {
+    const std::string id = FieldOf(aRequest.body, "order_id");
+    net::HttpResponse response;
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      const bool repeated = id == mLast;
+      mLast = id;
+      mBodies += repeated ? "" : aRequest.body + "\n";
+      response = net::JsonResponse(200, R"({"order_id":")" + id + R"(","state":")" +
+                                          (repeated ? "done" : "running") + R"("})");
+    }
+    co_await aResponder.Send(std::move(response));
+  }
+  net::HttpResponse Refuse(unsigned aStatus, const net::NetError&) override
+  {
+    return { aStatus, {}, "" };
+  }
+  std::string Bodies()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return mBodies;
+  }
+
+private:
+  static std::string FieldOf(const std::string& aBody, const std::string& aName)
+  {
+    const std::size_t start = aBody.find("\"" + aName + "\":\"") + aName.size() + 4;
+    return aBody.substr(start, aBody.find('"', start) - start);
+  }
+
+  std::mutex mMutex;
+  std::string mLast;
+  std::string mBodies;
+};
+
+AuthorityOptions OptionsOf(const std::string& aNonce)
+{
+  AuthorityOptions options;
+  options.dataCentre = DataCentreName{ "regina-a" };
+  options.holder = HostName{ aNonce };
+  options.processNonce = aNonce;
+  options.lease = Seconds(60);
+  options.orderPoll = Milliseconds(5);
+  return options;
+}
+
+void WaitForLease(const EngineAuthority& aAuthority)
+{
+  while (!aAuthority.IsHolder()) {
+    std::this_thread::yield();
+  }
+}
+
+CommandResult Give(EngineAuthority& aAuthority, const std::string& aEngine)
+{
+  std::promise<CommandResult> promise;
+  aAuthority.Give({ EngineId{ aEngine }, "set_role", "prefill" },
+                  [&promise](CommandResult aResult) { promise.set_value(aResult); });
+  return promise.get_future().get();
+}
+
+class Drains : public EngineDrains
+{
+public:
+  void Drain(const EngineId& aEngine) override { Note("drain " + aEngine.Text() + "\n"); }
+  void Resume(const EngineId& aEngine) override { Note("resume " + aEngine.Text() + "\n"); }
+  std::string Events()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return mEvents;
+  }
+
+private:
+  void Note(const std::string& aEvent)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mEvents += aEvent;
+  }
+
+  std::mutex mMutex;
+  std::string mEvents;
+};
+
+} // namespace
+
+// Guards I2 and I1 in the shell: an engine is drained, then ordered, then put into service again.
+MASTICSTEP_TEST("a planned role change drains, orders and resumes the engine", "[control][roles]")
+{
+  net::WorkerPool workers(2);
+  const std::shared_ptr<Engine> engine = std::make_shared<Engine>();
+  const std::unique_ptr<net::HttpServer> server =
+    *net::HttpServer::Create(workers.Context(), { "127.0.0.1", 0 }, {}, engine);
+  const std::shared_ptr<EngineAuthority> authority = std::make_shared<EngineAuthority>(
+    workers.Context().get_executor(),
+    std::make_shared<ImmediateStore>(workers.Context().get_executor()), OptionsOf("a"));
+  const std::shared_ptr<Drains> drains = std::make_shared<Drains>();
+  const std::shared_ptr<RoleController> controller =
+    std::make_shared<RoleController>(authority, drains, roles::RolePolicy{});
+  std::vector<EngineTarget> engines;
+  engines.reserve(6);
+  for (int i = 0; i < 6; ++i) {
+    engines.push_back(
+      { EngineId{ "e" + std::to_string(i) }, { "127.0.0.1", server->Port() }, "", true });
+  }
+  authority->SetEngines(engines);
+  Time now{ Seconds(1) };
+  // Every engine starts in the role that the mix does not need.
+  const auto step = [&] {
+    now += Seconds(1);
+    for (const EngineTarget& target : engines) {
+      controller->OnEngine({ target.engine, roles::Role::Decode, true, 0 }, now);
+    }
+    controller->OnMix({ 5.0, 0.1 }, now);
+    controller->Tick(now);
+  };
+  for (int i = 0; i < 120; ++i) {
+    step();
+  }
+  CHECK_EQUAL(std::string(), drains->Events()); // not the holder yet
+  authority->Start();
+  WaitForLease(*authority);
+  for (int i = 0; i < 10 && engine->Bodies().empty(); ++i) {
+    step();
+  }
+  CHECK_TRUE(drains->Events().starts_with("drain e"));
+  while (drains->Events().find("resume") == std::string::npos) {
+    std::this_thread::yield();
+  }
+  CHECK_TRUE(engine->Bodies().find("set_role") != std::string::npos);
+  authority->Release();
+  workers.Stop();
+}
+
+// Guards I1 and I3 in the shell: an order goes out under the lease, with its fencing number, once.
+MASTICSTEP_TEST("only the lease holder gives orders, each with its fencing number", "[control]")
+{
+  net::WorkerPool workers(2);
+  const std::shared_ptr<Engine> engine = std::make_shared<Engine>();
+  const std::unique_ptr<net::HttpServer> server =
+    *net::HttpServer::Create(workers.Context(), { "127.0.0.1", 0 }, {}, engine);
+  const std::shared_ptr<ImmediateStore> store =
+    std::make_shared<ImmediateStore>(workers.Context().get_executor());
+  const std::vector<EngineTarget> engines{
+    { EngineId{ "e" }, { "127.0.0.1", server->Port() }, "", true }
+  };
+  {
+    EngineAuthority first(workers.Context().get_executor(), store, OptionsOf("a"));
+    EngineAuthority second(workers.Context().get_executor(), store, OptionsOf("b"));
+    first.SetEngines(engines);
+    second.SetEngines(engines);
+    first.Start();
+    WaitForLease(first);
+    second.Start();
+    CHECK_TRUE(Give(second, "e") == CommandResult::NotHolder);
+    CHECK_TRUE(Give(first, "other") == CommandResult::UnknownEngine);
+    CHECK_TRUE(Give(first, "e") == CommandResult::Done);
+    CHECK_TRUE(Give(first, "e") == CommandResult::Done);
+    CHECK_FALSE(second.IsHolder());
+    first.Release();
+    CHECK_TRUE(Give(first, "e") == CommandResult::NotHolder);
+  }
+  workers.Stop();
+  const std::string bodies = engine->Bodies();
+  CHECK_EQUAL(2, std::count(bodies.begin(), bodies.end(), '\n'));
+  CHECK_TRUE(bodies.find(R"("fencing":1)") != std::string::npos);
+}
