--- a/libs/order_service/src/OrderServiceCore.cpp
+++ b/libs/order_service/src/OrderServiceCore.cpp
@@ -1,6 +1,7 @@
 #include "OrderServiceCore.hpp"
 
 #include "Dispatch.hpp"
+#include "masticstep/base/Hash.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -21,6 +22,8 @@
 
 namespace {
 
+constexpr Duration kRetentionInterval = Seconds(600);
+
 orders::WallTime WallNow()
 {
   const std::chrono::system_clock::duration n = std::chrono::system_clock::now().time_since_epoch();
@@ -58,13 +61,48 @@
 
 void OrderService::Core::Start(OrderCall aCall, Done aDone)
 {
-  Run([this, &aCall, &aDone](OrderMachine& aMachine, Time aNow) {
+  const ServiceName service = aCall.service;
+  bool retentionDue = false;
+  Run([&, this](OrderMachine& aMachine, Time aNow) {
+    retentionDue = IsRetentionDue(service, aNow);
     const RequestId id{ ++mLastId };
     const orders::OrderRequest request{ id,           aCall.service,  aCall.account, aCall.key,
                                         aCall.digest, aCall.deadline, WallNow() };
     mPending[id] = { std::move(aCall), std::move(aDone) };
     return aMachine.Start(request, aNow);
   });
+  if (retentionDue) {
+    const std::shared_ptr<orders::Retention> run =
+      std::make_shared<orders::Retention>(service, WallNow());
+    SubmitRetention(run, run->Start());
+  }
+}
+
+bool OrderService::Core::IsRetentionDue(const ServiceName& aService, Time aNow)
+{
+  // Daemons start at different times of the interval, so that usually one of them does the work and
+  // the others find the floor fresh.
+  const Duration offset =
+    Milliseconds(static_cast<std::int64_t>(Hash64(mOptions.processNonce) % 600000));
+  const std::map<ServiceName, Time>::iterator it =
+    mNextRetention.try_emplace(aService, aNow + offset).first;
+  if (aNow < it->second) {
+    return false;
+  }
+  it->second = aNow + kRetentionInterval;
+  return true;
+}
+
+void OrderService::Core::SubmitRetention(const std::shared_ptr<orders::Retention>& aRun,
+                                         std::optional<platform::PlatformRequest> aRequest)
+{
+  if (!aRequest) {
+    return;
+  }
+  mStore->Submit(std::move(*aRequest),
+                 [self = shared_from_this(), aRun](const platform::PlatformReply& aReply) {
+                   self->SubmitRetention(aRun, aRun->OnPlatformReply(aReply));
+                 });
 }
 
 bool OrderService::Core::IsIdle()
--- a/libs/order_service/src/OrderServiceCore.hpp
+++ b/libs/order_service/src/OrderServiceCore.hpp
@@ -2,6 +2,7 @@
 
 #include "masticstep/order_service/OrderService.hpp"
 #include "masticstep/orders/OrderMachine.hpp"
+#include "masticstep/orders/Retention.hpp"
 
 #include <functional>
 #include <map>
@@ -38,6 +39,10 @@
   void Answer(const orders::OrderAnswer& aAnswer);
   void Arm(Time aTime);
   void Count(const orders::OrderAnswer& aAnswer);
+  // Returns whether a retention run is due, and sets the time of the next; the lock is held.
+  bool IsRetentionDue(const ServiceName& aService, Time aNow);
+  void SubmitRetention(const std::shared_ptr<orders::Retention>& aRun,
+                       std::optional<platform::PlatformRequest> aRequest);
 
   net::Executor mExecutor;
   const std::shared_ptr<platform::ObjectStore> mStore;
@@ -49,6 +54,7 @@
   std::map<RequestId, Pending> mPending;
   std::uint64_t mLastId = 0;
   std::optional<Time> mArmedFor;
+  std::map<ServiceName, Time> mNextRetention;
 };
 
 } // namespace masticstep::order_service
--- a/libs/orders/tests/OrderExplorerTests.cpp
+++ b/libs/orders/tests/OrderExplorerTests.cpp
@@ -43,32 +43,34 @@
 // Guards I5 and I6 against lost, late and duplicated platform calls.
 MASTICSTEP_TEST("no sequence of platform faults runs a key twice", "[orders][explorer]")
 {
-  CheckHolds("orders, lost calls", OrderWorld(2, Retried(), { 0, 2, 1, 0, 0, 0 }), 12);
+  CheckHolds("orders, lost calls", OrderWorld(2, Retried(), { 0, 2, 1, 0, 0, 0 }), 14);
 }
 
 // Guards I5 and I6 against kills and a silent backend server.
 MASTICSTEP_TEST("no sequence of kills and silences runs a key twice", "[orders][explorer]")
 {
-  CheckHolds("orders, kills", OrderWorld(2, Retried(), { 1, 1, 0, 1, 0, 0 }), 12);
+  CheckHolds("orders, kills", OrderWorld(2, Retried(), { 2, 1, 1, 1, 0, 0 }), 13);
 }
 
 // Guards I5 and I6 against pauses past patience and deadline.
 MASTICSTEP_TEST("no sequence of pauses runs a key twice", "[orders][explorer]")
 {
-  CheckHolds("orders, pauses", OrderWorld(2, Retried(), { 0, 1, 0, 0, 2, 0 }), 12);
+  CheckHolds("orders, pauses", OrderWorld(2, Retried(), { 0, 1, 0, 0, 2, 0 }), 14);
 }
 
 // Guards I6 against a bucket that is dropped while a daemon with a wrong clock uses it.
 MASTICSTEP_TEST("no sequence with a dropped bucket runs a key twice", "[orders][explorer]")
 {
-  CheckHolds("orders, retention", OrderWorld(2, Retried(), { 0, 0, 0, 0, 0, 1 }), 14);
+  CheckHolds("orders, retention", OrderWorld(2, Retried(), { 0, 1, 0, 0, 0, 1 }), 15);
+  CheckHolds("orders, retention, shard read first",
+             OrderWorld(2, Retried(), { 0, 1, 0, 0, 0, 1 }, {}, kLaterWall), 15);
 }
 
 // Guards against conflicts among three daemons and two keys of one shard.
 MASTICSTEP_TEST("three daemons with two keys run each key once", "[orders][explorer]")
 {
   const std::vector<Attempt> attempts{ { 0, kKey, "d" }, { 1, kKey, "d" }, { 2, kKey, "other" } };
-  CheckHolds("orders, three daemons", OrderWorld(3, attempts, { 0, 1, 0, 0, 0, 0 }), 11);
+  CheckHolds("orders, three daemons", OrderWorld(3, attempts, { 0, 1, 0, 0, 0, 0 }), 13);
 }
 
 // The explorer is worth nothing if it misses faults that are known to be there.
--- a/libs/orders/tests/OrderWorld.cpp
+++ b/libs/orders/tests/OrderWorld.cpp
@@ -11,23 +11,22 @@
 
 namespace {
 
-// 2026-12-04T04:00:00Z, a few seconds after the date of the keys in the tests.
-constexpr WallTime kWall{ 1796356805000 };
 constexpr Duration kDeadline = Seconds(3);
 const ServiceName kService{ "ordering" };
 
-constexpr std::array<const char*, 15> kNames{ "start",          "apply",       "lose call",
-                                              "lose answer",    "time out",    "apply twice",
-                                              "deliver",        "run",         "lose before run",
-                                              "lose after run", "not reached", "kill",
-                                              "wait",           "tick",        "drop bucket" };
+constexpr std::array<const char*, 16> kNames{
+  "start",   "apply", "lose call",       "lose answer",    "time out",    "apply twice",
+  "deliver", "run",   "lose before run", "lose after run", "not reached", "kill",
+  "wait",    "tick",  "drop bucket",     "erase"
+};
 
 } // namespace
 
 OrderWorld::OrderWorld(std::size_t aDaemons, std::vector<Attempt> aAttempts, FaultBudget aBudget,
-                       PlantedFault::Faults aFaults)
+                       PlantedFault::Faults aFaults, WallTime aWall)
   : mAttempts(std::move(aAttempts))
   , mFaults(aFaults)
+  , mWall(aWall)
   , mBudget(aBudget)
 {
   for (std::size_t i = 0; i < aDaemons; ++i) {
@@ -81,6 +80,9 @@
   }
   add(EventKind::Wait, 0, mBudget.waits > 0);
   add(EventKind::Drop, 0, mBudget.drops > 0);
+  for (std::size_t i = 0; i < BelowFloor().size(); ++i) {
+    add(EventKind::Erase, i);
+  }
   return events;
 }
 
@@ -122,8 +124,14 @@
       Take(aEvent.index, mMachines[aEvent.index].machine.OnTime(mNow));
       break;
     case EventKind::Drop:
-      DropBucket();
+      AdvanceFloor();
+      break;
+    case EventKind::Erase: {
+      const platform::ObjectKey key = BelowFloor()[aEvent.index];
+      mPlatform.platform.Apply(
+        { 0, ConditionalDelete{ key, mPlatform.platform.Find(key)->version } });
       break;
+    }
     default:
       ApplyCall(aEvent);
   }
@@ -135,7 +143,7 @@
   mStarted.insert(aIndex);
   Take(attempt.daemon, mMachines[attempt.daemon].machine.Start(
                          { RequestId{ aIndex }, kService, AccountName{ "a" }, attempt.key,
-                           attempt.digest, mNow + kDeadline, kWall },
+                           attempt.digest, mNow + kDeadline, mWall },
                          mNow));
 }
 
@@ -195,19 +203,26 @@
   mMachines[aDaemon] = { NewMachine(aDaemon, next), next };
 }
 
-// Retention in its safe order: first the floor, then the objects of the bucket.
-void OrderWorld::DropBucket()
+void OrderWorld::AdvanceFloor()
 {
   --mBudget.drops;
-  const std::uint64_t floor = BucketOf(kWall) + 100;
+  const std::uint64_t floor = BucketOf(mWall) + 100;
   mPlatform.platform.Apply(
     { 0, ConditionalWrite{ FloorObjectOf(kService), std::nullopt, EncodeFloor(floor) } });
-  const platform::InMemoryPlatform::Objects objects = mPlatform.platform.All();
-  for (const platform::InMemoryPlatform::Objects::value_type& item : objects) {
+}
+
+std::vector<platform::ObjectKey> OrderWorld::BelowFloor() const
+{
+  std::vector<platform::ObjectKey> keys;
+  if (mPlatform.platform.Find(FloorObjectOf(kService)) == nullptr) {
+    return keys;
+  }
+  for (const platform::InMemoryPlatform::Objects::value_type& item : mPlatform.platform.All()) {
     if (item.first != FloorObjectOf(kService)) {
-      mPlatform.platform.Apply({ 0, ConditionalDelete{ item.first, item.second.version } });
+      keys.push_back(item.first);
     }
   }
+  return keys;
 }
 
 void OrderWorld::Take(std::size_t aDaemon, OrderActions aActions)
--- a/libs/orders/tests/OrderWorld.hpp
+++ b/libs/orders/tests/OrderWorld.hpp
@@ -35,6 +35,12 @@
   std::string digest;
 };
 
+// A few seconds after the date of the keys in the tests, 2026-12-04T04:00:00Z; daemons then create
+// the shard without reading it first.
+constexpr WallTime kFreshWall{ 1796356805000 };
+// A minute later; daemons then read the shard first.
+constexpr WallTime kLaterWall{ 1796356865000 };
+
 // Number of faults of each kind that the world may inject in one run.
 struct FaultBudget
 {
@@ -43,7 +49,7 @@
   std::uint32_t duplicates = 0; // of platform calls
   std::uint32_t silences = 0;   // of the backend server, before or after it ran the call
   std::uint32_t waits = 0;      // steps of the clock, on which daemons may lag behind
-  std::uint32_t drops = 0;      // retention advances the floor and deletes the bucket
+  std::uint32_t drops = 0;      // retention advances the floor and then deletes the bucket
 };
 
 // Daemons with real order machines, the platform and a backend server. Every message may be late,
@@ -67,7 +73,8 @@
     Kill,
     Wait,
     Tick, // a daemon notices the time
-    Drop
+    Drop, // retention advances the floor
+    Erase // retention deletes an object below the floor
   };
   struct Event
   {
@@ -76,7 +83,7 @@
   };
 
   OrderWorld(std::size_t aDaemons, std::vector<Attempt> aAttempts, FaultBudget aBudget,
-             PlantedFault::Faults aFaults = {});
+             PlantedFault::Faults aFaults = {}, WallTime aWall = kFreshWall);
 
   std::vector<Event> Events() const;
   void Apply(const Event& aEvent);
@@ -134,10 +141,12 @@
   void RunBackend(const Event& aEvent);
   void Kill(std::size_t aDaemon);
   void Blame(std::string aViolation);
-  void DropBucket();
+  void AdvanceFloor();
+  std::vector<platform::ObjectKey> BelowFloor() const;
 
   std::vector<Attempt> mAttempts;
   PlantedFault::Faults mFaults;
+  WallTime mWall;
   std::vector<Machine> mMachines;
   std::set<std::size_t> mStarted;
   PlatformState mPlatform;
