Wait for the outcome of a key that is being worked on

Cause: the integration test "an order runs once and its answer is repeated" got 504 "unknown" from a second daemon right after the first had answered, because outcomes are written up to 100 ms later. Change: a request that finds a claim without outcome, in the record or in its own daemon, looks again after 50 ms and at doubling pauses for up to 2 s before it answers "unknown".

--- a/libs/orders/src/OrderMachineImplementation.cpp
+++ b/libs/orders/src/OrderMachineImplementation.cpp
@@ -55,37 +55,43 @@
   if (mOrders.size() >= mOptions.maximumOrders) {
     return refuse(AnswerReason::Overload);
   }
-  Order order{ aRequest,
-               { aRequest.account, key->text },
-               {},
-               {},
-               Step::Claiming,
-               std::min(aRequest.deadline, aNow + mOptions.claimPatience) };
+  Order order;
+  order.request = aRequest;
   order.request.digest.resize(std::min(order.request.digest.size(), kDigestLength));
-  const std::map<ClaimKey, RequestId>::const_iterator active = mActive.find(order.key);
-  if (active != mActive.end()) {
-    const bool same = mOrders.at(active->second).request.digest == order.request.digest;
-    return refuse(same ? AnswerReason::Claimed : AnswerReason::OtherBody);
-  }
+  order.key = { aRequest.account, key->text };
   order.shard = { aRequest.service, BucketOf(key->date), ShardOf(order.key) };
   order.nonce = mOptions.processNonce + "-" + std::to_string(++mClaims);
-  Shard& shard = ShardFor(order.shard, aRequest.now);
-  const ClaimRecord* known = shard.Find(order.key);
-  if (known != nullptr && !known->outcome && !IsOwnNonce(known->nonce)) {
-    shard.Refresh(); // another process may have recorded the outcome since
+  order.giveUp = std::min(aRequest.deadline, aNow + mOptions.claimPatience);
+  const std::map<ClaimKey, RequestId>::const_iterator active = mActive.find(order.key);
+  if (active != mActive.end()) {
+    if (mOrders.at(active->second).request.digest != order.request.digest) {
+      return refuse(AnswerReason::OtherBody);
+    }
+    WaitForOutcome(std::move(order), aNow, actions);
+    return actions;
   }
-  shard.AddClaim({ order.key, order.request.digest, order.nonce, mOptions.daemon, {} }, aNow);
-  mByNonce[order.nonce] = aRequest.id;
-  mActive[order.key] = aRequest.id;
   Order& stored = mOrders[aRequest.id] = std::move(order);
   if (mFaults.dispatchBeforeClaim) {
     stored.step = Step::Dispatched;
     actions.dispatches.push_back({ aRequest.id, aRequest.deadline });
   }
-  PumpShard(shard, aNow, actions);
+  Claim(stored, aNow, actions);
   return actions;
 }
 
+void OrderMachine::Implementation::Claim(Order& aOrder, Time aNow, OrderActions& aActions)
+{
+  Shard& shard = ShardFor(aOrder.shard, aOrder.request.now);
+  const ClaimRecord* known = shard.Find(aOrder.key);
+  if (known != nullptr && !known->outcome && !IsOwnNonce(known->nonce)) {
+    shard.Refresh(); // another process may have recorded the outcome since
+  }
+  mByNonce[aOrder.nonce] = aOrder.request.id;
+  mActive[aOrder.key] = aOrder.request.id;
+  shard.AddClaim({ aOrder.key, aOrder.request.digest, aOrder.nonce, mOptions.daemon, {} }, aNow);
+  PumpShard(shard, aNow, aActions);
+}
+
 OrderActions OrderMachine::Implementation::OnPlatformReply(const PlatformReply& aReply, Time aNow)
 {
   OrderActions actions;
@@ -152,13 +158,15 @@
   OrderActions actions;
   std::vector<RequestId> late;
   for (const Orders::value_type& item : mOrders) {
-    if (item.second.step == Step::Claiming && aNow >= item.second.giveUp) {
+    const bool open = item.second.step == Step::Claiming || item.second.step == Step::Waiting;
+    if (open && aNow >= item.second.giveUp) {
       late.push_back(item.first);
     }
   }
   for (const RequestId id : late) {
     GiveUp(mOrders.at(id), aNow, actions);
   }
+  CheckWaiting(aNow, actions);
   for (Shards::value_type& item : mShards) {
     PumpShard(item.second, aNow, actions);
   }
@@ -171,9 +179,12 @@
 {
   std::optional<Time> next;
   for (const Orders::value_type& item : mOrders) {
-    if (item.second.step == Step::Claiming) {
+    if (item.second.step == Step::Claiming || item.second.step == Step::Waiting) {
       Consider(next, item.second.giveUp);
     }
+    if (item.second.step == Step::Waiting) {
+      Consider(next, item.second.nextCheck);
+    }
   }
   for (const Shards::value_type& item : mShards) {
     Consider(next, item.second.NextWakeUp());
@@ -244,7 +255,7 @@
       continue; // already answered
     }
     if (event.kind == ClaimEventKind::Taken) {
-      OnTaken(copy, event.record, aActions);
+      OnTaken(copy, event.record, aNow, aActions);
     } else {
       const bool full = event.kind == ClaimEventKind::Full;
       aActions.answers.push_back(
--- a/libs/orders/src/OrderMachineImplementation.hpp
+++ b/libs/orders/src/OrderMachineImplementation.hpp
@@ -52,6 +52,7 @@
   enum class Step
   {
     Claiming,   // the claim is not yet durable or not yet checked against the floor
+    Waiting,    // another request claimed the key; its outcome may be recorded soon
     Dispatched, // the call was handed out
     Abandoned   // answered "not run"; the claim may still become durable
   };
@@ -63,6 +64,8 @@
     std::string nonce;
     Step step = Step::Claiming;
     Time giveUp;
+    Time nextCheck;   // while waiting
+    Duration pause{}; // between checks
 
     auto operator<=>(const Order&) const = default;
   };
@@ -83,7 +86,10 @@
   void PumpOutcomes(Time aNow, OrderActions& aActions);
   void OnEvents(const std::vector<ClaimEvent>& aEvents, Time aNow, OrderActions& aActions);
   void OnClaimed(Order& aOrder, Time aNow, OrderActions& aActions);
-  void OnTaken(const Order& aOrder, const ClaimRecord& aRecord, OrderActions& aActions);
+  void Claim(Order& aOrder, Time aNow, OrderActions& aActions);
+  void OnTaken(const Order& aOrder, const ClaimRecord& aRecord, Time aNow, OrderActions& aActions);
+  void WaitForOutcome(Order aOrder, Time aNow, OrderActions& aActions);
+  void CheckWaiting(Time aNow, OrderActions& aActions);
   void Replay(RequestId aId, const ShardKey& aShard, const CallOutcome& aOutcome,
               OrderActions& aActions);
   void OnOutcomeObject(const OutcomeRead& aRead, const platform::PlatformReply& aReply,
--- a/libs/orders/src/OrderSteps.cpp
+++ b/libs/orders/src/OrderSteps.cpp
@@ -14,6 +14,9 @@
 constexpr Duration kShardIdleTime = Seconds(30);
 constexpr std::size_t kMaximumPendingOutcomes = 10000;
 constexpr std::size_t kMaximumKeptBody = 256 * 1024;
+// First pause before a claim without outcome is looked at again; it doubles. With the patience of
+// 2 s a claim of a dead process costs six reads before the answer "unknown".
+constexpr Duration kFirstCheck = Milliseconds(50);
 
 // Returns whether a record with this outcome inside stays within the size on which the number of
 // records of an object is based.
@@ -50,7 +53,7 @@
 }
 
 void OrderMachine::Implementation::OnTaken(const Order& aOrder, const ClaimRecord& aRecord,
-                                           OrderActions& aActions)
+                                           Time aNow, OrderActions& aActions)
 {
   const RequestId id = aOrder.request.id;
   if (aRecord.digest != aOrder.request.digest) {
@@ -62,7 +65,42 @@
     mOrders[id].step = Step::Dispatched;
     aActions.dispatches.push_back({ id, aOrder.request.deadline });
   } else {
+    WaitForOutcome(aOrder, aNow, aActions);
+  }
+}
+
+// The call may still run, and its outcome is written up to five grouping intervals after the
+// answer.
+void OrderMachine::Implementation::WaitForOutcome(Order aOrder, Time aNow, OrderActions& aActions)
+{
+  const RequestId id = aOrder.request.id;
+  if (aNow >= aOrder.giveUp) {
     aActions.answers.push_back(Refuse(id, AnswerReason::Claimed));
+    return;
+  }
+  aOrder.step = Step::Waiting;
+  aOrder.pause = std::max(aOrder.pause * 2, kFirstCheck);
+  aOrder.nextCheck = aNow + aOrder.pause;
+  mOrders[id] = std::move(aOrder);
+}
+
+void OrderMachine::Implementation::CheckWaiting(Time aNow, OrderActions& aActions)
+{
+  std::vector<RequestId> due;
+  for (const Orders::value_type& item : mOrders) {
+    if (item.second.step == Step::Waiting && aNow >= item.second.nextCheck) {
+      due.push_back(item.first);
+    }
+  }
+  for (const RequestId id : due) {
+    Order& order = mOrders.at(id);
+    if (mActive.contains(order.key)) {
+      WaitForOutcome(Order(order), aNow, aActions);
+      continue;
+    }
+    // The record, if it is still there, decides; a dropped one is noticed by the floor.
+    order.step = Step::Claiming;
+    Claim(order, aNow, aActions);
   }
 }
 
@@ -102,9 +140,14 @@
 // The request is answered now; whether its claim became durable may be found out later.
 void OrderMachine::Implementation::GiveUp(Order& aOrder, Time aNow, OrderActions& aActions)
 {
-  const bool late = aNow >= aOrder.request.deadline;
-  aActions.answers.push_back(
-    Refuse(aOrder.request.id, late ? AnswerReason::DeadlinePassed : AnswerReason::PlatformDown));
+  if (aOrder.step == Step::Waiting || aOrder.pause > Duration::zero()) {
+    // The key is claimed by another request, whatever becomes of this one.
+    aActions.answers.push_back(Refuse(aOrder.request.id, AnswerReason::Claimed));
+  } else {
+    const bool late = aNow >= aOrder.request.deadline;
+    aActions.answers.push_back(
+      Refuse(aOrder.request.id, late ? AnswerReason::DeadlinePassed : AnswerReason::PlatformDown));
+  }
   aOrder.step = Step::Abandoned;
   const Shards::iterator shard = mShards.find(aOrder.shard);
   if (shard == mShards.end() || shard->second.Withdraw(aOrder.nonce)) {
--- a/libs/orders/tests/OrderMachineTests.cpp
+++ b/libs/orders/tests/OrderMachineTests.cpp
@@ -106,6 +106,29 @@
   CHECK_EQUAL(1U, first.dispatches + second.dispatches);
 }
 
+// Guards against "unknown" for a key whose answer was just given or whose call still runs.
+MASTICSTEP_TEST("a request right after the answer waits for the outcome", "[orders]")
+{
+  platform::VirtualObjectStore store;
+  Daemon first(store, "p1");
+  Daemon second(store, "p2");
+  first.Start(kKey);
+  while (first.dispatches == 0) {
+    first.RunFor(Milliseconds(1));
+  }
+  const std::uint64_t same = first.Start(kKey);
+  const std::uint64_t other = second.Start(kKey);
+  const std::uint64_t different = second.Start(kKey, "y");
+  for (int i = 0; i < 100; ++i) {
+    first.RunFor(Milliseconds(5));
+    second.RunFor(Milliseconds(5));
+  }
+  CHECK_TRUE(first.mAnswers.at(same).replayed);
+  CHECK_TRUE(second.mAnswers.at(other).replayed);
+  CHECK_TRUE(second.mAnswers.at(different).reason == AnswerReason::OtherBody);
+  CHECK_EQUAL(1U, first.dispatches + second.dispatches);
+}
+
 // Guards against one key that stands for two different orders.
 MASTICSTEP_TEST("the same key with another body is refused", "[orders]")
 {
