--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	tools/check_format.sh
 	tools/check_dependencies.py
 	cmake -S . -B $(BUILD) -G Ninja >/dev/null
-	tools/check_lint.sh $(BUILD)
+	tools/check_lint.py $(BUILD)
 
 # Runs one fuzz target with libFuzzer for a minute; new inputs stay in the build folder.
 FUZZ ?= config
