Follow the platform's list of leaving hosts and close the pool before its event loop

A backend server that the platform lists as leaving went on getting work; two daemons of a data centre now watch hosts/ and spread drain entries. At exit, idle connections of the pool outlived the event loop and corrupted the heap, so that drained daemons ended by a signal instead of code 0 (integration test 'all daemons are replaced one after the other under load').

--- a/libs/gateway/src/Daemon.cpp
+++ b/libs/gateway/src/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "CallerHandler.hpp"
 #include "ConfigurationFollower.hpp"
 #include "EngineLoads.hpp"
+#include "HostListFollower.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -89,8 +90,10 @@
     mParts->peering->Stop();
   }
   mWorkers.Stop();
-  // Their timers belong to the event loop, which is destroyed before the other parts.
+  // Timers and connections belong to the event loop, which is destroyed before the other parts.
+  mParts->pool->Close();
   mFollower = nullptr;
+  mHosts = nullptr;
   mParts->peering = nullptr;
   mParts->orders = nullptr;
   mStore = nullptr;
@@ -116,6 +119,7 @@
   // The parts are complete before the first request can arrive.
   StartOrders();
   mFollower = std::make_shared<ConfigurationFollower>(mParts, mStore);
+  mHosts = std::make_shared<HostListFollower>(mParts, mStore);
   const Result<void, net::NetError> peering = StartPeering();
   if (!peering) {
     return Failure(peering.error());
@@ -202,6 +206,7 @@
   };
   spawn([follower = mFollower] { return follower->Watch(); });
   spawn([follower = mFollower] { return follower->ReportInForce(); });
+  spawn([hosts = mHosts] { return hosts->Watch(); });
   spawn([parts = mParts] { return PollLoads(parts); });
   spawn([parts = mParts] { return PumpAdmission(parts); });
 }
@@ -232,6 +237,7 @@
   mParts->drain.Advance(DrainPhase::Stopping);
   mCallers->StopAccepting();
   mFollower->Stop();
+  mHosts->Stop();
   while (mParts->running.Count() > 0 && net::Now() < cut) {
     co_await net::Sleep(kDrainCheckInterval);
   }
--- a/libs/gateway/src/Daemon.hpp
+++ b/libs/gateway/src/Daemon.hpp
@@ -15,6 +15,7 @@
 namespace masticstep::gateway {
 
 class ConfigurationFollower;
+class HostListFollower;
 
 // The daemon of one host: its servers, worker pool and shutdown.
 class Daemon
@@ -49,6 +50,7 @@
   std::unique_ptr<net::HttpServer> mAdmin;
   std::shared_ptr<platform_client::HttpObjectStore> mStore;
   std::shared_ptr<ConfigurationFollower> mFollower;
+  std::shared_ptr<HostListFollower> mHosts;
 };
 
 } // namespace masticstep::gateway
--- a/libs/gateway/tests/GatewayBed.cpp
+++ b/libs/gateway/tests/GatewayBed.cpp
@@ -214,6 +214,7 @@
 GatewayBed::~GatewayBed()
 {
   mWorkers.Stop();
+  mParts->pool->Close();
   mParts->orders = nullptr;
 }
 
--- a/libs/net/include/masticstep/net/ConnectionPool.hpp
+++ b/libs/net/include/masticstep/net/ConnectionPool.hpp
@@ -52,6 +52,9 @@
   Task<Result<Lease, NetError>> AcquireFresh(HostPort aAddress, Duration aConnectTimeout);
   // Closes the idle connections to an address.
   void Forget(const HostPort& aAddress);
+  // Closes all idle connections and keeps none from now on. Must be called before the event loop of
+  // the connections is destroyed.
+  void Close();
   std::size_t IdleCount(const HostPort& aAddress) const;
 
 private:
@@ -68,6 +71,7 @@
   const PoolLimits mLimits;
   mutable std::mutex mMutex;
   std::map<HostPort, std::vector<Idle>> mIdle;
+  bool mIsClosed = false;
 };
 
 } // namespace masticstep::net
--- a/libs/net/src/ConnectionPool.cpp
+++ b/libs/net/src/ConnectionPool.cpp
@@ -79,7 +79,7 @@
   aConnection.Detach();
   const std::lock_guard<std::mutex> lock(mMutex);
   std::vector<Idle>& idle = mIdle[address];
-  if (idle.size() < mLimits.idlePerAddress) {
+  if (!mIsClosed && idle.size() < mLimits.idlePerAddress) {
     idle.push_back({ std::move(aConnection), Now() });
   }
 }
@@ -95,6 +95,14 @@
   }
 }
 
+void ConnectionPool::Close()
+{
+  std::map<HostPort, std::vector<Idle>> dropped; // closed after the lock is released
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mIsClosed = true;
+  dropped.swap(mIdle);
+}
+
 std::size_t ConnectionPool::IdleCount(const HostPort& aAddress) const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
--- a/libs/net/tests/ConnectionPoolTests.cpp
+++ b/libs/net/tests/ConnectionPoolTests.cpp
@@ -90,6 +90,20 @@
   CHECK_EQUAL(std::string("ok"), Get(workers, *pool, server.Address())->body);
 }
 
+// Guards against connections that outlive their event loop, which corrupted the heap at exit.
+MASTICSTEP_TEST("a closed pool keeps no connection", "[net][pool]")
+{
+  ScriptedServer server([](std::size_t, const std::string&) { return kWhole; });
+  WorkerPool workers(1);
+  const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create();
+  CHECK_TRUE(Get(workers, *pool, server.Address()).has_value());
+  CHECK_EQUAL(1U, pool->IdleCount(server.Address()));
+  pool->Close();
+  CHECK_EQUAL(0U, pool->IdleCount(server.Address()));
+  CHECK_TRUE(Get(workers, *pool, server.Address()).has_value());
+  CHECK_EQUAL(0U, pool->IdleCount(server.Address()));
+}
+
 // Guards against a false "not run": only a failed connection proves that no byte arrived.
 MASTICSTEP_TEST("fetch errors tell whether the request may have arrived", "[net][not_run]")
 {
