--- a/libs/gateway/src/ConfigurationFollower.cpp
+++ b/libs/gateway/src/ConfigurationFollower.cpp
@@ -129,12 +129,11 @@
       mParts->Apply(mTracker.Current(), net::Now());
     }
   }
-  std::vector<std::string> wanted = actions.wanted;
-  PassOn(std::move(actions));
-  return wanted;
+  PassOn(actions);
+  return actions.wanted;
 }
 
-void ConfigurationFollower::PassOn(publication::TrackerActions aActions)
+void ConfigurationFollower::PassOn(const publication::TrackerActions& aActions)
 {
   for (const Fault& fault : aActions.faults) {
     telemetry::Log(Level::Error, "configuration refused", { { "fault", ToString(fault) } });
--- a/libs/gateway/src/ConfigurationFollower.hpp
+++ b/libs/gateway/src/ConfigurationFollower.hpp
@@ -36,7 +36,7 @@
   net::Task<bool> ReadContent(std::string aDigest);
   // Returns the digests that are wanted.
   std::vector<std::string> Offer(const std::string& aText, bool aIsManifest);
-  void PassOn(publication::TrackerActions aActions);
+  void PassOn(const publication::TrackerActions& aActions);
   ConfigurationBundle Bundle();
   publication::InForceReport LowestInForce() const;
   net::Task<bool> WriteReport(publication::InForceReport aReport);
