Keep the neighbours and the links to other data centres until the view changes

Change: membership keeps both lists by the number of changes of its table; the benchmark keeps owned keys by view.

--- a/bench/ControlFleet.cpp
+++ b/bench/ControlFleet.cpp
@@ -105,11 +105,20 @@
   return std::min(*mMachine.NextWakeUp(), mNextPublication);
 }
 
-bool ControlNode::IsOwner(const std::string& aKey) const
+bool ControlNode::IsOwner(const std::string& aKey)
 {
+  const std::uint64_t view = mMachine.Members().Table().Digest();
+  if (view != std::exchange(mOwnedView, view)) {
+    mOwned.clear();
+  }
+  const std::map<std::string, bool>::iterator it = mOwned.find(aKey);
+  if (it != mOwned.end()) {
+    return it->second;
+  }
   const MemberRecord self = mMachine.Members().Self();
-  return RoleFor(mMachine.Members().Table().PresentIn(self.dataCentre), aKey, self.name) ==
-         OwnerRole::Owner;
+  const OwnerRole role =
+    RoleFor(mMachine.Members().Table().PresentIn(self.dataCentre), aKey, self.name);
+  return mOwned[aKey] = role == OwnerRole::Owner;
 }
 
 void ControlNode::PublishDue(Time aNow, Outgoing& aOutgoing)
--- a/bench/ControlFleet.hpp
+++ b/bench/ControlFleet.hpp
@@ -41,7 +41,7 @@
   // What the gateway publishes: the load of own engines each second, usage every 5 s, summaries.
   void PublishDue(Time aNow, Outgoing& aOutgoing);
   void Publish(const EntryKey& aKey, std::string aValue, Time aNow, Outgoing& aOutgoing);
-  bool IsOwner(const std::string& aKey) const;
+  bool IsOwner(const std::string& aKey);
   void PublishLoad(int aEngine, Time aNow, Outgoing& aOutgoing);
 
   // Load of an engine as polled, with 8 requests/s arriving for 4 s each (600 engines share 4,900
@@ -60,6 +60,9 @@
   Time mNextPublication;
   std::uint64_t mSeconds = 0;
   std::map<int, PolledEngine> mPolled;
+  // Owned keys by the view for which they were worked out, as the gateway keeps them.
+  std::map<std::string, bool> mOwned;
+  std::uint64_t mOwnedView = 0;
 };
 
 // Bytes on the network for one frame: TLS record and TCP/IP headers, and an acknowledgement for
--- a/libs/membership/include/masticstep/membership/MemberTable.hpp
+++ b/libs/membership/include/masticstep/membership/MemberTable.hpp
@@ -33,10 +33,13 @@
   std::vector<MemberRecord> All() const;
   // Equal for equal sets of records; suspicion is left out because it lasts only seconds.
   std::uint64_t Digest() const { return mDigest; }
+  // Grows with each change of a record, suspicion included.
+  std::uint64_t Changes() const { return mChanges; }
 
 private:
   std::map<HostName, Row> mRows;
   std::uint64_t mDigest = 0;
+  std::uint64_t mChanges = 0;
 };
 
 } // namespace masticstep
--- a/libs/membership/include/masticstep/membership/Membership.hpp
+++ b/libs/membership/include/masticstep/membership/Membership.hpp
@@ -47,7 +47,7 @@
   std::vector<MemberRecord> Members() const { return mTable.Present(); }
   MemberRecord Self() const { return mTable.Find(mSettings.self.name)->record; }
   // Members of other data centres to which this daemon keeps links.
-  std::vector<MemberRecord> RemoteLinks() const;
+  const std::vector<MemberRecord>& RemoteLinks() const;
 
 private:
   struct PendingProbe
@@ -95,7 +95,9 @@
                 MembershipActions& aActions);
   MembershipActions Finish(MembershipActions aActions);
   std::vector<MemberRecord> TakeRumours();
-  std::vector<MemberRecord> Neighbours() const;
+  const std::vector<MemberRecord>& Neighbours() const;
+  void RefreshCache() const;
+  std::vector<MemberRecord> ComputeRemoteLinks() const;
   std::optional<MemberRecord> NextRandomTarget();
   std::optional<MemberRecord> Successor() const;
   std::vector<std::string> ReconnectAddresses() const;
@@ -113,6 +115,11 @@
   std::uint64_t mSequence = 0;
   bool mJoined = false; // heard a full view once; before that, all is new and nothing is news
   bool mLeft = false;
+  // Answers that depend on the view only, kept until it changes. At 370 members each costs about
+  // 100 us, and a daemon needs them several times a second.
+  mutable std::uint64_t mCachedChanges = 0;
+  mutable std::vector<MemberRecord> mCachedRemoteLinks;
+  mutable std::vector<MemberRecord> mCachedNeighbours;
   std::optional<Time> mNextWakeUp;
   Time mNextRound;
   Time mNextReconnect;
--- a/libs/membership/src/MemberTable.cpp
+++ b/libs/membership/src/MemberTable.cpp
@@ -21,6 +21,7 @@
   if (it == mRows.end()) {
     mRows.emplace(aRecord.name, Row{ aRecord, aNow });
     mDigest += DigestOf(aRecord);
+    ++mChanges;
     return true;
   }
   if (!Supersedes(aRecord, it->second.record)) {
@@ -28,6 +29,7 @@
   }
   mDigest += DigestOf(aRecord) - DigestOf(it->second.record);
   it->second = Row{ aRecord, aNow };
+  ++mChanges;
   return true;
 }
 
--- a/libs/membership/src/MembershipProbing.cpp
+++ b/libs/membership/src/MembershipProbing.cpp
@@ -207,17 +207,33 @@
   return addresses;
 }
 
-std::vector<MemberRecord> Membership::Neighbours() const
+const std::vector<MemberRecord>& Membership::Neighbours() const
 {
-  std::vector<MemberRecord> members = mTable.PresentIn(mSettings.self.dataCentre);
-  std::erase_if(
-    members, [this](const MemberRecord& aMember) { return aMember.name == mSettings.self.name; });
-  return members;
+  RefreshCache();
+  return mCachedNeighbours;
+}
+
+const std::vector<MemberRecord>& Membership::RemoteLinks() const
+{
+  RefreshCache();
+  return mCachedRemoteLinks;
+}
+
+void Membership::RefreshCache() const
+{
+  if (std::exchange(mCachedChanges, mTable.Changes()) == mTable.Changes()) {
+    return;
+  }
+  mCachedNeighbours = mTable.PresentIn(mSettings.self.dataCentre);
+  std::erase_if(mCachedNeighbours, [this](const MemberRecord& aMember) {
+    return aMember.name == mSettings.self.name;
+  });
+  mCachedRemoteLinks = ComputeRemoteLinks();
 }
 
 std::optional<MemberRecord> Membership::Successor() const
 {
-  const std::vector<MemberRecord> members = Neighbours();
+  const std::vector<MemberRecord>& members = Neighbours();
   if (members.empty()) {
     return std::nullopt;
   }
@@ -231,7 +247,7 @@
 
 std::optional<MemberRecord> Membership::NextRandomTarget()
 {
-  const std::vector<MemberRecord> members = Neighbours();
+  const std::vector<MemberRecord>& members = Neighbours();
   if (members.empty()) {
     return std::nullopt;
   }
@@ -255,7 +271,7 @@
   return mTable.Find(name)->record;
 }
 
-std::vector<MemberRecord> Membership::RemoteLinks() const
+std::vector<MemberRecord> Membership::ComputeRemoteLinks() const
 {
   std::map<DataCentreName, std::vector<MemberRecord>> byDataCentre;
   for (const MemberRecord& member : mTable.Present()) {
