Shorten the entries of deltas from 24 to 16 bytes before their values

Change: deltas carry the low half of the version and a 16-bit tag of the owner and the high half; a receiver that does not recognise them asks for the whole entry.

--- a/bench/ControlFleet.cpp
+++ b/bench/ControlFleet.cpp
@@ -63,7 +63,7 @@
   return Take(mMachine.Start(aNow), aNow);
 }
 
-ControlNode::Outgoing ControlNode::Take(PeerActions aActions, Time aNow)
+ControlNode::Outgoing ControlNode::Take(const PeerActions& aActions, Time aNow)
 {
   for (const MemberRecord& member : aActions.members) {
     if (!IsPresent(member.state)) {
--- a/bench/ControlFleet.hpp
+++ b/bench/ControlFleet.hpp
@@ -31,7 +31,7 @@
   Outgoing OnMessage(const std::string& aFrom, const std::string& aFrame, Time aNow) override;
   Outgoing OnTime(Time aNow) override;
   std::optional<Time> NextWakeUp() const override;
-  Outgoing Take(PeerActions aActions, Time aNow);
+  Outgoing Take(const PeerActions& aActions, Time aNow);
 
   PeerMachine mMachine;
   Time mGenerationAt;
--- a/libs/peering/src/PeerMessage.cpp
+++ b/libs/peering/src/PeerMessage.cpp
@@ -35,7 +35,7 @@
   frame.compact.reserve(aMessage.compact.size());
   for (const CompactEntry& entry : aMessage.compact) {
     frame.compact.push_back(
-      { entry.keyHash, entry.version, entry.ownerHash, entry.ageMs, entry.value });
+      { entry.keyHash, entry.versionLow, entry.ownerTag, entry.ageMs, entry.value });
   }
   frame.full.reserve(aMessage.full.size());
   for (const Entry& entry : aMessage.full) {
@@ -102,7 +102,7 @@
   message.hashes = aFrame.hashes;
   for (const wire::CompactEntryFields& entry : aFrame.compact) {
     message.compact.push_back(
-      { entry.keyHash, entry.version, entry.ownerHash, entry.ageMs, entry.value });
+      { entry.keyHash, entry.versionLow, entry.ownerTag, entry.ageMs, entry.value });
   }
   for (const wire::FullEntryFields& entry : aFrame.full) {
     const EntryKind kind = static_cast<EntryKind>(entry.kind);
--- a/libs/peering/tests/PeerMachineTests.cpp
+++ b/libs/peering/tests/PeerMachineTests.cpp
@@ -23,7 +23,7 @@
   {
   }
 
-  Outgoing Take(PeerActions aActions)
+  Outgoing Take(const PeerActions& aActions)
   {
     Outgoing outgoing;
     for (const PeerSend& send : aActions.sends) {
--- a/libs/spread/include/masticstep/spread/EntryTable.hpp
+++ b/libs/spread/include/masticstep/spread/EntryTable.hpp
@@ -43,7 +43,14 @@
   std::unordered_map<std::uint64_t, Row> mRows;
 };
 
-// Hash of the owner's name; the low 32 bits stand for the owner in compact entries.
+// Hash of the owner's name.
 std::uint64_t OwnerHash(const HostName& aOwner);
 
+// Returns the version with the given low half that is nearest to a known version.
+std::uint64_t RestoreVersion(std::uint64_t aKnown, std::uint32_t aLow);
+
+// Stands for the owner and the high half of the version in compact entries, so that a receiver with
+// another owner, or too far from the version, notices and asks for the whole entry.
+std::uint16_t OwnerTag(std::uint64_t aOwnerHash, std::uint64_t aVersion);
+
 } // namespace masticstep
--- a/libs/spread/include/masticstep/spread/SpreadMessage.hpp
+++ b/libs/spread/include/masticstep/spread/SpreadMessage.hpp
@@ -18,12 +18,12 @@
   Graft = 5     // hashes: owners whose periodic entries the sender misses
 };
 
-// Entry without its texts, for a receiver that has had them.
+// Entry without its texts, for a receiver that has had them with an earlier version.
 struct CompactEntry
 {
   std::uint64_t keyHash = 0;
-  std::uint64_t version = 0;
-  std::uint32_t ownerHash = 0;
+  std::uint32_t versionLow = 0; // low half; the receiver's own version is less than 2^31 away
+  std::uint16_t ownerTag = 0;   // of the owner and the high half of the version
   std::uint16_t ageMs = 0;
   std::string value;
 
--- a/libs/spread/src/EntryTable.cpp
+++ b/libs/spread/src/EntryTable.cpp
@@ -12,6 +12,20 @@
   return Hash64(aOwner.Text());
 }
 
+std::uint64_t RestoreVersion(std::uint64_t aKnown, std::uint32_t aLow)
+{
+  const std::uint32_t difference = aLow - static_cast<std::uint32_t>(aKnown);
+  return aKnown + static_cast<std::uint64_t>(
+                    static_cast<std::int64_t>(static_cast<std::int32_t>(difference)));
+}
+
+std::uint16_t OwnerTag(std::uint64_t aOwnerHash, std::uint64_t aVersion)
+{
+  // Multiplying by the odd constant of Fibonacci hashing moves every input bit into the top bits.
+  const std::uint64_t mixed = (aOwnerHash + (aVersion >> 32U)) * 0x9e3779b97f4a7c15U;
+  return static_cast<std::uint16_t>(mixed >> 48U);
+}
+
 EntryTable::Outcome EntryTable::Merge(const Entry& aEntry, Time aNow)
 {
   const EntryPolicy& policy = PolicyOf(aEntry.key.kind);
--- a/libs/spread/src/Spread.cpp
+++ b/libs/spread/src/Spread.cpp
@@ -13,6 +13,7 @@
 // Half the frame limit, since the estimate of an entry's size is rough.
 constexpr std::size_t kDeltaSizeLimit = 128U * 1024U;
 constexpr std::size_t kMaximumCompactValue = 0xffff;
+constexpr std::uint64_t kCompactVersionRange = 1ULL << 31U;
 constexpr Duration kMaximumCompactAge = Milliseconds(0xffff);
 
 } // namespace
@@ -250,9 +251,11 @@
     return false;
   }
   const Entry entry = EntryTable::ToEntry(row, aNow);
-  if (isKnownOwner && entry.age <= kMaximumCompactAge && row.value.size() <= kMaximumCompactValue) {
+  const bool isNear = isKnownOwner && row.version - known->second.version < kCompactVersionRange;
+  if (isNear && entry.age <= kMaximumCompactAge && row.value.size() <= kMaximumCompactValue) {
     const std::uint16_t ageMs = static_cast<std::uint16_t>(entry.age / Milliseconds(1));
-    aMessage.compact.push_back({ aKeyHash, row.version, ownerHash, ageMs, row.value });
+    aMessage.compact.push_back({ aKeyHash, static_cast<std::uint32_t>(row.version),
+                                 OwnerTag(row.ownerHash, row.version), ageMs, row.value });
   } else {
     aMessage.full.push_back(entry);
   }
--- a/libs/spread/src/SpreadExchange.cpp
+++ b/libs/spread/src/SpreadExchange.cpp
@@ -27,11 +27,15 @@
   request.kind = SpreadMessageKind::Request;
   for (const CompactEntry& compact : aMessage.compact) {
     const EntryTable::Row* row = mTable.Find(compact.keyHash);
-    if (row != nullptr && static_cast<std::uint32_t>(row->ownerHash) == compact.ownerHash) {
-      Accept(aFrom,
-             { row->key, row->owner, compact.version, Milliseconds(compact.ageMs), compact.value },
+    if (row == nullptr) {
+      request.hashes.push_back(compact.keyHash);
+      continue;
+    }
+    const std::uint64_t version = RestoreVersion(row->version, compact.versionLow);
+    if (OwnerTag(row->ownerHash, version) == compact.ownerTag) {
+      Accept(aFrom, { row->key, row->owner, version, Milliseconds(compact.ageMs), compact.value },
              aNow, aActions);
-    } else if (row == nullptr || row->version <= compact.version) {
+    } else {
       request.hashes.push_back(compact.keyHash);
     }
   }
--- a/libs/spread/tests/SpreadTests.cpp
+++ b/libs/spread/tests/SpreadTests.cpp
@@ -183,6 +183,36 @@
   });
 }
 
+// Guards against a version that is restored wrongly from its low half, which could make it go back.
+MASTICSTEP_TEST("versions are restored from their low half", "[spread][codec][property]")
+{
+  testing::CheckProperty("restored", [](std::uint64_t aKnown, std::int32_t aDistance) {
+    const std::uint64_t version =
+      aKnown + static_cast<std::uint64_t>(static_cast<std::int64_t>(aDistance));
+    RC_ASSERT(RestoreVersion(aKnown, static_cast<std::uint32_t>(version)) == version);
+  });
+  const std::uint64_t owner = OwnerHash(HostName("a"));
+  CHECK_TRUE(OwnerTag(owner, 1) != OwnerTag(owner, 1 + (1ULL << 32U)));
+  CHECK_TRUE(OwnerTag(owner, 1) != OwnerTag(OwnerHash(HostName("b")), 1));
+}
+
+// Guards against an update that is lost because its version is far from the known one.
+MASTICSTEP_TEST("a version that jumps far arrives", "[spread][restart]")
+{
+  SpreadCluster cluster(1, 6, 8);
+  cluster.mNetwork.RunFor(Seconds(2));
+  cluster.Publish("dc0-0", kLoad, "first");
+  cluster.mNetwork.RunFor(Seconds(3));
+  SpreadMessage jump;
+  jump.full = { { kLoad, HostName("dc0-0"), 1ULL << 41U, {}, "second" } };
+  cluster.mNetwork.Send("dc0-0", { { "dc0-1", jump } });
+  cluster.mNetwork.RunFor(Seconds(3));
+  CHECK_TRUE(cluster.Holders(kLoad, "second") >= 5U); // all but the sender, which may know it too
+  cluster.Publish("dc0-2", kLoad, "third");
+  cluster.mNetwork.RunFor(Seconds(3));
+  CHECK_EQUAL(6U, cluster.Holders(kLoad, "third"));
+}
+
 // Guards against a value layout that differs between the ends.
 MASTICSTEP_TEST("engine load survives its encoding", "[spread][codec]")
 {
--- a/libs/wire/include/masticstep/wire/Message.hpp
+++ b/libs/wire/include/masticstep/wire/Message.hpp
@@ -42,13 +42,13 @@
   bool operator==(const MembershipFrame&) const = default;
 };
 
-// Entry of which the receiver already knows key and owner by their hashes. Values are at most 65535
+// Entry of which the receiver already knows key, owner and an earlier version. Values are at most 65535
 // bytes and ages at most 65535 ms; anything larger travels as FullEntryFields.
 struct CompactEntryFields
 {
   std::uint64_t keyHash = 0;
-  std::uint64_t version = 0;
-  std::uint32_t ownerHash = 0;
+  std::uint32_t versionLow = 0;
+  std::uint16_t ownerTag = 0;
   std::uint16_t ageMs = 0;
   std::string value;
 
--- a/libs/wire/src/BodyReader.cpp
+++ b/libs/wire/src/BodyReader.cpp
@@ -61,22 +61,46 @@
   return frame;
 }
 
+// Takes a size in groups of 7 bits and as many bytes from the front. Sizes above 65535 are refused.
+std::optional<std::string> TakeSized(std::string_view& aIn)
+{
+  std::size_t size = 0;
+  for (unsigned shift = 0; shift <= 14; shift += 7) {
+    if (aIn.empty()) {
+      return std::nullopt;
+    }
+    const unsigned char group = static_cast<unsigned char>(aIn.front());
+    aIn.remove_prefix(1);
+    size |= static_cast<std::size_t>(group & 0x7fU) << shift;
+    if (group >= 0x80U) {
+      continue;
+    }
+    if (size > aIn.size() || size > 0xffffU) {
+      return std::nullopt;
+    }
+    std::string value(aIn.substr(0, size));
+    aIn.remove_prefix(size);
+    return value;
+  }
+  return std::nullopt;
+}
+
 // Cuts the joined values apart. Returns false if the sizes do not add up.
 bool ReadCompact(const fb::Spread& aTable, SpreadFrame& aFrame)
 {
   const std::string values = ReadBytes(aTable.compact_values());
-  std::size_t offset = 0;
+  std::string_view rest = values;
   if (aTable.compact() != nullptr) {
     for (const fb::CompactEntry* entry : *aTable.compact()) {
-      if (offset + entry->value_size() > values.size()) {
+      std::optional<std::string> value = TakeSized(rest);
+      if (!value) {
         return false;
       }
-      aFrame.compact.push_back({ entry->key_hash(), entry->version(), entry->owner_hash(),
-                                 entry->age_ms(), values.substr(offset, entry->value_size()) });
-      offset += entry->value_size();
+      aFrame.compact.push_back({ entry->key_hash(), entry->version_low(), entry->owner_tag(),
+                                 entry->age_ms(), *std::move(value) });
     }
   }
-  return offset == values.size();
+  return rest.empty();
 }
 
 std::optional<Message> ReadSpread(std::string_view aBody)
--- a/libs/wire/src/BodyWriter.cpp
+++ b/libs/wire/src/BodyWriter.cpp
@@ -78,14 +78,24 @@
     fb::CreateMembership(aBuilder, aFrame.kind, aFrame.sequence, aFrame.digest, target, list));
 }
 
+// Appends the size in groups of 7 bits and the bytes.
+void AppendSized(std::string& aOut, const std::string& aValue)
+{
+  std::size_t size = aValue.size();
+  for (; size >= 0x80U; size >>= 7U) {
+    aOut += static_cast<char>((size & 0x7fU) | 0x80U);
+  }
+  aOut += static_cast<char>(size);
+  aOut += aValue;
+}
+
 void Write(Builder& aBuilder, const SpreadFrame& aFrame)
 {
   std::vector<fb::CompactEntry> compact;
   std::string values;
   for (const CompactEntryFields& entry : aFrame.compact) {
-    compact.emplace_back(entry.keyHash, entry.version, entry.ownerHash, entry.ageMs,
-                         static_cast<std::uint16_t>(entry.value.size()));
-    values += entry.value;
+    compact.emplace_back(entry.keyHash, entry.versionLow, entry.ownerTag, entry.ageMs);
+    AppendSized(values, entry.value);
   }
   std::vector<flatbuffers::Offset<fb::FullEntry>> full;
   for (const FullEntryFields& entry : aFrame.full) {
--- a/libs/wire/tests/FrameCodecTests.cpp
+++ b/libs/wire/tests/FrameCodecTests.cpp
@@ -13,7 +13,9 @@
   SpreadFrame spread;
   spread.kind = 1;
   spread.generation = 12;
-  spread.compact = { { 1, 2, 3, 4, "ab" }, { 5, 6, 7, 8, "" }, { 9, 10, 11, 12, "xyz" } };
+  spread.compact = { { 1, 2, 3, 4, "ab" },
+                     { 5, 6, 7, 8, "" },
+                     { 9, 10, 11, 12, std::string(40000, 'z') } };
   spread.full = { { 1, "name", "owner", 3, 100000, std::string("\0v", 2) } };
   spread.versions = { { 1, 2, 3 } };
   spread.hashes = { 4, 5 };
