--- a/libs/gateway/src/Daemon.hpp
+++ b/libs/gateway/src/Daemon.hpp
@@ -5,6 +5,7 @@
 #include "masticstep/net/HttpServer.hpp"
 #include "masticstep/net/TlsContext.hpp"
 #include "masticstep/net/WorkerPool.hpp"
+#include "masticstep/platform_client/HttpObjectStore.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -13,7 +14,7 @@
 
 namespace masticstep::gateway {
 
-class PlatformWatcher;
+class ConfigurationFollower;
 
 // The daemon of one host: its servers, worker pool and shutdown.
 class Daemon
@@ -35,6 +36,9 @@
 private:
   explicit Daemon(const Settings& aSettings);
   Result<void, net::NetError> Start();
+  void StartOrders();
+  Result<void, net::NetError> StartPeering();
+  void StartLoops();
   net::Task<void> Shutdown();
 
   std::shared_ptr<GatewayParts> mParts;
@@ -43,7 +47,8 @@
   boost::asio::signal_set mSignals;
   std::unique_ptr<net::HttpServer> mCallers;
   std::unique_ptr<net::HttpServer> mAdmin;
-  std::shared_ptr<PlatformWatcher> mWatcher;
+  std::shared_ptr<platform_client::HttpObjectStore> mStore;
+  std::shared_ptr<ConfigurationFollower> mFollower;
 };
 
 } // namespace masticstep::gateway
