Let requests without an engine wait in the fair queue

Cause: a flooding account took the engines' room first come, first served, since the router refused what came after it; others lost a third of their goodput.

--- a/bench/SimulationState.cpp
+++ b/bench/SimulationState.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr Duration kDeadline = Seconds(30);
-constexpr Duration kTick = Milliseconds(50);
+constexpr Duration kTick = Milliseconds(20);
+// RouterOptions::shedFactor.
+constexpr double kWaitShare = 0.6;
 constexpr Duration kReportInterval = Milliseconds(500);
 constexpr Duration kSummaryInterval = Seconds(1);
 constexpr Duration kRoleInterval = Seconds(1);
@@ -179,8 +181,9 @@
   request.account = AccountName("account-" + std::to_string(item.account));
   request.tokens = item.promptTokens + output;
   request.arrived = mNow;
-  // A request that has waited for longer cannot meet the target of its first token.
-  request.deadline = mNow + kind.firstToken;
+  // A request that has waited for longer would be refused by the router as late.
+  request.deadline = mNow + FromSeconds(kWaitShare * ToSeconds(kind.firstToken));
+  request.expected = FromSeconds(item.promptTokens * roles::TokenCosts{}.secondsPerPromptToken);
   const admission::AdmissionDecision decision = daemon.admission.Offer(request, mNow);
   if (decision.kind == admission::AdmissionKind::Admitted) {
     Dispatch(aRequest);
@@ -198,8 +201,7 @@
   const std::optional<std::uint32_t> engine =
     daemon.dispatch->Choose(aRequest, item, request.excluded, mNow);
   if (!engine) {
-    ++mResult.refused;
-    End(aRequest, 0);
+    OnNoRoom(aRequest);
     return;
   }
   request.engine = *engine;
@@ -207,6 +209,16 @@
   Push(mNow + Latency(item.daemon, *engine), Kind::Deliver, aRequest, request.attempt);
 }
 
+void SimulationState::OnNoRoom(std::uint32_t aRequest)
+{
+  admission::AdmissionQueue& admission = mDaemons[(*mItems)[aRequest].daemon].admission;
+  const bool isRetry = mRequests[aRequest].retries > 0;
+  if (isRetry || admission.OnNoRoom(RequestId{ aRequest }, mNow)) {
+    ++mResult.refused;
+    End(aRequest, 0);
+  }
+}
+
 void SimulationState::Deliver(std::uint32_t aRequest, std::uint32_t aAttempt)
 {
   const RequestState& request = mRequests[aRequest];
--- a/libs/admission/src/AdmissionQueue.cpp
+++ b/libs/admission/src/AdmissionQueue.cpp
@@ -40,6 +40,11 @@
   mState->OnFinished(aId, aTokens, aNow);
 }
 
+std::optional<Refusal> AdmissionQueue::OnNoRoom(RequestId aId, Time aNow)
+{
+  return mState->OnNoRoom(aId, aNow);
+}
+
 bool AdmissionQueue::Cancel(RequestId aId)
 {
   return mState->Cancel(aId);
--- a/libs/admission/src/AdmissionState.cpp
+++ b/libs/admission/src/AdmissionState.cpp
@@ -99,8 +99,8 @@
   if (bucket != nullptr && !bucket->HasRoom(aNow)) {
     return Refuse(aRequest, RefusalReason::AccountLimit, bucket->WaitAt(aNow));
   }
-  if (service->second.waiting == 0 && HasRoom(service->second, aRequest.tokens)) {
-    Admit(service->second, aRequest, aNow);
+  if (!MustWait(service->second, *target, aNow) && HasRoom(service->second, aRequest.tokens)) {
+    Admit(service->second, aRequest, false, aNow);
     return { AdmissionKind::Admitted, {} };
   }
   const std::size_t limit = target->limits.queueLimit;
@@ -118,15 +118,26 @@
   }
   if (target->queue.Size() == 0) {
     // A class that was idle gets no credit for that time.
-    const ClassState* next = NextClass(service->second);
+    const ClassState* next = NextClass(service->second, aNow);
     target->served = next == nullptr ? target->served : std::max(target->served, next->served);
   }
   target->queue.Push(aRequest, WeightOf(aRequest.account));
-  ++service->second.waiting;
+  Enqueue(service->second, aRequest);
+  return { AdmissionKind::Queued, {} };
+}
+
+void AdmissionQueue::State::Enqueue(ServiceState& aService, const AdmissionRequest& aRequest)
+{
+  ++aService.waiting;
   const Time latest = aRequest.deadline - aRequest.expected;
   mLatest.emplace(latest, aRequest.id.value);
   mLatestOf[aRequest.id] = latest;
-  return { AdmissionKind::Queued, {} };
+}
+
+bool AdmissionQueue::State::MustWait(ServiceState& aService, const ClassState& aClass, Time aNow)
+{
+  return aClass.queue.Size() > 0 || aNow < aClass.restsUntil ||
+         NextClass(aService, aNow) != nullptr;
 }
 
 double AdmissionQueue::State::ExpectedWait(const ServiceState& aService, const ClassState& aClass,
@@ -147,11 +158,13 @@
                   ahead * weights / ClassWeight(aClass.limits) / aService.tokensPerSecond);
 }
 
-AdmissionQueue::State::ClassState* AdmissionQueue::State::NextClass(ServiceState& aService)
+AdmissionQueue::State::ClassState* AdmissionQueue::State::NextClass(ServiceState& aService,
+                                                                    Time aNow)
 {
   ClassState* next = nullptr;
   for (ClassState& item : aService.classes) {
-    if (item.queue.Size() > 0 && (next == nullptr || item.served < next->served)) {
+    if (item.queue.Size() > 0 && aNow >= item.restsUntil &&
+        (next == nullptr || item.served < next->served)) {
       next = &item;
     }
   }
@@ -159,10 +172,10 @@
 }
 
 void AdmissionQueue::State::Admit(ServiceState& aService, const AdmissionRequest& aRequest,
-                                  Time aNow)
+                                  bool aWasReleased, Time aNow)
 {
   aService.tokensInFlight += aRequest.tokens;
-  mInFlight[aRequest.id] = { aRequest.service, aRequest.account, aRequest.tokens };
+  mInFlight[aRequest.id] = { aRequest, aWasReleased };
   AccountBucket* bucket = BucketOf(aRequest.account);
   if (bucket != nullptr) {
     bucket->Take(aRequest.tokens, aNow);
@@ -175,8 +188,8 @@
   for (std::pair<const ServiceName, ServiceState>& item : mServices) {
     ServiceState& service = item.second;
     while (service.waiting > 0) {
-      ClassState* next = NextClass(service);
-      if (!HasRoom(service, next->queue.Front()->tokens)) {
+      ClassState* next = NextClass(service, aNow);
+      if (next == nullptr || !HasRoom(service, next->queue.Front()->tokens)) {
         break;
       }
       const AdmissionRequest request = next->queue.Pop();
@@ -184,7 +197,7 @@
       --service.waiting;
       mLatest.erase({ mLatestOf[request.id], request.id.value });
       mLatestOf.erase(request.id);
-      Admit(service, request, aNow);
+      Admit(service, request, true, aNow);
       released.push_back(request);
     }
   }
@@ -193,6 +206,11 @@
 
 std::vector<Refusal> AdmissionQueue::State::OnTime(Time aNow)
 {
+  for (std::pair<const ServiceName, ServiceState>& item : mServices) {
+    for (ClassState& each : item.second.classes) {
+      each.restsUntil = each.restsUntil <= aNow ? Time{} : each.restsUntil;
+    }
+  }
   std::vector<Refusal> refusals;
   if (mLatest.empty() || mLatest.begin()->first > aNow) {
     return refusals;
@@ -217,7 +235,18 @@
 
 std::optional<Time> AdmissionQueue::State::NextWakeUp() const
 {
-  return mLatest.empty() ? std::nullopt : std::optional<Time>(mLatest.begin()->first);
+  if (mLatest.empty()) {
+    return std::nullopt;
+  }
+  Time next = mLatest.begin()->first;
+  for (const std::pair<const ServiceName, ServiceState>& item : mServices) {
+    for (const ClassState& each : item.second.classes) {
+      if (each.queue.Size() > 0 && each.restsUntil > Time{}) {
+        next = std::min(next, each.restsUntil);
+      }
+    }
+  }
+  return next;
 }
 
 void AdmissionQueue::State::OnFinished(RequestId aId, std::uint32_t aTokens, Time aNow)
@@ -226,12 +255,12 @@
   if (it == mInFlight.end()) {
     return;
   }
-  ServiceState& service = mServices[it->second.service];
-  service.tokensInFlight -= it->second.tokens;
-  Measure(service, it->second.tokens, aNow);
-  AccountBucket* bucket = BucketOf(it->second.account);
+  ServiceState& service = mServices[it->second.request.service];
+  service.tokensInFlight -= it->second.request.tokens;
+  Measure(service, it->second.request.tokens, aNow);
+  AccountBucket* bucket = BucketOf(it->second.request.account);
   if (bucket != nullptr) {
-    bucket->Take(static_cast<double>(aTokens) - it->second.tokens, aNow);
+    bucket->Take(static_cast<double>(aTokens) - it->second.request.tokens, aNow);
   }
   mInFlight.erase(it);
 }
@@ -258,6 +287,34 @@
   aService.windowStart = aNow;
 }
 
+std::optional<Refusal> AdmissionQueue::State::OnNoRoom(RequestId aId, Time aNow)
+{
+  const auto it = mInFlight.find(aId);
+  if (it == mInFlight.end()) {
+    return std::nullopt;
+  }
+  const AdmittedRequest admitted = it->second;
+  const AdmissionRequest& request = admitted.request;
+  mInFlight.erase(it);
+  ServiceState& service = mServices[request.service];
+  service.tokensInFlight -= request.tokens;
+  AccountBucket* bucket = BucketOf(request.account);
+  if (bucket != nullptr) {
+    bucket->Take(-static_cast<double>(request.tokens), aNow);
+  }
+  ClassState* target = FindClass(service, request.className);
+  if (admitted.wasReleased) {
+    target->served -= request.tokens / ClassWeight(target->limits);
+  }
+  target->restsUntil = aNow + kRestAfterNoRoom;
+  if (target->queue.Size() >= target->limits.queueLimit) {
+    return Refusal{ aId, RefusalReason::QueueFull, kRetryAfterFull };
+  }
+  target->queue.Return(request, WeightOf(request.account));
+  Enqueue(service, request);
+  return std::nullopt;
+}
+
 bool AdmissionQueue::State::Cancel(RequestId aId)
 {
   const auto latest = mLatestOf.find(aId);
--- a/libs/admission/src/AdmissionState.hpp
+++ b/libs/admission/src/AdmissionState.hpp
@@ -21,6 +21,7 @@
   std::vector<Refusal> OnTime(Time aNow);
   std::optional<Time> NextWakeUp() const;
   void OnFinished(RequestId aId, std::uint32_t aTokens, Time aNow);
+  std::optional<Refusal> OnNoRoom(RequestId aId, Time aNow);
   bool Cancel(RequestId aId);
   void SetCapacity(const ServiceName& aService, std::uint64_t aTokens);
   void SetShare(const AccountName& aAccount, double aShare, Time aNow);
@@ -36,6 +37,7 @@
     FairQueue queue;
     // Tokens served divided by the class's weight; the smallest is served next.
     double served = 0.0;
+    Time restsUntil{};
   };
   struct ServiceState
   {
@@ -55,17 +57,22 @@
   };
   struct AdmittedRequest
   {
-    ServiceName service;
-    AccountName account;
-    std::uint32_t tokens = 0;
+    AdmissionRequest request;
+    // It waited, so that its class was charged for it.
+    bool wasReleased = false;
   };
 
   ClassState* FindClass(ServiceState& aService, const ClassName& aName);
   double WeightOf(const AccountName& aAccount) const;
   AccountBucket* BucketOf(const AccountName& aAccount);
   bool HasRoom(const ServiceState& aService, std::uint32_t aTokens) const;
-  void Admit(ServiceState& aService, const AdmissionRequest& aRequest, Time aNow);
-  ClassState* NextClass(ServiceState& aService);
+  void Admit(ServiceState& aService, const AdmissionRequest& aRequest, bool aWasReleased,
+             Time aNow);
+  // The class to serve next among those that wait and do not rest.
+  ClassState* NextClass(ServiceState& aService, Time aNow);
+  void Enqueue(ServiceState& aService, const AdmissionRequest& aRequest);
+  // Whether a new request of the class must wait, since others of the service wait before it.
+  bool MustWait(ServiceState& aService, const ClassState& aClass, Time aNow);
   double ExpectedWait(const ServiceState& aService, const ClassState& aClass,
                       const AdmissionRequest& aRequest) const;
   void Measure(ServiceState& aService, std::uint32_t aTokens, Time aNow);
--- a/libs/admission/src/FairQueue.cpp
+++ b/libs/admission/src/FairQueue.cpp
@@ -24,6 +24,20 @@
   ++mSize;
 }
 
+void FairQueue::Return(const AdmissionRequest& aRequest, double aWeight)
+{
+  Push(aRequest, aWeight);
+  AccountQueue& account = mAccounts[aRequest.account];
+  account.deficit += aRequest.tokens;
+  std::stable_sort(account.requests.begin(), account.requests.end(),
+                   [](const AdmissionRequest& aLeft, const AdmissionRequest& aRight) {
+                     return aLeft.arrived < aRight.arrived;
+                   });
+  // Its turn was not used up.
+  const auto place = std::find(mRound.begin(), mRound.end(), aRequest.account);
+  mRound.splice(mRound.begin(), mRound, place);
+}
+
 const AdmissionRequest* FairQueue::Front()
 {
   if (mRound.empty()) {
--- a/libs/admission/src/FairQueue.hpp
+++ b/libs/admission/src/FairQueue.hpp
@@ -22,6 +22,8 @@
   // The request whose turn it is; null if none waits. Stable until Push, Pop or Remove.
   const AdmissionRequest* Front();
   AdmissionRequest Pop();
+  // Puts a request that was popped back in the order of arrival, with the deficit it had used.
+  void Return(const AdmissionRequest& aRequest, double aWeight);
   bool Remove(RequestId aId);
   // Takes out every request that the condition holds for.
   std::vector<AdmissionRequest> RemoveIf(
