Share learned costs among the engines of a service and role

Cause: each daemon learned each engine alone, and saw about five long prompts per decode engine in ten minutes, so that their first tokens were predicted at half of what they took. Change: one cost model per service and role, and a slowly learned factor per engine.

--- a/libs/routing/src/EngineBelief.cpp
+++ b/libs/routing/src/EngineBelief.cpp
@@ -2,11 +2,10 @@
 
 namespace masticstep::routing {
 
-EngineBelief::EngineBelief(const EngineDescription& aDescription)
+EngineBelief::EngineBelief(const EngineDescription& aDescription, RoleModels& aModels)
   : description(aDescription)
   , load(aDescription.kvBlocks)
-  , models{ CostModel(EngineRole::Mixed), CostModel(EngineRole::Prefill),
-            CostModel(EngineRole::Decode) }
+  , models(&aModels)
 {
 }
 
--- a/libs/routing/src/EngineBelief.hpp
+++ b/libs/routing/src/EngineBelief.hpp
@@ -2,6 +2,7 @@
 
 #include "CostModel.hpp"
 #include "EngineBreaker.hpp"
+#include "EngineFactor.hpp"
 #include "LoadBelief.hpp"
 #include "masticstep/routing/EngineDescription.hpp"
 #include "masticstep/routing/RouterOptions.hpp"
@@ -10,13 +11,14 @@
 
 namespace masticstep::routing {
 
+using RoleModels = std::array<CostModel, kEngineRoles>;
+
 // Everything that is believed about one engine.
 struct EngineBelief
 {
-  explicit EngineBelief(const EngineDescription& aDescription);
+  EngineBelief(const EngineDescription& aDescription, RoleModels& aModels);
 
-  CostModel& Model() { return models[static_cast<std::size_t>(description.role)]; }
-  const CostModel& Model() const { return models[static_cast<std::size_t>(description.role)]; }
+  const CostModel& Model() const { return (*models)[static_cast<std::size_t>(description.role)]; }
   // Takes the zone's round trip and charge from the options.
   void SetZone(const RouterOptions& aOptions);
 
@@ -24,7 +26,11 @@
   EngineState state = EngineState::Ready;
   bool isRemoved = false;
   LoadBelief load;
-  std::array<CostModel, kEngineRoles> models;
+  // Shared by the engines of the service: one engine alone gives too few answers of each class.
+  RoleModels* models;
+  // What sets this engine apart from the others of its service.
+  EngineFactor firstTokenFactor;
+  EngineFactor betweenFactor;
   EngineBreaker breaker;
   std::size_t ownInFlight = 0;
   // Of own requests sent to it, not cached; a report counts waiting requests and not their tokens.
--- a/libs/routing/src/Prediction.cpp
+++ b/libs/routing/src/Prediction.cpp
@@ -43,13 +43,17 @@
   const CostModel& model = aEngine.Model();
   const double uncached = std::max(0.0, aDemand.promptTokens - aCachedTokens);
   Prediction prediction;
-  prediction.betweenTokens = model.BetweenTokens(BetweenTokensFeaturesOf(load));
+  const double factor = aEngine.firstTokenFactor.Value();
+  prediction.betweenTokens =
+    aEngine.betweenFactor.Value() * model.BetweenTokens(BetweenTokensFeaturesOf(load));
   prediction.promptSeconds = uncached * model.SecondsPerPromptToken(aDemand.classIndex);
   prediction.firstToken =
-    aEngine.roundTrip + model.FirstToken(aDemand.classIndex, FirstTokenFeaturesOf(load, uncached)) +
+    aEngine.roundTrip +
+    factor * model.FirstToken(aDemand.classIndex, FirstTokenFeaturesOf(load, uncached)) +
     BlockWait(load, aEngine.load.TotalBlocks(), aDemand, prediction.betweenTokens);
   prediction.idleFirstToken =
-    aEngine.roundTrip + model.FirstToken(aDemand.classIndex, FirstTokenFeaturesOf({}, uncached));
+    aEngine.roundTrip +
+    factor * model.FirstToken(aDemand.classIndex, FirstTokenFeaturesOf({}, uncached));
   prediction.completion = prediction.firstToken + aDemand.outputTokens * prediction.betweenTokens;
   return prediction;
 }
--- a/libs/routing/src/RouterState.cpp
+++ b/libs/routing/src/RouterState.cpp
@@ -33,8 +33,10 @@
   EngineBelief* known = Find(aEngine.id);
   if (known == nullptr) {
     mEngineIndex[aEngine.id] = mEngines.size();
-    mServices[aEngine.service].engines.push_back(mEngines.size());
-    mEngines.emplace_back(aEngine);
+    // Nodes of the map keep their addresses, which the beliefs refer to.
+    ServiceState& service = mServices[aEngine.service];
+    service.engines.push_back(mEngines.size());
+    mEngines.emplace_back(aEngine, service.models);
     mEngines.back().SetZone(mOptions);
     mMatched.resize(mEngines.size());
     return;
@@ -42,6 +44,7 @@
   if (known->description.service != aEngine.service) {
     std::erase(mServices[known->description.service].engines, mEngineIndex[aEngine.id]);
     mServices[aEngine.service].engines.push_back(mEngineIndex[aEngine.id]);
+    known->models = &mServices[aEngine.service].models;
   }
   // A report knows the present role better than a new configuration does.
   const EngineRole role = known->description.role;
@@ -110,9 +113,12 @@
     request.firstToken = aNow;
     engine.load.Add({ 0.0, -request.uncachedTokens, 0.0 }, aNow);
     engine.breaker.OnSuccess(request.breakerGeneration, aNow);
-    engine.models[static_cast<std::size_t>(request.role)].LearnFirstToken(
-      request.classIndex, request.firstTokenFeatures,
-      ToSeconds(aNow - request.sent) - engine.roundTrip);
+    CostModel& model = (*engine.models)[static_cast<std::size_t>(request.role)];
+    const double seconds = ToSeconds(aNow - request.sent) - engine.roundTrip;
+    engine.firstTokenFactor.Learn(seconds,
+                                  model.FirstToken(request.classIndex, request.firstTokenFeatures));
+    model.LearnFirstToken(request.classIndex, request.firstTokenFeatures,
+                          seconds / engine.firstTokenFactor.Value());
     for (const std::uint64_t hash : request.prefixHashes) {
       mPrefixes.Store(request.engine, hash);
     }
@@ -147,8 +153,10 @@
   for (std::size_t i = 0; i < features.size(); ++i) {
     features[i] = (features[i] + aRequest.betweenFeatures[i]) / 2.0F;
   }
-  engine.models[static_cast<std::size_t>(aRequest.role)].LearnBetweenTokens(
-    features, ToSeconds(aNow - aRequest.firstToken) / (aRequest.tokens - 1));
+  CostModel& model = (*engine.models)[static_cast<std::size_t>(aRequest.role)];
+  const double seconds = ToSeconds(aNow - aRequest.firstToken) / (aRequest.tokens - 1);
+  engine.betweenFactor.Learn(seconds, model.BetweenTokens(features));
+  model.LearnBetweenTokens(features, seconds / engine.betweenFactor.Value());
 }
 
 void Router::State::OnFailed(RequestId aId, FailureKind aKind, Time aNow)
--- a/libs/routing/src/RouterState.hpp
+++ b/libs/routing/src/RouterState.hpp
@@ -68,6 +68,8 @@
   struct ServiceState
   {
     std::vector<std::size_t> engines;
+    RoleModels models{ CostModel(EngineRole::Mixed), CostModel(EngineRole::Prefill),
+                       CostModel(EngineRole::Decode) };
   };
 
   EngineBelief* Find(const EngineId& aEngine);
