Keep what a routing decision reads in a packed summary

Change: a summary of 48 bytes per engine is renewed when a belief changes, and only the chosen engine's prediction is computed in full.

--- a/libs/routing/src/CostModel.cpp
+++ b/libs/routing/src/CostModel.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Features are scaled to about 1, so that one step size fits all weights.
-constexpr double kTokenScale = 1000.0;
-constexpr double kRunningScale = 32.0;
 constexpr double kBlockScale = 1000.0;
 // Prompt tokens with which an engine computes prompts in every step.
 constexpr double kPressureTokens = 1024.0;
@@ -45,14 +42,6 @@
 
 } // namespace
 
-FirstTokenFeatures FirstTokenFeaturesOf(const EngineLoad& aLoad, double aUncachedTokens)
-{
-  return { 1.0F, static_cast<float>(aUncachedTokens / kTokenScale),
-           static_cast<float>(aLoad.waitingTokens / kTokenScale),
-           static_cast<float>((aUncachedTokens + aLoad.waitingTokens) / kTokenScale *
-                              aLoad.running / kRunningScale) };
-}
-
 BetweenTokensFeatures BetweenTokensFeaturesOf(const EngineLoad& aLoad)
 {
   return { 1.0F, static_cast<float>(aLoad.running / kRunningScale),
@@ -66,11 +55,6 @@
 {
 }
 
-double CostModel::SecondsPerPromptToken(std::size_t aClass) const
-{
-  return ModelOf(aClass).Weights()[1] / kTokenScale;
-}
-
 void CostModel::LearnFirstToken(std::size_t aClass, const FirstTokenFeatures& aFeatures,
                                 double aSeconds)
 {
--- a/libs/routing/src/CostModel.hpp
+++ b/libs/routing/src/CostModel.hpp
@@ -19,7 +19,19 @@
 using FirstTokenFeatures = OnlineRegression<4>::Features;
 using BetweenTokensFeatures = OnlineRegression<4>::Features;
 
-FirstTokenFeatures FirstTokenFeaturesOf(const EngineLoad& aLoad, double aUncachedTokens);
+// Features are scaled to about 1, so that one step size fits all weights.
+constexpr float kTokenScale = 1000.0F;
+constexpr float kRunningScale = 32.0F;
+
+// Inline, since a decision calls it for every engine.
+inline FirstTokenFeatures FirstTokenFeaturesOf(const EngineLoad& aLoad, double aUncachedTokens)
+{
+  const float own = static_cast<float>(aUncachedTokens) / kTokenScale;
+  const float waiting = static_cast<float>(aLoad.waitingTokens) / kTokenScale;
+  return { 1.0F, own, waiting,
+           (own + waiting) * static_cast<float>(aLoad.running) / kRunningScale };
+}
+
 BetweenTokensFeatures BetweenTokensFeaturesOf(const EngineLoad& aLoad);
 
 // Time that one engine in one role needs, in seconds, learned from its answers. The prompt's time
@@ -40,8 +52,10 @@
   {
     return mBetweenTokens.Predict(aFeatures);
   }
-  // Seconds of engine time for one prompt token.
-  double SecondsPerPromptToken(std::size_t aClass) const;
+  const FirstTokenFeatures& FirstTokenWeights(std::size_t aClass) const
+  {
+    return ModelOf(aClass).Weights();
+  }
 
   void LearnFirstToken(std::size_t aClass, const FirstTokenFeatures& aFeatures, double aSeconds);
   void LearnBetweenTokens(const BetweenTokensFeatures& aFeatures, double aSeconds);
--- a/libs/routing/src/EngineBelief.cpp
+++ b/libs/routing/src/EngineBelief.cpp
@@ -9,6 +9,26 @@
 {
 }
 
+EngineSummary EngineBelief::Summary() const
+{
+  const EngineLoad now = load.Load();
+  EngineSummary summary;
+  summary.running = static_cast<float>(now.running);
+  summary.waitingTokens = static_cast<float>(now.waitingTokens);
+  summary.usedBlocks = static_cast<float>(now.usedBlocks);
+  summary.freeBlocks = static_cast<float>(load.TotalBlocks() - now.usedBlocks);
+  summary.betweenTokens =
+    static_cast<float>(betweenFactor.Value() * Model().BetweenTokens(BetweenTokensFeaturesOf(now)));
+  summary.firstTokenFactor = static_cast<float>(firstTokenFactor.Value());
+  summary.roundTrip = static_cast<float>(roundTrip);
+  summary.zoneCost = static_cast<float>(zoneCost);
+  summary.cacheTrust = static_cast<float>(cacheTrust);
+  summary.role = static_cast<std::uint8_t>(description.role);
+  summary.isUsable = state == EngineState::Ready && !isRemoved;
+  summary.isBreakerClosed = breaker.IsClosed();
+  return summary;
+}
+
 void EngineBelief::SetZone(const RouterOptions& aOptions)
 {
   if (description.dataCentre == aOptions.dataCentre) {
--- a/libs/routing/src/EngineBelief.hpp
+++ b/libs/routing/src/EngineBelief.hpp
@@ -3,6 +3,7 @@
 #include "CostModel.hpp"
 #include "EngineBreaker.hpp"
 #include "EngineFactor.hpp"
+#include "EngineSummary.hpp"
 #include "LoadBelief.hpp"
 #include "masticstep/routing/EngineDescription.hpp"
 #include "masticstep/routing/RouterOptions.hpp"
@@ -19,6 +20,7 @@
   EngineBelief(const EngineDescription& aDescription, RoleModels& aModels);
 
   const CostModel& Model() const { return (*models)[static_cast<std::size_t>(description.role)]; }
+  EngineSummary Summary() const;
   // Takes the zone's round trip and charge from the options.
   void SetZone(const RouterOptions& aOptions);
 
--- a/libs/routing/src/EngineBreaker.hpp
+++ b/libs/routing/src/EngineBreaker.hpp
@@ -20,6 +20,7 @@
     HalfOpen
   };
 
+  bool IsClosed() const { return mIsClosed; }
   Phase PhaseAt(Time aNow) const;
   // Whether one more request may be sent.
   bool Allows(Time aNow) const;
--- a/libs/routing/src/RouterChoice.cpp
+++ b/libs/routing/src/RouterChoice.cpp
@@ -12,8 +12,8 @@
 // Weight of the newest request in an engine's mean prompt length.
 constexpr double kMeanStep = 0.05;
 // Engines within this cost of the best are equal as far as stale reports can tell.
-constexpr double kNearMargin = 0.05;
-constexpr double kNearShare = 0.15;
+constexpr float kNearMargin = 0.05F;
+constexpr float kNearShare = 0.15F;
 
 Duration Span(double aSeconds)
 {
@@ -38,36 +38,48 @@
     return Failure(Error(RouteErrorKind::AlreadyInFlight, "request id is in flight"));
   }
   const std::size_t classIndex = ClassIndex(aRequest.service, aRequest.className);
-  const Demand demand = DemandOf(aRequest, classIndex, aNow);
-  Score(aRequest, demand, service->second.engines, aNow);
+  Demand demand = DemandOf(aRequest, classIndex, aNow);
+  for (std::size_t role = 0; role < kEngineRoles; ++role) {
+    demand.weights[role] = service->second.models[role].FirstTokenWeights(classIndex);
+  }
+  const std::size_t hashes = aRequest.prefixHashes.size();
+  const float tokensPerHash = hashes == 0 ? 0.0F : demand.promptTokens / static_cast<float>(hashes);
+  Score(aRequest, demand, service->second.engines, tokensPerHash, aNow);
   const Candidate* chosen = Pick();
   if (chosen == nullptr) {
     return Failure(Error(RouteErrorKind::NoEngine,
                          "no engine of service '" + aRequest.service.Text() + "' is ready"));
   }
-  if (chosen->prediction.completion > demand.deadlineSpan) {
+  const float cached = CachedTokens(chosen->engine, tokensPerHash);
+  const Prediction prediction = Predict(mSummaries[chosen->engine], demand, cached);
+  if (prediction.completion > demand.deadlineSpan) {
     return Failure(
       Error(RouteErrorKind::DeadlineCannotBeMet, "predicted completion is after the deadline"));
   }
-  if (mOptions.shedFactor > 0.0 && IsLateByLoad(demand, chosen->prediction, mOptions.shedFactor)) {
+  if (mOptions.shedFactor > 0.0 && IsLateByLoad(demand, prediction, mOptions.shedFactor)) {
     return Failure(Error(RouteErrorKind::Overload, "all engines of service '" +
                                                      aRequest.service.Text() + "' are too loaded"));
   }
-  return Commit(aRequest, demand, classIndex, *chosen, aNow);
+  return Commit(aRequest, demand, classIndex, chosen->engine, prediction, cached, aNow);
 }
 
 Demand Router::State::DemandOf(const RouteRequest& aRequest, std::size_t aClass, Time aNow) const
 {
   const ClassTargets targets = aClass < mClasses.size() ? mClasses[aClass] : ClassTargets{};
+  constexpr float kShortestTarget = 0.001F;
   Demand demand;
   demand.classIndex = aClass;
-  demand.promptTokens = aRequest.promptTokens;
-  demand.outputTokens = mOutputs.Predict(aClass, aRequest.account, aRequest.maxTokens);
-  demand.firstTokenTarget = std::max(1e-3, ToSeconds(targets.firstToken));
-  demand.betweenTarget = std::max(1e-3, ToSeconds(targets.betweenTokens));
-  demand.deadlineSpan = ToSeconds(aRequest.deadline - aNow);
-  demand.waited = std::max(0.0, ToSeconds(aNow - aRequest.arrived));
-  demand.tokensPerBlock = mOptions.tokensPerBlock;
+  demand.promptTokens = static_cast<float>(aRequest.promptTokens);
+  demand.outputTokens =
+    static_cast<float>(mOutputs.Predict(aClass, aRequest.account, aRequest.maxTokens));
+  demand.firstTokenTarget =
+    std::max(kShortestTarget, static_cast<float>(ToSeconds(targets.firstToken)));
+  demand.betweenTarget =
+    std::max(kShortestTarget, static_cast<float>(ToSeconds(targets.betweenTokens)));
+  demand.deadlineSpan = static_cast<float>(ToSeconds(aRequest.deadline - aNow));
+  demand.waited = std::max(0.0F, static_cast<float>(ToSeconds(aNow - aRequest.arrived)));
+  demand.blocks = std::ceil((demand.promptTokens + demand.outputTokens) /
+                            static_cast<float>(mOptions.tokensPerBlock));
   return demand;
 }
 
@@ -85,26 +97,30 @@
          std::find(excluded.begin(), excluded.end(), aEngine.description.id) == excluded.end();
 }
 
+float Router::State::CachedTokens(std::size_t aEngine, float aTokensPerHash) const
+{
+  // Without hashes the matches are those of an earlier request.
+  return aTokensPerHash <= 0.0F ? 0.0F
+                                : static_cast<float>(mMatched[aEngine]) * aTokensPerHash *
+                                    mSummaries[aEngine].cacheTrust;
+}
+
 void Router::State::Score(const RouteRequest& aRequest, const Demand& aDemand,
-                          const std::vector<std::size_t>& aEngines, Time aNow)
+                          const std::vector<std::size_t>& aEngines, float aTokensPerHash, Time aNow)
 {
   mCandidates.clear();
-  const std::size_t hashes = aRequest.prefixHashes.size();
-  const double tokensPerHash = hashes == 0 ? 0.0 : aDemand.promptTokens / hashes;
-  if (hashes > 0) {
+  if (aTokensPerHash > 0.0F) {
     mPrefixes.Match(aRequest.prefixHashes, mMatched);
   }
   for (const std::size_t index : aEngines) {
-    const EngineBelief& engine = mEngines[index];
-    if (!IsUsable(engine, aRequest, aNow)) {
+    const EngineSummary& engine = mSummaries[index];
+    const bool isPlain = engine.isUsable && engine.isBreakerClosed && aRequest.excluded.empty();
+    if (!isPlain && !IsUsable(mEngines[index], aRequest, aNow)) {
       continue;
     }
-    Candidate candidate;
-    candidate.engine = index;
-    candidate.cachedTokens = hashes > 0 ? mMatched[index] * tokensPerHash * engine.cacheTrust : 0.0;
-    candidate.prediction = Predict(engine, aDemand, candidate.cachedTokens);
-    candidate.cost = CostOf(engine, aDemand, candidate.prediction);
-    mCandidates.push_back(candidate);
+    const Prediction prediction = Predict(engine, aDemand, CachedTokens(index, aTokensPerHash));
+    mCandidates.push_back(
+      { static_cast<std::uint32_t>(index), CostOf(engine, aDemand, prediction) });
   }
 }
 
@@ -115,13 +131,13 @@
   if (mCandidates.empty()) {
     return nullptr;
   }
-  double best = std::numeric_limits<double>::max();
+  float best = std::numeric_limits<float>::max();
   for (const Candidate& candidate : mCandidates) {
     best = std::min(best, candidate.cost);
   }
-  const double limit = best + kNearMargin + kNearShare * best;
+  const float limit = best + kNearMargin + kNearShare * best;
   mNear.clear();
-  for (std::size_t i = 0; i < mCandidates.size(); ++i) {
+  for (std::uint32_t i = 0; i < mCandidates.size(); ++i) {
     if (mCandidates[i].cost <= limit) {
       mNear.push_back(i);
     }
@@ -132,20 +148,20 @@
 }
 
 RouteDecision Router::State::Commit(const RouteRequest& aRequest, const Demand& aDemand,
-                                    std::size_t aClass, const Candidate& aChosen, Time aNow)
+                                    std::size_t aClass, std::size_t aEngine,
+                                    const Prediction& aPrediction, float aCachedTokens, Time aNow)
 {
-  EngineBelief& engine = mEngines[aChosen.engine];
+  EngineBelief& engine = mEngines[aEngine];
   const EngineLoad load = engine.load.Load();
   OpenRequest& request = mInFlight[aRequest.id];
-  request.engine = aChosen.engine;
+  request.engine = aEngine;
   request.classIndex = aClass;
   request.account = aRequest.account;
   request.role = engine.description.role;
   request.promptTokens = aRequest.promptTokens;
   request.outputExpected = static_cast<std::uint32_t>(aDemand.outputTokens);
-  request.uncachedTokens = std::max(0.0, aDemand.promptTokens - aChosen.cachedTokens);
-  request.blocks =
-    std::ceil((aDemand.promptTokens + aDemand.outputTokens) / aDemand.tokensPerBlock);
+  request.uncachedTokens = std::max(0.0F, aDemand.promptTokens - aCachedTokens);
+  request.blocks = aDemand.blocks;
   request.sent = aNow;
   request.firstTokenFeatures = FirstTokenFeaturesOf(load, request.uncachedTokens);
   request.betweenFeatures = BetweenTokensFeaturesOf(load);
@@ -158,13 +174,14 @@
   RouteDecision decision;
   decision.isProbe = engine.breaker.PhaseAt(aNow) == EngineBreaker::Phase::HalfOpen;
   request.breakerGeneration = engine.breaker.OnSent(aNow);
+  Refresh(aEngine);
   decision.engine = engine.description.id;
-  decision.firstToken = Span(aChosen.prediction.firstToken);
-  decision.betweenTokens = Span(aChosen.prediction.betweenTokens);
-  decision.completion = Span(aChosen.prediction.completion);
+  decision.firstToken = Span(aPrediction.firstToken);
+  decision.betweenTokens = Span(aPrediction.betweenTokens);
+  decision.completion = Span(aPrediction.completion);
   decision.outputTokens = request.outputExpected;
-  decision.cachedTokens = static_cast<std::uint32_t>(aChosen.cachedTokens);
-  decision.meetsTargets = MeetsTargets(aDemand, aChosen.prediction);
+  decision.cachedTokens = static_cast<std::uint32_t>(aCachedTokens);
+  decision.meetsTargets = MeetsTargets(aDemand, aPrediction);
   return decision;
 }
 
--- a/libs/routing/src/RouterState.cpp
+++ b/libs/routing/src/RouterState.cpp
@@ -39,6 +39,7 @@
     mEngines.emplace_back(aEngine, service.models);
     mEngines.back().SetZone(mOptions);
     mMatched.resize(mEngines.size());
+    mSummaries.push_back(mEngines.back().Summary());
     return;
   }
   if (known->description.service != aEngine.service) {
@@ -52,6 +53,7 @@
   known->description.role = role;
   known->isRemoved = false;
   known->SetZone(mOptions);
+  Refresh(mEngineIndex[aEngine.id]);
 }
 
 void Router::State::RemoveEngine(const EngineId& aEngine)
@@ -61,6 +63,7 @@
     return;
   }
   known->isRemoved = true;
+  Refresh(mEngineIndex[aEngine]);
   mPrefixes.Clear(mEngineIndex[aEngine]);
 }
 
@@ -122,6 +125,7 @@
     for (const std::uint64_t hash : request.prefixHashes) {
       mPrefixes.Store(request.engine, hash);
     }
+    Refresh(request.engine);
   }
   request.tokens += aCount;
 }
@@ -182,6 +186,7 @@
   const double waiting = aRequest.tokens == 0 ? -aRequest.uncachedTokens : 0.0;
   engine.load.Add({ -1.0, waiting, -aRequest.blocks }, aNow);
   --engine.ownInFlight;
+  Refresh(aRequest.engine);
 }
 
 void Router::State::OnLoadReport(const LoadReport& aReport, Time aNow)
@@ -195,6 +200,7 @@
   }
   engine->description.role = aReport.role;
   engine->state = aReport.state;
+  Refresh(mEngineIndex[aReport.engine]);
 }
 
 void Router::State::OnCacheEvent(const CacheEvent& aEvent)
@@ -213,6 +219,7 @@
   } else {
     mPrefixes.Remove(index, aEvent.hash);
   }
+  mSummaries[index].cacheTrust = static_cast<float>(engine->cacheTrust);
 }
 
 void Router::State::OnEngineState(const EngineId& aEngine, EngineState aState)
@@ -220,6 +227,7 @@
   EngineBelief* engine = Find(aEngine);
   if (engine != nullptr) {
     engine->state = aState;
+    Refresh(mEngineIndex[aEngine]);
   }
 }
 
--- a/libs/routing/src/RouterState.hpp
+++ b/libs/routing/src/RouterState.hpp
@@ -60,10 +60,8 @@
 private:
   struct Candidate
   {
-    std::size_t engine = 0;
-    double cost = 0.0;
-    double cachedTokens = 0.0;
-    Prediction prediction;
+    std::uint32_t engine = 0;
+    float cost = 0.0F;
   };
   struct ServiceState
   {
@@ -76,18 +74,23 @@
   std::size_t ClassIndex(const ServiceName& aService, const ClassName& aClass) const;
   Demand DemandOf(const RouteRequest& aRequest, std::size_t aClass, Time aNow) const;
   bool IsUsable(const EngineBelief& aEngine, const RouteRequest& aRequest, Time aNow) const;
+  float CachedTokens(std::size_t aEngine, float aTokensPerHash) const;
   void Score(const RouteRequest& aRequest, const Demand& aDemand,
-             const std::vector<std::size_t>& aEngines, Time aNow);
+             const std::vector<std::size_t>& aEngines, float aTokensPerHash, Time aNow);
   const Candidate* Pick();
   RouteDecision Commit(const RouteRequest& aRequest, const Demand& aDemand, std::size_t aClass,
-                       const Candidate& aChosen, Time aNow);
+                       std::size_t aEngine, const Prediction& aPrediction, float aCachedTokens,
+                       Time aNow);
   void LearnAnswer(const OpenRequest& aRequest, Time aNow);
+  // Renews the summary after a change of the belief.
+  void Refresh(std::size_t aEngine) { mSummaries[aEngine] = mEngines[aEngine].Summary(); }
   // Takes the request's load off its engine.
   void Release(const OpenRequest& aRequest, Time aNow);
 
   RouterOptions mOptions;
   Random mRandom;
   std::deque<EngineBelief> mEngines;
+  std::vector<EngineSummary> mSummaries;
   std::unordered_map<EngineId, std::size_t> mEngineIndex;
   std::unordered_map<ServiceName, ServiceState> mServices;
   std::vector<ClassTargets> mClasses;
@@ -96,7 +99,7 @@
   OutputPredictor mOutputs;
   // Kept between decisions so that none allocates them.
   std::vector<Candidate> mCandidates;
-  std::vector<std::size_t> mNear;
+  std::vector<std::uint32_t> mNear;
   std::vector<std::uint32_t> mMatched;
 };
 
