--- /dev/null
+++ b/libs/gateway/src/AdmissionPump.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "GatewayParts.hpp"
+
+#include <memory>
+
+namespace masticstep::gateway {
+
+// Releases waiting requests as room appears, until the daemon stops.
+net::Task<void> PumpAdmission(std::shared_ptr<GatewayParts> aParts);
+
+} // namespace masticstep::gateway
--- a/libs/gateway/src/EngineStream.cpp
+++ b/libs/gateway/src/EngineStream.cpp
@@ -98,7 +98,7 @@
   while (true) {
     std::optional<std::string> data = mParser.Next();
     if (data) {
-      co_return Check(std::move(*data));
+      co_return Check(*data);
     }
     if (mParser.IsOverlong()) {
       Drop();
@@ -118,15 +118,18 @@
   }
 }
 
-Result<std::optional<TokenEvent>, StreamFailure> EngineStream::Check(std::string aData)
+Result<std::optional<TokenEvent>, StreamFailure> EngineStream::Check(const std::string& aData)
 {
   if (aData == "[DONE]") {
     mIsDone = true;
     return std::optional<TokenEvent>();
   }
-  std::optional<TokenEvent> token = TokenEvent::Parse(std::move(aData));
+  std::optional<TokenEvent> token = TokenEvent::Parse(aData);
   if (!token) {
     Drop();
+    if (IsErrorEvent(aData)) {
+      return Failure(StreamFailure{ StreamFailureKind::Failed, 0, "engine reported an error" });
+    }
     return Failure(StreamFailure{ StreamFailureKind::Broken, 0, "not a token event" });
   }
   if (token->id != mRequestId || token->offset != mExpected) {
--- a/libs/gateway/src/GatewayParts.hpp
+++ b/libs/gateway/src/GatewayParts.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdmissionGate.hpp"
 #include "ConfigurationHolder.hpp"
 #include "DrainState.hpp"
 #include "EngineSelector.hpp"
@@ -8,6 +9,8 @@
 #include "RunningRequests.hpp"
 #include "masticstep/config/Settings.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
+#include "masticstep/order_service/OrderService.hpp"
+#include "masticstep/peering/Peering.hpp"
 #include "masticstep/telemetry/Metrics.hpp"
 
 #include <memory>
@@ -20,15 +23,21 @@
   Settings settings;
   RequestNames names;
   std::shared_ptr<net::ConnectionPool> pool = net::ConnectionPool::Create();
-  telemetry::Metrics metrics;
+  std::shared_ptr<telemetry::Metrics> metrics = std::make_shared<telemetry::Metrics>();
   ConfigurationHolder configuration;
   DrainState drain;
   RunningRequests running;
+  AdmissionGate admission; // to the engines of model services
   RetryDecider retry;
-  std::unique_ptr<EngineSelector> engines; // of model services
-  std::unique_ptr<EngineSelector> servers; // of plain services
+  std::unique_ptr<EngineSelector> engines;             // of model services
+  std::unique_ptr<EngineSelector> servers;             // of plain services
+  std::shared_ptr<Peering> peering;                    // null until the daemon has started
+  std::shared_ptr<order_service::OrderService> orders; // null until the daemon has started
 
   GatewayParts(Settings aSettings, std::uint64_t aStartNonce);
+
+  // Puts a configuration in force if its generation is newer. Requests that run keep theirs.
+  bool Apply(ConfigurationPointer aConfiguration, Time aNow);
 };
 
 // Returns the address of a backend server.
--- a/libs/gateway/src/LeastOutstandingSelector.hpp
+++ b/libs/gateway/src/LeastOutstandingSelector.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 #include <unordered_map>
 
 namespace masticstep::gateway {
@@ -23,8 +24,17 @@
   void OnFinished(RequestId aId, Time aNow) override;
   void OnFailed(RequestId aId, EngineFailure aFailure, Time aNow) override;
   void OnLoad(const EngineLoad& aLoad, Time aNow) override;
+  void OnCacheEvent(const EngineCacheEvent&, Time) override {}
   void OnUnreachable(const EngineId& aEngine, Time aNow) override;
   void SetLeaving(const EngineId& aEngine, bool aIsLeaving, Time aNow) override;
+  std::optional<std::uint64_t> Capacity(const ServiceName&, Time) const override
+  {
+    return std::nullopt;
+  }
+  std::uint32_t ExpectedOutput(const EngineQuery& aQuery) const override
+  {
+    return aQuery.maxTokens;
+  }
   std::vector<EngineStatus> Status(Time aNow) const override;
 
 private:
@@ -33,7 +43,6 @@
     ServiceName service;
     std::uint64_t inFlight = 0;
     bool isConfigured = true;
-    bool isLeaving = false;
     std::string state = "ready";
     Time avoidedUntil; // after a failed connection
   };
@@ -46,6 +55,7 @@
   mutable std::mutex mMutex;
   Random mRandom;
   std::map<EngineId, Server> mServers;
+  std::set<EngineId> mLeaving;
   std::unordered_map<RequestId, EngineId> mRequests;
 };
 
