--- a/libs/routing/src/RouterChoice.cpp
+++ b/libs/routing/src/RouterChoice.cpp
@@ -167,6 +167,8 @@
   request.betweenFeatures = BetweenTokensFeaturesOf(load);
   request.prefixHashes = aRequest.prefixHashes;
 
+  request.service = &mServices[aRequest.service];
+  request.service->ownTokens += request.promptTokens + request.outputExpected;
   engine.meanPromptTokens += kMeanStep * (request.uncachedTokens - engine.meanPromptTokens);
   engine.load.Add({ 1.0, request.uncachedTokens, request.blocks }, aNow);
   ++engine.ownInFlight;
@@ -210,11 +212,7 @@
     }
   }
   room.freeTokens = static_cast<std::uint64_t>(freeBlocks * mOptions.tokensPerBlock);
-  for (const std::pair<const RequestId, OpenRequest>& item : mInFlight) {
-    if (mEngines[item.second.engine].description.service == aService) {
-      room.ownTokensInFlight += item.second.promptTokens + item.second.outputExpected;
-    }
-  }
+  room.ownTokensInFlight = service->second.ownTokens;
   return room;
 }
 
--- a/libs/routing/src/RouterState.cpp
+++ b/libs/routing/src/RouterState.cpp
@@ -33,7 +33,6 @@
   EngineBelief* known = Find(aEngine.id);
   if (known == nullptr) {
     mEngineIndex[aEngine.id] = mEngines.size();
-    // Nodes of the map keep their addresses, which the beliefs refer to.
     ServiceState& service = mServices[aEngine.service];
     service.engines.push_back(mEngines.size());
     mEngines.emplace_back(aEngine, service.models);
@@ -186,6 +185,7 @@
   const double waiting = aRequest.tokens == 0 ? -aRequest.uncachedTokens : 0.0;
   engine.load.Add({ -1.0, waiting, -aRequest.blocks }, aNow);
   --engine.ownInFlight;
+  aRequest.service->ownTokens -= aRequest.promptTokens + aRequest.outputExpected;
   Refresh(aRequest.engine);
 }
 
--- a/libs/routing/src/RouterState.hpp
+++ b/libs/routing/src/RouterState.hpp
@@ -13,9 +13,20 @@
 
 namespace masticstep::routing {
 
+// What is kept for one service. Nodes of the router's map keep their addresses.
+struct ServiceState
+{
+  std::vector<std::size_t> engines;
+  // Prompt and expected output tokens of own requests in flight.
+  std::uint64_t ownTokens = 0;
+  RoleModels models{ CostModel(EngineRole::Mixed), CostModel(EngineRole::Prefill),
+                     CostModel(EngineRole::Decode) };
+};
+
 // A request that was chosen an engine and has not finished.
 struct OpenRequest
 {
+  ServiceState* service = nullptr;
   std::size_t engine = 0;
   std::size_t classIndex = 0;
   AccountName account;
@@ -63,13 +74,6 @@
     std::uint32_t engine = 0;
     float cost = 0.0F;
   };
-  struct ServiceState
-  {
-    std::vector<std::size_t> engines;
-    RoleModels models{ CostModel(EngineRole::Mixed), CostModel(EngineRole::Prefill),
-                       CostModel(EngineRole::Decode) };
-  };
-
   EngineBelief* Find(const EngineId& aEngine);
   std::size_t ClassIndex(const ServiceName& aService, const ClassName& aClass) const;
   Demand DemandOf(const RouteRequest& aRequest, std::size_t aClass, Time aNow) const;
