--- a/libs/routing/src/RouterState.hpp
+++ b/libs/routing/src/RouterState.hpp
@@ -13,9 +13,20 @@
 
 namespace masticstep::routing {
 
+// What is kept for one service. Nodes of the router's map keep their addresses.
+struct ServiceState
+{
+  std::vector<std::size_t> engines;
+  // Prompt and expected output tokens of own requests in flight.
+  std::uint64_t ownTokens = 0;
+  RoleModels models{ CostModel(EngineRole::Mixed), CostModel(EngineRole::Prefill),
+                     CostModel(EngineRole::Decode) };
+};
+
 // A request that was chosen an engine and has not finished.
 struct OpenRequest
 {
+  ServiceState* service = nullptr;
   std::size_t engine = 0;
   std::size_t classIndex = 0;
   AccountName account;
@@ -60,32 +71,30 @@
 private:
   struct Candidate
   {
-    std::size_t engine = 0;
-    double cost = 0.0;
-    double cachedTokens = 0.0;
-    Prediction prediction;
+    std::uint32_t engine = 0;
+    float cost = 0.0F;
   };
-  struct ServiceState
-  {
-    std::vector<std::size_t> engines;
-  };
-
   EngineBelief* Find(const EngineId& aEngine);
   std::size_t ClassIndex(const ServiceName& aService, const ClassName& aClass) const;
   Demand DemandOf(const RouteRequest& aRequest, std::size_t aClass, Time aNow) const;
   bool IsUsable(const EngineBelief& aEngine, const RouteRequest& aRequest, Time aNow) const;
+  float CachedTokens(std::size_t aEngine, float aTokensPerHash) const;
   void Score(const RouteRequest& aRequest, const Demand& aDemand,
-             const std::vector<std::size_t>& aEngines, Time aNow);
+             const std::vector<std::size_t>& aEngines, float aTokensPerHash, Time aNow);
   const Candidate* Pick();
   RouteDecision Commit(const RouteRequest& aRequest, const Demand& aDemand, std::size_t aClass,
-                       const Candidate& aChosen, Time aNow);
+                       std::size_t aEngine, const Prediction& aPrediction, float aCachedTokens,
+                       Time aNow);
   void LearnAnswer(const OpenRequest& aRequest, Time aNow);
+  // Renews the summary after a change of the belief.
+  void Refresh(std::size_t aEngine) { mSummaries[aEngine] = mEngines[aEngine].Summary(); }
   // Takes the request's load off its engine.
   void Release(const OpenRequest& aRequest, Time aNow);
 
   RouterOptions mOptions;
   Random mRandom;
   std::deque<EngineBelief> mEngines;
+  std::vector<EngineSummary> mSummaries;
   std::unordered_map<EngineId, std::size_t> mEngineIndex;
   std::unordered_map<ServiceName, ServiceState> mServices;
   std::vector<ClassTargets> mClasses;
@@ -94,7 +103,7 @@
   OutputPredictor mOutputs;
   // Kept between decisions so that none allocates them.
   std::vector<Candidate> mCandidates;
-  std::vector<std::size_t> mNear;
+  std::vector<std::uint32_t> mNear;
   std::vector<std::uint32_t> mMatched;
 };
 
--- a/libs/spread/tests/SpreadTests.cpp
+++ b/libs/spread/tests/SpreadTests.cpp
@@ -183,11 +183,62 @@
   });
 }
 
+// Guards against a version that is restored wrongly from its low half, which could make it go back.
+MASTICSTEP_TEST("versions are restored from their low half", "[spread][codec][property]")
+{
+  testing::CheckProperty("restored", [](std::uint64_t aKnown, std::int32_t aDistance) {
+    const std::uint64_t version =
+      aKnown + static_cast<std::uint64_t>(static_cast<std::int64_t>(aDistance));
+    RC_ASSERT(RestoreVersion(aKnown, static_cast<std::uint32_t>(version)) == version);
+  });
+  const std::uint64_t owner = OwnerHash(HostName("a"));
+  CHECK_TRUE(OwnerTag(owner, 1) != OwnerTag(owner, 1 + (1ULL << 32U)));
+  CHECK_TRUE(OwnerTag(owner, 1) != OwnerTag(OwnerHash(HostName("b")), 1));
+}
+
+// Guards against an update that is lost because its version is far from the known one.
+MASTICSTEP_TEST("a version that jumps far arrives", "[spread][restart]")
+{
+  SpreadCluster cluster(1, 6, 8);
+  cluster.mNetwork.RunFor(Seconds(2));
+  cluster.Publish("dc0-0", kLoad, "first");
+  cluster.mNetwork.RunFor(Seconds(3));
+  SpreadMessage jump;
+  jump.full = { { kLoad, HostName("dc0-0"), 1ULL << 41U, {}, "second" } };
+  cluster.mNetwork.Send("dc0-0", { { "dc0-1", jump } });
+  cluster.mNetwork.RunFor(Seconds(3));
+  CHECK_TRUE(cluster.Holders(kLoad, "second") >= 5U); // all but the sender, which may know it too
+  cluster.Publish("dc0-2", kLoad, "third");
+  cluster.mNetwork.RunFor(Seconds(3));
+  CHECK_EQUAL(6U, cluster.Holders(kLoad, "third"));
+}
+
 // Guards against a value layout that differs between the ends.
 MASTICSTEP_TEST("engine load survives its encoding", "[spread][codec]")
 {
   const EngineLoadValue value{ 70000, 80000, 3, 4, 1999, 2000, 2, 1 };
-  CHECK_EQUAL(18U, Encode(value).size());
+  const EngineLoadValue largest{ 0xffffffff, 0xffffffff, 0xffff, 0xffff, 0xffff, 0xffff, 255, 255 };
   CHECK_TRUE(DecodeEngineLoad(Encode(value)) == value);
+  CHECK_TRUE(DecodeEngineLoad(Encode(largest)) == largest);
   CHECK_FALSE(DecodeEngineLoad("short").has_value());
+  CHECK_FALSE(DecodeEngineLoad(Encode(value) + "x").has_value());
+  CHECK_FALSE(DecodeEngineLoad(std::string(20, '\xff')).has_value());
+}
+
+// Guards against a load that ages into a missing entry, and against an urgent change that waits.
+MASTICSTEP_TEST("large changes of load are published at once and others within 2 s", "[spread]")
+{
+  const EngineLoadValue value{ 1, 0, 30, 0, 1000, 2000, 0, 0 };
+  EngineLoadValue next = value;
+  next.kvBlocksUsed = 1249;
+  CHECK_FALSE(IsWorthPublishing(value, next, Seconds(1)));
+  CHECK_TRUE(IsWorthPublishing(value, next, kLoadRefresh));
+  next.kvBlocksUsed = 750;
+  CHECK_TRUE(IsWorthPublishing(value, next, Seconds(1)));
+  next = value;
+  next.waiting = 1;
+  CHECK_TRUE(IsWorthPublishing(value, next, Seconds(1)));
+  next = value;
+  next.state = 1;
+  CHECK_TRUE(IsWorthPublishing(value, next, Seconds(1)));
 }
