Measure orders that eight daemons share without shard owners

Cause: the gateway runs each order on the daemon that got it, so several daemons write one shard; the order cases had only one daemon. Change: the cases orders_1 to orders_1000 also share the load among 8 daemons.

--- a/bench/OrderCases.cpp
+++ b/bench/OrderCases.cpp
@@ -29,6 +29,9 @@
   options.span = aSpan;
   const OrderLoadResult shards = RunShardOrders(options);
   const OrderLoadResult objects = RunObjectOrders(options);
+  options.daemons = 8; // of one installation, without an owner per shard
+  const OrderLoadResult shared = RunShardOrders(options);
+  options.daemons = 1;
   options.answerBytes = 2000;
   const OrderLoadResult large = RunShardOrders(options);
   return {
@@ -37,6 +40,11 @@
       "writes",
       { { kBaseline, PerOrder(objects.writes, objects) } } },
     { "writes_per_order_2000_byte_answers", PerOrder(large.writes, large), "writes", {} },
+    { "writes_per_order_8_daemons", PerOrder(shared.writes, shared), "writes", {} },
+    { "reads_per_order_8_daemons", PerOrder(shared.reads, shared), "reads", {} },
+    { "added_latency_8_daemons_ms", Share(shared.addedMs, 0.5), "ms (median)", {} },
+    { "added_latency_p99_8_daemons_ms", Share(shared.addedMs, 0.99), "ms", {} },
+    { "executed_share_8_daemons", PerOrder(shared.executed, shared), "share", {} },
     { "reads_per_order",
       PerOrder(shards.reads, shards),
       "reads",
--- a/bench/OrderLoad.cpp
+++ b/bench/OrderLoad.cpp
@@ -122,8 +122,13 @@
   explicit ShardLoad(const OrderLoadOptions& aOptions)
     : mOptions(aOptions)
     , mTimeline(aOptions.seed)
-    , mMachine({ .processNonce = "0123456789abcdef", .daemon = HostName{ "regina-1" } })
   {
+    for (std::size_t i = 0; i < aOptions.daemons; ++i) {
+      orders::OrderOptions options;
+      options.processNonce = "0123456789abcde" + std::to_string(i);
+      options.daemon = HostName{ "regina-" + std::to_string(i) };
+      mMachines.emplace_back(options);
+    }
   }
 
   OrderLoadResult Run()
@@ -134,38 +139,57 @@
     }
     mResult.orders = id;
     mTimeline.Run(
-      Time{ mOptions.span + kDrain }, [this] { return mMachine.NextWakeUp(); },
-      [this] { Take(mMachine.OnTime(Now())); });
+      Time{ mOptions.span + kDrain }, [this] { return NextWakeUp(); },
+      [this] {
+        for (std::size_t i = 0; i < mMachines.size(); ++i) {
+          const std::optional<Time> due = mMachines[i].NextWakeUp();
+          if (due && *due <= Now()) {
+            Take(i, mMachines[i].OnTime(Now()));
+          }
+        }
+      });
     return Finish(mTimeline, mResult);
   }
 
 private:
   Time Now() const { return mTimeline.store.Now(); }
 
+  std::optional<Time> NextWakeUp() const
+  {
+    std::optional<Time> next;
+    for (const orders::OrderMachine& machine : mMachines) {
+      const std::optional<Time> time = machine.NextWakeUp();
+      next = time && (!next || *time < *next) ? time : next;
+    }
+    return next;
+  }
+
   void Start(std::uint64_t aNumber)
   {
+    const std::size_t daemon = aNumber * 2654435761U % mMachines.size();
     mStarted[aNumber] = Now();
     const orders::WallTime wall{ kWallStartMs + Now().time_since_epoch() / Milliseconds(1) };
-    Take(
-      mMachine.Start({ RequestId{ aNumber }, ServiceName{ "ordering" }, AccountName{ "dealer-12" },
-                       KeyAt(Now(), aNumber), std::string(64, 'd'), Now() + Seconds(5), wall },
-                     Now()));
+    Take(daemon, mMachines[daemon].Start({ RequestId{ aNumber }, ServiceName{ "ordering" },
+                                           AccountName{ "dealer-12" }, KeyAt(Now(), aNumber),
+                                           std::string(64, 'd'), Now() + Seconds(5), wall },
+                                         Now()));
   }
 
-  void Take(orders::OrderActions aActions)
+  void Take(std::size_t aDaemon, orders::OrderActions aActions)
   {
     for (platform::PlatformRequest& request : aActions.requests) {
-      mTimeline.store.Submit(std::move(request), [this](const PlatformReply& aReply) {
-        Take(mMachine.OnPlatformReply(aReply, Now()));
+      mTimeline.store.Submit(std::move(request), [this, aDaemon](const PlatformReply& aReply) {
+        Take(aDaemon, mMachines[aDaemon].OnPlatformReply(aReply, Now()));
       });
     }
     for (const orders::OrderDispatch& dispatch : aActions.dispatches) {
       const Duration busy = mTimeline.BackendTime();
       mBusy[dispatch.id.value] = busy;
-      mTimeline.At(Now() + busy, [this, id = dispatch.id] {
-        Take(mMachine.OnBackendReply({ id, orders::BackendStatus::Answered, 201, "application/json",
-                                       std::string(mOptions.answerBytes, 'a') },
-                                     Now()));
+      mTimeline.At(Now() + busy, [this, aDaemon, id = dispatch.id] {
+        Take(aDaemon, mMachines[aDaemon].OnBackendReply({ id, orders::BackendStatus::Answered, 201,
+                                                          "application/json",
+                                                          std::string(mOptions.answerBytes, 'a') },
+                                                        Now()));
       });
     }
     for (const orders::OrderAnswer& answer : aActions.answers) {
@@ -179,7 +203,7 @@
 
   OrderLoadOptions mOptions;
   Timeline mTimeline;
-  orders::OrderMachine mMachine;
+  std::vector<orders::OrderMachine> mMachines;
   std::map<std::uint64_t, Time> mStarted;
   std::map<std::uint64_t, Duration> mBusy;
   OrderLoadResult mResult;
--- a/bench/OrderLoad.hpp
+++ b/bench/OrderLoad.hpp
@@ -12,6 +12,7 @@
   double ordersPerSecond = 1.0;
   Duration span = Seconds(60);
   std::size_t answerBytes = 120; // an answer that fits into its record
+  std::size_t daemons = 1;       // that share the orders at random
   std::uint64_t seed = 1;
 };
 
@@ -25,8 +26,9 @@
   double largestObject = 0;    // bytes
 };
 
-// Runs orders with Poisson arrivals through one order machine against the in-memory platform on
-// virtual time: answers after 5 ms, 400 writes a second. The backend server takes 20 to 200 ms.
+// Runs orders with Poisson arrivals through the order machines of some daemons against the
+// in-memory platform on virtual time: answers after 5 ms, 400 writes a second. The backend server
+// takes 20 to 200 ms.
 OrderLoadResult RunShardOrders(const OrderLoadOptions& aOptions);
 
 // The same load with one object per order: a create before the call and an update after it.
