Close idle pool connections, raise the descriptor limit, treat 409 of an engine as unknown

Idle connections to servers that are not asked again stayed open, and 500 open streams used up the usual limit of 1,024 descriptors (525 descriptors at 253 streams).

--- a/libs/gateway/src/Authentication.cpp
+++ b/libs/gateway/src/Authentication.cpp
@@ -2,6 +2,8 @@
 
 #include "masticstep/base/Hash.hpp"
 
+#include <boost/beast/core/string.hpp>
+
 #include <string_view>
 
 namespace masticstep::gateway {
@@ -11,7 +13,9 @@
 {
   constexpr std::string_view kScheme = "Bearer ";
   const std::string_view value = net::FindHeader(aHeaders, "Authorization");
-  if (!value.starts_with(kScheme)) {
+  const std::string_view scheme = value.substr(0, kScheme.size());
+  // The names of schemes ignore case.
+  if (!boost::beast::iequals({ scheme.data(), scheme.size() }, "Bearer ")) {
     return Failure(Unauthorized());
   }
   // The lookup compares digests, so its time tells nothing about the key.
--- a/libs/gateway/src/CompletionSession.cpp
+++ b/libs/gateway/src/CompletionSession.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace masticstep::gateway {
@@ -56,9 +58,10 @@
 // Statuses by which an engine says that it did not take the request.
 bool IsNotTaken(const StreamFailure& aFailure)
 {
+  // 409 is left out: the engine knows the request id from before.
+  constexpr std::array<unsigned, 6> kNotTaken = { 400, 404, 413, 422, 429, 503 };
   return aFailure.kind == StreamFailureKind::Rejected &&
-         (aFailure.status == 429 || aFailure.status == 503 ||
-          (aFailure.status >= 400 && aFailure.status < 500));
+         std::find(kNotTaken.begin(), kNotTaken.end(), aFailure.status) != kNotTaken.end();
 }
 
 bool IsCallersFault(const StreamFailure& aFailure)
--- a/libs/gateway/src/Serve.cpp
+++ b/libs/gateway/src/Serve.cpp
@@ -3,6 +3,8 @@
 #include "Daemon.hpp"
 #include "masticstep/telemetry/Log.hpp"
 
+#include <sys/resource.h>
+
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -26,6 +28,17 @@
   return telemetry::Level::Info;
 }
 
+// Each open stream takes two descriptors, and the usual soft limit of 1,024 allows about 500
+// streams. The hard limit stays as the host sets it.
+void RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 } // namespace
 
 ServeExit Serve(const std::string& aSettingsFile)
@@ -45,6 +58,7 @@
     return ServeExit::BadInput;
   }
   telemetry::StartLog(ToLevel(settings->logLevel), settings->host.Text());
+  RaiseDescriptorLimit();
   Result<std::unique_ptr<Daemon>, net::NetError> daemon = Daemon::Create(*settings);
   if (!daemon) {
     std::cerr << aSettingsFile << ": $: " << net::ToString(daemon.error()) << "\n";
--- a/libs/net/include/masticstep/net/ConnectionPool.hpp
+++ b/libs/net/include/masticstep/net/ConnectionPool.hpp
@@ -66,11 +66,14 @@
 
   explicit ConnectionPool(PoolLimits aLimits);
   void Return(HttpClientConnection aConnection);
+  // Takes the connections out that have been idle for too long. The mutex must be held.
+  std::vector<Idle> TakeExpired(Time aNow);
   std::unique_ptr<HttpClientConnection> TakeIdle(const HostPort& aAddress);
 
   const PoolLimits mLimits;
   mutable std::mutex mMutex;
   std::map<HostPort, std::vector<Idle>> mIdle;
+  Time mNextSweep;
   bool mIsClosed = false;
 };
 
--- a/libs/net/src/ConnectionPool.cpp
+++ b/libs/net/src/ConnectionPool.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/this_coro.hpp>
 
+#include <iterator>
 #include <utility>
 
 namespace masticstep::net {
@@ -77,13 +78,37 @@
 {
   const HostPort address = aConnection.Address();
   aConnection.Detach();
+  const Time now = Now();
+  std::vector<Idle> expired; // closed after the lock is released
   const std::lock_guard<std::mutex> lock(mMutex);
+  expired = TakeExpired(now);
   std::vector<Idle>& idle = mIdle[address];
   if (!mIsClosed && idle.size() < mLimits.idlePerAddress) {
-    idle.push_back({ std::move(aConnection), Now() });
+    idle.push_back({ std::move(aConnection), now });
   }
 }
 
+std::vector<ConnectionPool::Idle> ConnectionPool::TakeExpired(Time aNow)
+{
+  std::vector<Idle> expired;
+  if (aNow < mNextSweep) {
+    return expired;
+  }
+  mNextSweep = aNow + mLimits.maximumIdle / 2;
+  const Time oldest = aNow - mLimits.maximumIdle;
+  for (auto& [address, idle] : mIdle) {
+    // The longest idle connections come first.
+    auto it = idle.begin();
+    while (it != idle.end() && it->since <= oldest) {
+      ++it;
+    }
+    std::move(idle.begin(), it, std::back_inserter(expired));
+    idle.erase(idle.begin(), it);
+  }
+  std::erase_if(mIdle, [](const auto& aEntry) { return aEntry.second.empty(); });
+  return expired;
+}
+
 void ConnectionPool::Forget(const HostPort& aAddress)
 {
   std::vector<Idle> dropped; // closed after the lock is released
--- a/libs/net/tests/ConnectionPoolTests.cpp
+++ b/libs/net/tests/ConnectionPoolTests.cpp
@@ -90,6 +90,22 @@
   CHECK_EQUAL(std::string("ok"), Get(workers, *pool, server.Address())->body);
 }
 
+// Guards against descriptors held for servers that are not asked again.
+MASTICSTEP_TEST("connections that were idle for too long are closed", "[net][pool][bounds]")
+{
+  const auto answer = [](std::size_t, const std::string&) { return kWhole; };
+  ScriptedServer first(answer);
+  ScriptedServer second(answer);
+  WorkerPool workers(1);
+  PoolLimits limits;
+  limits.maximumIdle = Duration::zero();
+  const std::shared_ptr<ConnectionPool> pool = ConnectionPool::Create(limits);
+  CHECK_TRUE(Get(workers, *pool, first.Address()).has_value());
+  CHECK_EQUAL(1U, pool->IdleCount(first.Address()));
+  CHECK_TRUE(Get(workers, *pool, second.Address()).has_value());
+  CHECK_EQUAL(0U, pool->IdleCount(first.Address()));
+}
+
 // Guards against connections that outlive their event loop, which corrupted the heap at exit.
 MASTICSTEP_TEST("a closed pool keeps no connection", "[net][pool]")
 {
