--- a/bench/ControlFleet.cpp
+++ b/bench/ControlFleet.cpp
@@ -63,7 +63,7 @@
   return Take(mMachine.Start(aNow), aNow);
 }
 
-ControlNode::Outgoing ControlNode::Take(PeerActions aActions, Time aNow)
+ControlNode::Outgoing ControlNode::Take(const PeerActions& aActions, Time aNow)
 {
   for (const MemberRecord& member : aActions.members) {
     if (!IsPresent(member.state)) {
@@ -105,11 +105,20 @@
   return std::min(*mMachine.NextWakeUp(), mNextPublication);
 }
 
-bool ControlNode::IsOwner(const std::string& aKey) const
+bool ControlNode::IsOwner(const std::string& aKey)
 {
+  const std::uint64_t view = mMachine.Members().Table().Digest();
+  if (view != std::exchange(mOwnedView, view)) {
+    mOwned.clear();
+  }
+  const std::map<std::string, bool>::iterator it = mOwned.find(aKey);
+  if (it != mOwned.end()) {
+    return it->second;
+  }
   const MemberRecord self = mMachine.Members().Self();
-  return RoleFor(mMachine.Members().Table().PresentIn(self.dataCentre), aKey, self.name) ==
-         OwnerRole::Owner;
+  const OwnerRole role =
+    RoleFor(mMachine.Members().Table().PresentIn(self.dataCentre), aKey, self.name);
+  return mOwned[aKey] = role == OwnerRole::Owner;
 }
 
 void ControlNode::PublishDue(Time aNow, Outgoing& aOutgoing)
@@ -117,10 +126,7 @@
   for (int engine = mDataCentre; engine < mSettings.engines; engine += mSettings.dataCentres) {
     const std::string name = "draft-" + std::to_string(engine);
     if (IsOwner(name)) {
-      EngineLoadValue value;
-      value.sequence = static_cast<std::uint32_t>(mSeconds);
-      value.kvBlocksUsed = static_cast<std::uint16_t>(mRandom.Below(2000));
-      Publish({ EntryKind::EngineLoad, name }, Encode(value), aNow, aOutgoing);
+      PublishLoad(engine, aNow, aOutgoing);
     }
   }
   const std::string dataCentre = "dc" + std::to_string(mDataCentre);
@@ -141,6 +147,31 @@
   }
 }
 
+void ControlNode::PublishLoad(int aEngine, Time aNow, Outgoing& aOutgoing)
+{
+  constexpr int kSteps = 100; // of 10 ms in a poll interval
+  constexpr double kArrival = 8.0 / kSteps;
+  constexpr double kDeparture = 0.25 / kSteps;
+  constexpr std::uint16_t kBlocksPerRequest = 30;
+  PolledEngine& engine = mPolled[aEngine];
+  EngineLoadValue& load = engine.polled;
+  if (load.sequence == 0) {
+    load = { 100000, 250, 32, 0, 0, 2000, 1, 1 };
+  }
+  for (int step = 0; step < kSteps; ++step) {
+    load.running += mRandom.Chance(kArrival) ? 1 : 0;
+    load.running -= mRandom.Chance(kDeparture * load.running) ? 1 : 0;
+  }
+  load.sequence += 4;
+  load.kvBlocksUsed = static_cast<std::uint16_t>(std::min(2000, load.running * kBlocksPerRequest));
+  if (IsWorthPublishing(engine.published, load, aNow - engine.publishedAt)) {
+    engine.published = load;
+    engine.publishedAt = aNow;
+    const std::string name = "draft-" + std::to_string(aEngine);
+    Publish({ EntryKind::EngineLoad, name }, Encode(load), aNow, aOutgoing);
+  }
+}
+
 void ControlNode::Publish(const EntryKey& aKey, std::string aValue, Time aNow, Outgoing& aOutgoing)
 {
   Outgoing more = Take(mMachine.Publish(aKey, std::move(aValue), aNow), aNow);
