Test killed and paused daemons with a running order, and a cut-off data centre

Cause: the order tests lost answers but no daemon, and no test cut a data centre off. Change: a daemon is killed after its order ran, a daemon is paused while its claim is under way, and a data centre loses the platform while a configuration is published.

--- a/libs/wire/include/masticstep/wire/Message.hpp
+++ b/libs/wire/include/masticstep/wire/Message.hpp
@@ -42,8 +42,8 @@
   bool operator==(const MembershipFrame&) const = default;
 };
 
-// Entry of which the receiver already knows key, owner and an earlier version. Values are at most 65535
-// bytes and ages at most 65535 ms; anything larger travels as FullEntryFields.
+// Entry of which the receiver already knows key, owner and an earlier version. Values are at most
+// 65535 bytes and ages at most 65535 ms; anything larger travels as FullEntryFields.
 struct CompactEntryFields
 {
   std::uint64_t keyHash = 0;
--- a/tests/integration/OrdersTests.cpp
+++ b/tests/integration/OrdersTests.cpp
@@ -3,6 +3,8 @@
 
 #include "masticstep/testing/Test.hpp"
 
+#include <csignal>
+
 using namespace masticstep;
 using namespace masticstep::integration;
 using standins::HttpReply;
@@ -146,3 +148,58 @@
     CHECK_EQUAL(std::int64_t{ 1 }, fleet.Executions(key));
   }
 }
+
+// Guards against another daemon that runs an order again because the first one died with it.
+MASTICSTEP_TEST("an order whose daemon is killed is unknown and never runs twice",
+                "[integration][order]")
+{
+  Fleet fleet({});
+  const std::string key = NewOrderKey();
+  fleet.Ordering().SetFaults(boost::json::object{ { "late_answer_ms", 3000 } });
+  HttpReply lost;
+  std::thread caller([&fleet, &key, &lost] { lost = fleet.PlaceOrder(0, key); });
+  const bool hasRun = WaitUntil(kLimit, [&] { return fleet.Executions(key) == 1; });
+  fleet.Daemon(0).Child().Signal(SIGKILL);
+  caller.join();
+  CHECK_TRUE(hasRun);
+  CHECK_EQUAL(0U, lost.status);
+  fleet.Ordering().SetFaults(boost::json::object{ { "late_answer_ms", 0 } });
+  const HttpReply again = fleet.PlaceOrder(1, key);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(again), std::string("unknown"), RunOf(again));
+  CHECK_EQUAL(std::int64_t{ 1 }, fleet.Executions(key));
+  CHECK_TRUE(IsServedAgain(fleet, 1));
+}
+
+// Guards against a daemon that, after a pause past the deadline, runs an order that it or another
+// daemon has answered.
+MASTICSTEP_TEST("an order whose daemon is paused runs at most once", "[integration][order][pause]")
+{
+  Fleet fleet({});
+  // The claim is under way for two seconds, in which the daemon is paused.
+  fleet.Platform().SetFaults(boost::json::object{ { "latency_ms", 2000 } });
+  const std::string key = NewOrderKey();
+  HttpReply first;
+  const std::uint64_t before = fleet.Platform().Counter("writes");
+  std::thread caller([&fleet, &key, &first] { first = fleet.PlaceOrder(0, key); });
+  const bool isClaiming =
+    WaitUntil(kLimit, [&] { return fleet.Platform().Counter("writes") > before; });
+  fleet.Daemon(0).Child().Signal(SIGSTOP);
+  fleet.Platform().SetFaults(boost::json::object{ { "latency_ms", 2 } });
+  HttpReply second;
+  const bool isSettled = WaitUntil(kLimit, [&] {
+    second = fleet.PlaceOrder(1, key);
+    return second.status == 200 || RunOf(second) == "unknown";
+  });
+  fleet.Daemon(0).Child().Signal(SIGCONT);
+  caller.join();
+  CHECK_TRUE(isClaiming);
+  CHECK_TRUE(isSettled);
+  CPPUNIT_ASSERT_MESSAGE(TextOf(first), first.status == 200 || !RunOf(first).empty());
+  const std::int64_t executions = fleet.Executions(key);
+  CHECK_TRUE(executions <= 1);
+  // Whoever says that the order has an answer, or has not run, says the truth.
+  for (const HttpReply& reply : { first, second }) {
+    CPPUNIT_ASSERT_MESSAGE(TextOf(reply), reply.status != 200 || executions == 1);
+    CPPUNIT_ASSERT_MESSAGE(TextOf(reply), RunOf(reply) != "not_run" || executions == 0);
+  }
+}
--- a/tests/integration/PublicationTests.cpp
+++ b/tests/integration/PublicationTests.cpp
@@ -98,3 +98,28 @@
   CHECK_EQUAL(std::uint64_t{ 2 }, fleet.Platform().Counter("lost_answers"));
   CHECK_TRUE(WaitUntil(kLimit, [&] { return AllHave(fleet, generation + 1); }));
 }
+
+// Guards against a data centre that keeps an old configuration, or stops serving, because only its
+// peers reach the platform.
+MASTICSTEP_TEST("a data centre cut off from the platform gets configurations from peers",
+                "[integration][publish][partition]")
+{
+  FleetShape shape;
+  shape.dataCentres = 2;
+  shape.hasPlatformProxies = true;
+  Fleet fleet(shape);
+  const std::int64_t generation = fleet.Daemon(0).Generation();
+  fleet.PlatformProxy(1).SetFaults(boost::json::object{ { "refuse", true }, { "cut", true } });
+  const std::unique_ptr<Process> publish =
+    fleet.StartPublish({ fleet.WriteDrafting("drafting", 40000) }, false);
+  CheckSucceeds(*publish);
+  CHECK_TRUE(WaitUntil(kLimit, [&] { return AllHave(fleet, generation + 1); }));
+  for (std::size_t daemon = 0; daemon < fleet.DaemonCount(); ++daemon) {
+    const standins::CompletionCall call = fleet.Completion(daemon, "cut off", 10);
+    CHECK_TRUE(standins::StreamNow(call).IsWholeAnswerTo(call));
+  }
+  const std::string key = NewOrderKey();
+  const standins::HttpReply refused = fleet.PlaceOrder(2, key);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(refused.body, std::string("not_run"), RunOf(refused));
+  CHECK_EQUAL(std::int64_t{ 0 }, fleet.Executions(key));
+}
--- a/tests/integration/support/Fleet.cpp
+++ b/tests/integration/support/Fleet.cpp
@@ -96,6 +96,11 @@
                                         mFolder + "/platform");
   mOrdering =
     std::make_unique<StandIn>("service_standin", std::vector<std::string>{}, mFolder + "/ordering");
+  for (std::size_t i = 0; mShape.hasPlatformProxies && i < mShape.dataCentres; ++i) {
+    const std::vector<std::string> target = { "--target", mPlatform->Address().Text() };
+    mPlatformProxies.push_back(
+      std::make_unique<StandIn>("fault_proxy", target, mFolder + "/proxy-" + CentreName(i)));
+  }
   for (std::size_t i = 0; i < mShape.dataCentres * mShape.engines; ++i) {
     const std::string name = "draft-" + std::to_string(i);
     const std::vector<std::string> arguments = { "--name", name, "--seed", std::to_string(i) };
@@ -122,7 +127,8 @@
     settings.callers = addresses[3 * i];
     settings.peer = addresses[3 * i + 1];
     settings.admin = addresses[3 * i + 2];
-    settings.platformUrl = mPlatform->Url();
+    settings.platformUrl =
+      mShape.hasPlatformProxies ? mPlatformProxies[centre]->Url() : mPlatform->Url();
     for (std::size_t j = 0; j < count; ++j) {
       if (j != i) {
         settings.peers.push_back(addresses[3 * j + 1]);
--- a/tests/integration/support/Fleet.hpp
+++ b/tests/integration/support/Fleet.hpp
@@ -10,10 +10,11 @@
 
 struct FleetShape
 {
-  std::size_t dataCentres = 1; // at most 2
-  std::size_t daemons = 2;     // in each data centre
-  std::size_t engines = 2;     // in each data centre
-  bool hasProxies = false;     // a fault proxy in front of each engine
+  std::size_t dataCentres = 1;     // at most 2
+  std::size_t daemons = 2;         // in each data centre
+  std::size_t engines = 2;         // in each data centre
+  bool hasProxies = false;         // a fault proxy in front of each engine
+  bool hasPlatformProxies = false; // one between the platform and each data centre
 };
 
 // Platform, engines, ordering service and daemons with a published configuration. The services are
@@ -33,6 +34,7 @@
   StandIn& Ordering() { return *mOrdering; }
   StandIn& Engine(std::size_t aIndex) { return *mEngines.at(aIndex); }
   StandIn& Proxy(std::size_t aIndex) { return *mProxies.at(aIndex); }
+  StandIn& PlatformProxy(std::size_t aCentre) { return *mPlatformProxies.at(aCentre); }
   DaemonProcess& Daemon(std::size_t aIndex) { return *mDaemons.at(aIndex); }
   std::size_t DaemonCount() const { return mDaemons.size(); }
   std::size_t EngineCount() const { return mEngines.size(); }
@@ -65,6 +67,7 @@
   std::unique_ptr<StandIn> mOrdering;
   std::vector<std::unique_ptr<StandIn>> mEngines;
   std::vector<std::unique_ptr<StandIn>> mProxies;
+  std::vector<std::unique_ptr<StandIn>> mPlatformProxies;
   std::vector<std::unique_ptr<DaemonProcess>> mDaemons;
   std::size_t mPublishes = 0;
 };
