Serve accounts that had not their share before the round goes on

Cause: a request waits for one or two turns of its class at a daemon, too few for deficit round robin to even out, so that a flooding account kept half of the places. Change: an account that begins to wait and was not served while the others got their shares goes to the front, as new flows do in FQ-CoDel.

--- a/libs/admission/src/FairQueue.cpp
+++ b/libs/admission/src/FairQueue.cpp
@@ -5,6 +5,13 @@
 
 namespace masticstep::admission {
 
+namespace {
+
+// Bounds the memory of who was served; forgetting it lets each account begin once more in front.
+constexpr std::size_t kRememberedAccounts = 8192;
+
+} // namespace
+
 FairQueue::FairQueue(double aQuantumTokens)
   : mQuantumTokens(aQuantumTokens)
 {
@@ -16,7 +23,7 @@
   if (account.requests.empty()) {
     account.weight = aWeight;
     mWeights += aWeight;
-    mRound.push_back(aRequest.account);
+    Join(aRequest, account);
   }
   account.requests.push_back(aRequest);
   account.tokens += aRequest.tokens;
@@ -24,11 +31,34 @@
   ++mSize;
 }
 
+bool FairQueue::HasWaitedItsShare(const AdmissionRequest& aFirst) const
+{
+  const auto it = mServedAt.find(aFirst.account);
+  const double others = static_cast<double>(mRound.size());
+  return it == mServedAt.end() || mServed - it->second >= others * aFirst.tokens;
+}
+
+void FairQueue::Join(const AdmissionRequest& aFirst, AccountQueue& aAccount)
+{
+  aAccount.isNew = HasWaitedItsShare(aFirst);
+  if (!aAccount.isNew) {
+    mRound.push_back(aFirst.account);
+    return;
+  }
+  aAccount.deficit = aFirst.tokens;
+  const auto place = std::find_if(mRound.begin(), mRound.end(), [this](const AccountName& aOther) {
+    return !mAccounts[aOther].isNew;
+  });
+  mRound.insert(place, aFirst.account);
+}
+
 void FairQueue::Return(const AdmissionRequest& aRequest, double aWeight)
 {
+  const bool wasLast = !mAccounts.contains(aRequest.account);
+  mServed -= aRequest.tokens;
   Push(aRequest, aWeight);
   AccountQueue& account = mAccounts[aRequest.account];
-  account.deficit += aRequest.tokens;
+  account.deficit = aRequest.tokens + (wasLast ? 0.0 : account.deficit);
   std::stable_sort(account.requests.begin(), account.requests.end(),
                    [](const AdmissionRequest& aLeft, const AdmissionRequest& aRight) {
                      return aLeft.arrived < aRight.arrived;
@@ -60,6 +90,12 @@
   AdmissionRequest request = std::move(account.requests.front());
   account.requests.pop_front();
   account.deficit -= request.tokens;
+  account.isNew = false;
+  mServed += request.tokens;
+  if (mServedAt.size() >= kRememberedAccounts) {
+    mServedAt.clear();
+  }
+  mServedAt[request.account] = mServed;
   account.tokens -= request.tokens;
   mTokens -= request.tokens;
   --mSize;
--- a/libs/admission/src/FairQueue.hpp
+++ b/libs/admission/src/FairQueue.hpp
@@ -12,7 +12,9 @@
 namespace masticstep::admission {
 
 // Waiting requests of one class, shared among accounts by deficit round robin in tokens
-// (Shreedhar and Varghese, 1995).
+// (Shreedhar and Varghese, 1995). An account that begins to wait, and was not served while the
+// others got their fair shares, is served before the round goes on, as FQ-CoDel (RFC 8290) does
+// with new flows: requests here wait for one or two turns at most, too few for a round to even out.
 class FairQueue
 {
 public:
@@ -41,8 +43,13 @@
     double weight = 1.0;
     double deficit = 0.0;
     double tokens = 0.0;
+    bool isNew = false;
   };
 
+  // Places an account that begins to wait in the round.
+  void Join(const AdmissionRequest& aFirst, AccountQueue& aAccount);
+  bool HasWaitedItsShare(const AdmissionRequest& aFirst) const;
+
   void Forget(const AccountName& aAccount);
 
   double mQuantumTokens;
@@ -51,6 +58,9 @@
   double mWeights = 0.0;
   std::unordered_map<AccountName, AccountQueue> mAccounts;
   std::list<AccountName> mRound;
+  // Tokens served so far, and as they were when an account was last served.
+  double mServed = 0.0;
+  std::unordered_map<AccountName, double> mServedAt;
 };
 
 } // namespace masticstep::admission
