--- a/bench/SimulationState.cpp
+++ b/bench/SimulationState.cpp
@@ -10,7 +10,7 @@
 constexpr Duration kDeadline = Seconds(30);
 constexpr Duration kTick = Milliseconds(20);
 // 1.5 times RouterOptions::shedFactor.
-constexpr double kWaitShare = 0.9;
+constexpr double kWaitShare = 0.75;
 constexpr Duration kReportInterval = Milliseconds(500);
 constexpr Duration kSummaryInterval = Seconds(1);
 constexpr Duration kRoleInterval = Seconds(1);
--- a/libs/routing/include/masticstep/routing/RouterOptions.hpp
+++ b/libs/routing/include/masticstep/routing/RouterOptions.hpp
@@ -39,7 +39,7 @@
   bool ejection = true;
   // A request is refused if the load makes its first token later than this multiple of the target
   // on every engine, since it would only delay others. 0 never refuses for this reason.
-  double shedFactor = 0.6;
+  double shedFactor = 0.5;
   std::uint64_t seed = 1;
 };
 
