Split account limits among the daemons of a data centre

Each daemon granted the whole limit of an account, so that an account got its limit times the number of daemons. Daemons now publish the demand of their eight heaviest accounts every 5 s and use the share of their own demand once the sum exceeds the limit.

--- a/libs/gateway/src/AdmissionGate.cpp
+++ b/libs/gateway/src/AdmissionGate.cpp
@@ -97,6 +97,7 @@
   std::shared_ptr<Waiter> waiter;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
+    mDemand.OnOffered(aRequest.account, aRequest.tokens);
     const admission::AdmissionDecision decision = mQueue.Offer(aRequest, net::Now());
     if (decision.kind == admission::AdmissionKind::Admitted) {
       co_return Result<void, Refusal>{};
@@ -169,6 +170,31 @@
   mQueue.SetCapacity(aService, aTokens);
 }
 
+std::string AdmissionGate::EndDemandInterval(Duration aInterval,
+                                             const Configuration& aConfiguration)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mDemand.EndInterval(aInterval, aConfiguration.Accounts());
+}
+
+void AdmissionGate::OnPeerDemand(const HostName& aHost, std::string_view aValue)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mDemand.OnPeer(aHost, aValue, net::Now());
+}
+
+void AdmissionGate::UpdateShares(const Configuration& aConfiguration)
+{
+  const Time now = net::Now();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mDemand.AddUp(now);
+  for (const ClientAccount& account : aConfiguration.Accounts()) {
+    if (account.tokensPerSecond > 0) {
+      mQueue.SetShare(account.name, mDemand.Share(account), now);
+    }
+  }
+}
+
 std::size_t AdmissionGate::Waiting() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
--- a/libs/gateway/src/AdmissionGate.hpp
+++ b/libs/gateway/src/AdmissionGate.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AccountDemand.hpp"
 #include "Refusal.hpp"
 #include "masticstep/admission/AdmissionQueue.hpp"
 #include "masticstep/base/Result.hpp"
@@ -32,6 +33,12 @@
   void SetCapacity(const ServiceName& aService, std::uint64_t aTokens);
   std::size_t Waiting() const;
 
+  // Ends an interval of demand and returns the entry value for the peers.
+  std::string EndDemandInterval(Duration aInterval, const Configuration& aConfiguration);
+  void OnPeerDemand(const HostName& aHost, std::string_view aValue);
+  // Applies the shares that follow from the demand here and at the peers.
+  void UpdateShares(const Configuration& aConfiguration);
+
 private:
   struct Waiter;
   using Waiters = std::unordered_map<RequestId, std::shared_ptr<Waiter>>;
@@ -43,6 +50,7 @@
   mutable std::mutex mMutex;
   admission::AdmissionQueue mQueue;
   Waiters mWaiters;
+  AccountDemand mDemand;
 };
 
 } // namespace masticstep::gateway
--- a/libs/gateway/src/AdmissionPump.cpp
+++ b/libs/gateway/src/AdmissionPump.cpp
@@ -10,6 +10,8 @@
 // Requests are released at once when another one ends; this only bounds how late a deadline or
 // newly reported room is noticed.
 constexpr Duration kPumpInterval = Milliseconds(20);
+// Usage entries are published every 5 s.
+constexpr Duration kDemandInterval = Seconds(5);
 
 void UpdateCapacities(GatewayParts& aParts, const Configuration& aConfiguration, Time aNow)
 {
@@ -36,4 +38,18 @@
   }
 }
 
+net::Task<void> ShareLimits(std::shared_ptr<GatewayParts> aParts)
+{
+  const EntryKey key{ EntryKind::AccountUsage, aParts->settings.host.Text() };
+  while (aParts->peering && aParts->drain.Phase() == DrainPhase::Serving) {
+    co_await net::Sleep(kDemandInterval);
+    const ConfigurationPointer configuration = aParts->configuration.Current();
+    if (configuration) {
+      std::string value = aParts->admission.EndDemandInterval(kDemandInterval, *configuration);
+      aParts->peering->Publish(key, std::move(value));
+      aParts->admission.UpdateShares(*configuration);
+    }
+  }
+}
+
 } // namespace masticstep::gateway
--- a/libs/gateway/src/Daemon.cpp
+++ b/libs/gateway/src/Daemon.cpp
@@ -47,6 +47,10 @@
 {
   if (aEntry.key.kind == EntryKind::EngineLoad) {
     OnLoadEntry(aParts, aEntry);
+  } else if (aEntry.key.kind == EntryKind::AccountUsage) {
+    if (aEntry.owner != aParts.settings.host) {
+      aParts.admission.OnPeerDemand(aEntry.owner, aEntry.value);
+    }
   } else if (aEntry.key.kind == EntryKind::Drain) {
     const BackendServerName server{ aEntry.key.name };
     aParts.engines->SetLeaving(server, !aEntry.value.empty(), net::Now());
@@ -209,6 +213,7 @@
   spawn([hosts = mHosts] { return hosts->Watch(); });
   spawn([parts = mParts] { return PollLoads(parts); });
   spawn([parts = mParts] { return PumpAdmission(parts); });
+  spawn([parts = mParts] { return ShareLimits(parts); });
 }
 
 void Daemon::Wait()
--- /dev/null
+++ b/libs/gateway/tests/AccountDemandTests.cpp
@@ -0,0 +1,72 @@
+#include "AccountDemand.hpp"
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using masticstep::gateway::AccountDemand;
+
+namespace {
+
+ClientAccount Account(const std::string& aName, std::uint32_t aLimit)
+{
+  ClientAccount account;
+  account.name = AccountName(aName);
+  account.tokensPerSecond = aLimit;
+  return account;
+}
+
+} // namespace
+
+// Guards against a limit that each daemon grants in whole.
+MASTICSTEP_TEST("daemons split a limit by their demand", "[gateway][limits]")
+{
+  const std::vector<ClientAccount> accounts = { Account("a", 1000) };
+  AccountDemand first;
+  AccountDemand second;
+  first.OnOffered(AccountName("a"), 15000.0);
+  second.OnOffered(AccountName("a"), 5000.0);
+  const std::string fromFirst = first.EndInterval(Seconds(5), accounts);
+  const std::string fromSecond = second.EndInterval(Seconds(5), accounts);
+  first.AddUp(Time());
+  CHECK_EQUAL(1.0, first.Share(accounts[0]));
+  first.OnPeer(HostName("second"), fromSecond, Time());
+  second.OnPeer(HostName("first"), fromFirst, Time());
+  first.AddUp(Time());
+  second.AddUp(Time());
+  CHECK_EQUAL(0.75, first.Share(accounts[0]));
+  CHECK_EQUAL(0.25, second.Share(accounts[0]));
+  // A daemon that is cut off keeps its share.
+  first.AddUp(Time() + Seconds(300));
+  CHECK_EQUAL(0.75, first.Share(accounts[0]));
+}
+
+// Guards against refusals while the account is within its limit.
+MASTICSTEP_TEST("demand within the limit is not restricted", "[gateway][limits]")
+{
+  const std::vector<ClientAccount> accounts = { Account("a", 1000), Account("free", 0) };
+  AccountDemand first;
+  AccountDemand second;
+  for (AccountDemand* demand : { &first, &second }) {
+    demand->OnOffered(AccountName("a"), 2500.0);
+    demand->OnOffered(AccountName("free"), 1e9);
+  }
+  first.OnPeer(HostName("second"), second.EndInterval(Seconds(5), accounts), Time());
+  first.EndInterval(Seconds(5), accounts);
+  first.AddUp(Time());
+  CHECK_EQUAL(1.0, first.Share(accounts[0]));
+  CHECK_EQUAL(1.0, first.Share(accounts[1]));
+}
+
+// Guards against entries that grow with the number of accounts, and against damaged values.
+MASTICSTEP_TEST("reports are bounded and damaged ones are harmless", "[gateway][limits][bounds]")
+{
+  std::vector<ClientAccount> accounts;
+  AccountDemand demand;
+  for (int i = 0; i < 100; ++i) {
+    accounts.push_back(Account("a" + std::to_string(i), 10));
+    demand.OnOffered(accounts.back().name, 1000.0 + i);
+  }
+  CHECK_EQUAL(64U, demand.EndInterval(Seconds(5), accounts).size());
+  demand.OnPeer(HostName("h"), std::string(13, '\xff'), Time());
+  demand.AddUp(Time());
+  CHECK_EQUAL(1.0, demand.Share(accounts[0]));
+}
