--- a/bench/ControlCases.cpp
+++ b/bench/ControlCases.cpp
@@ -132,6 +132,35 @@
   return ControlCase({ 370, 5, 600, true });
 }
 
+// Bytes that a daemon has sent since the counts were cleared, mean.
+double MeanSent(const ControlFleet& aFleet)
+{
+  double sum = 0.0;
+  for (const std::pair<const std::string, std::uint64_t>& sent : aFleet.mSent) {
+    sum += static_cast<double>(sent.second);
+  }
+  return sum / static_cast<double>(aFleet.Nodes().size());
+}
+
+// What one more engine costs each daemon of its data centre, and one more daemon in the data centre
+// with the same engines.
+std::vector<Measurement> ControlSlopes()
+{
+  const ControlCost few = MeasureControl({ 74, 1, 60, true });
+  const ControlCost many = MeasureControl({ 74, 1, 240, true });
+  const ControlCost small = MeasureControl({ 37, 1, 60, true });
+  constexpr double kEngines = 180.0;
+  constexpr double kDaemons = 37.0;
+  return {
+    { "bytes_per_s_per_engine", (many.bytesPerSecond - few.bytesPerSecond) / kEngines, "B/s", {} },
+    { "cpu_per_engine", (many.cpuShare - few.cpuShare) / kEngines, "cores", {} },
+    { "memory_per_engine", (many.memory - few.memory) / kEngines, "B", {} },
+    { "bytes_per_s_per_daemon", (few.bytesPerSecond - small.bytesPerSecond) / kDaemons, "B/s", {} },
+    { "cpu_per_daemon", (few.cpuShare - small.cpuShare) / kDaemons, "cores", {} },
+    { "memory_per_daemon", (few.memory - small.memory) / kDaemons, "B", {} },
+  };
+}
+
 // From the publication at one daemon to the last one that has it in whole.
 std::vector<Measurement> ConfigSpread370()
 {
@@ -144,6 +173,9 @@
                               static_cast<char>('a' + service));
     bundle.contents[Sha256Hex(content)] = std::make_shared<const std::string>(content);
   }
+  fleet.mSent.clear();
+  fleet.mNetwork.RunFor(Seconds(20));
+  const double steady = MeanSent(fleet);
   const Time start = fleet.mNetwork.Now();
   fleet.mSent.clear();
   fleet.mNetwork.Send(
@@ -158,6 +190,7 @@
     worst = std::max(worst, hasIt ? node.second->mGenerationAt - start : Seconds(20));
   }
   return { { "seconds", ToSeconds(worst), "s", { { "target", 5.0 } } },
+           { "bytes_per_change", MeanSent(fleet) - steady, "B", {} },
            { "daemons_without", missing, "daemons", {} } };
 }
 
@@ -191,6 +224,7 @@
 const CaseRegistration kControl8({ "control_8", Control8 });
 const CaseRegistration kControl74({ "control_74", Control74 });
 const CaseRegistration kControl370({ "control_370", Control370 });
+const CaseRegistration kControlSlopes({ "control_slopes", ControlSlopes });
 const CaseRegistration kConfigSpread({ "config_spread_370", ConfigSpread370 });
 const CaseRegistration kDetection({ "detection_killed_74", DetectionKilled74 });
 
