--- a/libs/net/include/masticstep/net/ConnectionPool.hpp
+++ b/libs/net/include/masticstep/net/ConnectionPool.hpp
@@ -52,6 +52,9 @@
   Task<Result<Lease, NetError>> AcquireFresh(HostPort aAddress, Duration aConnectTimeout);
   // Closes the idle connections to an address.
   void Forget(const HostPort& aAddress);
+  // Closes all idle connections and keeps none from now on. Must be called before the event loop of
+  // the connections is destroyed.
+  void Close();
   std::size_t IdleCount(const HostPort& aAddress) const;
 
 private:
@@ -63,11 +66,15 @@
 
   explicit ConnectionPool(PoolLimits aLimits);
   void Return(HttpClientConnection aConnection);
+  // Takes the connections out that have been idle for too long. The mutex must be held.
+  std::vector<Idle> TakeExpired(Time aNow);
   std::unique_ptr<HttpClientConnection> TakeIdle(const HostPort& aAddress);
 
   const PoolLimits mLimits;
   mutable std::mutex mMutex;
   std::map<HostPort, std::vector<Idle>> mIdle;
+  Time mNextSweep;
+  bool mIsClosed = false;
 };
 
 } // namespace masticstep::net
--- a/libs/routing/src/RouterState.cpp
+++ b/libs/routing/src/RouterState.cpp
@@ -33,15 +33,18 @@
   EngineBelief* known = Find(aEngine.id);
   if (known == nullptr) {
     mEngineIndex[aEngine.id] = mEngines.size();
-    mServices[aEngine.service].engines.push_back(mEngines.size());
-    mEngines.emplace_back(aEngine);
+    ServiceState& service = mServices[aEngine.service];
+    service.engines.push_back(mEngines.size());
+    mEngines.emplace_back(aEngine, service.models);
     mEngines.back().SetZone(mOptions);
     mMatched.resize(mEngines.size());
+    mSummaries.push_back(mEngines.back().Summary());
     return;
   }
   if (known->description.service != aEngine.service) {
     std::erase(mServices[known->description.service].engines, mEngineIndex[aEngine.id]);
     mServices[aEngine.service].engines.push_back(mEngineIndex[aEngine.id]);
+    known->models = &mServices[aEngine.service].models;
   }
   // A report knows the present role better than a new configuration does.
   const EngineRole role = known->description.role;
@@ -49,6 +52,7 @@
   known->description.role = role;
   known->isRemoved = false;
   known->SetZone(mOptions);
+  Refresh(mEngineIndex[aEngine.id]);
 }
 
 void Router::State::RemoveEngine(const EngineId& aEngine)
@@ -58,6 +62,7 @@
     return;
   }
   known->isRemoved = true;
+  Refresh(mEngineIndex[aEngine]);
   mPrefixes.Clear(mEngineIndex[aEngine]);
 }
 
@@ -110,12 +115,16 @@
     request.firstToken = aNow;
     engine.load.Add({ 0.0, -request.uncachedTokens, 0.0 }, aNow);
     engine.breaker.OnSuccess(request.breakerGeneration, aNow);
-    engine.models[static_cast<std::size_t>(request.role)].LearnFirstToken(
-      request.classIndex, request.firstTokenFeatures,
-      ToSeconds(aNow - request.sent) - engine.roundTrip);
+    CostModel& model = (*engine.models)[static_cast<std::size_t>(request.role)];
+    const double seconds = ToSeconds(aNow - request.sent) - engine.roundTrip;
+    engine.firstTokenFactor.Learn(seconds,
+                                  model.FirstToken(request.classIndex, request.firstTokenFeatures));
+    model.LearnFirstToken(request.classIndex, request.firstTokenFeatures,
+                          seconds / engine.firstTokenFactor.Value());
     for (const std::uint64_t hash : request.prefixHashes) {
       mPrefixes.Store(request.engine, hash);
     }
+    Refresh(request.engine);
   }
   request.tokens += aCount;
 }
@@ -147,8 +156,10 @@
   for (std::size_t i = 0; i < features.size(); ++i) {
     features[i] = (features[i] + aRequest.betweenFeatures[i]) / 2.0F;
   }
-  engine.models[static_cast<std::size_t>(aRequest.role)].LearnBetweenTokens(
-    features, ToSeconds(aNow - aRequest.firstToken) / (aRequest.tokens - 1));
+  CostModel& model = (*engine.models)[static_cast<std::size_t>(aRequest.role)];
+  const double seconds = ToSeconds(aNow - aRequest.firstToken) / (aRequest.tokens - 1);
+  engine.betweenFactor.Learn(seconds, model.BetweenTokens(features));
+  model.LearnBetweenTokens(features, seconds / engine.betweenFactor.Value());
 }
 
 void Router::State::OnFailed(RequestId aId, FailureKind aKind, Time aNow)
@@ -174,6 +185,8 @@
   const double waiting = aRequest.tokens == 0 ? -aRequest.uncachedTokens : 0.0;
   engine.load.Add({ -1.0, waiting, -aRequest.blocks }, aNow);
   --engine.ownInFlight;
+  aRequest.service->ownTokens -= aRequest.promptTokens + aRequest.outputExpected;
+  Refresh(aRequest.engine);
 }
 
 void Router::State::OnLoadReport(const LoadReport& aReport, Time aNow)
@@ -187,6 +200,7 @@
   }
   engine->description.role = aReport.role;
   engine->state = aReport.state;
+  Refresh(mEngineIndex[aReport.engine]);
 }
 
 void Router::State::OnCacheEvent(const CacheEvent& aEvent)
@@ -205,6 +219,7 @@
   } else {
     mPrefixes.Remove(index, aEvent.hash);
   }
+  mSummaries[index].cacheTrust = static_cast<float>(engine->cacheTrust);
 }
 
 void Router::State::OnEngineState(const EngineId& aEngine, EngineState aState)
@@ -212,6 +227,7 @@
   EngineBelief* engine = Find(aEngine);
   if (engine != nullptr) {
     engine->state = aState;
+    Refresh(mEngineIndex[aEngine]);
   }
 }
 
