Send only loads that changed and treat health as periodic

Cause: the gateway publishes each engine's load every 500 ms and each daemon's applied generation every 20 s as health. Change: an unchanged load or refreshed value costs no frame of its own; health is periodic, so that digests compare only its keys.

--- a/bench/ControlFleet.cpp
+++ b/bench/ControlFleet.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint64_t kUsageSeconds = 5;
 constexpr std::uint64_t kSummarySeconds = 5;
 constexpr std::uint64_t kUsageSummarySeconds = 20;
+constexpr std::uint64_t kGenerationSeconds = 20;
 constexpr double kBytesPerMicrosecond = 12.5; // 100 Mbit/s
 
 int RegionOf(const std::string& aName)
@@ -130,6 +131,10 @@
     }
   }
   const std::string dataCentre = "dc" + std::to_string(mDataCentre);
+  if (mSeconds % kGenerationSeconds ==
+      0) { // the generation that the daemon applies, as the gateway does
+    Publish({ EntryKind::Health, "generation/" + std::to_string(mNumber) }, "1", aNow, aOutgoing);
+  }
   if (mSeconds % kUsageSeconds == 0) {
     Publish({ EntryKind::AccountUsage, std::to_string(mNumber) }, std::string(kUsageBytes, 'u'),
             aNow, aOutgoing);
--- a/libs/peering/include/masticstep/peering/Peering.hpp
+++ b/libs/peering/include/masticstep/peering/Peering.hpp
@@ -71,7 +71,9 @@
   std::vector<MemberRecord> LocalMembers() const;
   OwnerRole Role(const std::string& aKey) const;
 
-  // Publishes the next version of an entry in this daemon's name.
+  // Publishes the next version of an entry in this daemon's name. An engine load may be published
+  // after each poll: it is sent only if it changed much or is about to become old
+  // (IsWorthPublishing).
   void Publish(const EntryKey& aKey, std::string aValue);
   std::optional<Entry> Find(const EntryKey& aKey) const;
   std::vector<Entry> Entries(EntryKind aKind) const;
--- a/libs/spread/include/masticstep/spread/EngineLoadValue.hpp
+++ b/libs/spread/include/masticstep/spread/EngineLoadValue.hpp
@@ -38,5 +38,8 @@
 // of 1 s would double the traffic of a data centre with 120 engines.
 bool IsWorthPublishing(const EngineLoadValue& aPublished, const EngineLoadValue& aPolled,
                        Duration aSincePublished);
+// The same for encoded values; bytes that are no engine load are always published.
+bool IsWorthPublishing(std::string_view aPublished, std::string_view aPolled,
+                       Duration aSincePublished);
 
 } // namespace masticstep
--- a/libs/spread/include/masticstep/spread/Entry.hpp
+++ b/libs/spread/include/masticstep/spread/Entry.hpp
@@ -13,7 +13,7 @@
 enum class EntryKind : std::uint8_t
 {
   EngineLoad = 1,     // by engine; stays in its data centre
-  Health = 2,         // by backend server; stays in its data centre
+  Health = 2,         // by backend server or daemon, at least every 20 s; stays in its data centre
   AccountUsage = 3,   // by daemon; stays in its data centre
   Drain = 4,          // by backend server; goes everywhere; an empty value ends the drain
   ServiceSummary = 5, // by service and data centre; goes everywhere
--- a/libs/spread/include/masticstep/spread/Spread.hpp
+++ b/libs/spread/include/masticstep/spread/Spread.hpp
@@ -67,6 +67,7 @@
   SpreadActions OnMessage(const std::string& aFrom, const SpreadMessage& aMessage, Time aNow);
   SpreadActions OnMessage(const std::string& aFrom, const ContentMessage& aMessage, Time aNow);
   SpreadActions OnTime(Time aNow);
+  // Publishes the next version. An engine load is left out unless IsWorthPublishing.
   SpreadActions Publish(const EntryKey& aKey, std::string aValue, Time aNow);
   SpreadActions PublishConfiguration(ConfigurationBundle aBundle, Time aNow);
 
@@ -103,7 +104,7 @@
   void OnDigest(const std::string& aFrom, const SpreadMessage& aMessage, SpreadActions& aActions);
   void OnGraft(const std::string& aFrom, const SpreadMessage& aMessage);
   void Accept(const std::string& aFrom, const Entry& aEntry, Time aNow, SpreadActions& aActions);
-  void Enqueue(const EntryTable::Row& aRow, std::uint64_t aKeyHash);
+  void Enqueue(const EntryTable::Row& aRow, std::uint64_t aKeyHash, bool aIsNews);
   void Prune(const std::string& aFrom, const EntryTable::Row& aRow);
   void Flush(const std::string& aAddress, Neighbour& aNeighbour, Time aNow,
              SpreadActions& aActions);
--- a/libs/spread/src/EngineLoadValue.cpp
+++ b/libs/spread/src/EngineLoadValue.cpp
@@ -83,4 +83,12 @@
          aSincePublished >= kLoadRefresh - kPollSlack;
 }
 
+bool IsWorthPublishing(std::string_view aPublished, std::string_view aPolled,
+                       Duration aSincePublished)
+{
+  const std::optional<EngineLoadValue> published = DecodeEngineLoad(aPublished);
+  const std::optional<EngineLoadValue> polled = DecodeEngineLoad(aPolled);
+  return !published || !polled || IsWorthPublishing(*published, *polled, aSincePublished);
+}
+
 } // namespace masticstep
--- a/libs/spread/src/Entry.cpp
+++ b/libs/spread/src/Entry.cpp
@@ -10,11 +10,11 @@
 {
   constexpr Duration kHour = std::chrono::hours{ 1 };
   // Engine load is published at least every 2 s, usage and service
-  // summaries every 5 s, usage summaries every 20 s.
+  // summaries every 5 s, health and usage summaries every 20 s.
   static const std::array<EntryPolicy, 7> kPolicies = { {
     {},
     { true, false, false, true, Seconds(5), Seconds(4) + Milliseconds(500), Seconds(600) },
-    { true, false, true, false, Seconds(60), {}, kHour },
+    { true, false, true, true, Seconds(60), Seconds(45), kHour },
     { true, false, false, true, Seconds(30), Seconds(12), Seconds(600) },
     { true, true, true, false, 48 * kHour, {}, 48 * kHour },
     { true, true, false, true, Seconds(15), Seconds(12), Seconds(600) },
--- a/libs/spread/src/Spread.cpp
+++ b/libs/spread/src/Spread.cpp
@@ -2,6 +2,7 @@
 
 #include "NeighbourChoice.hpp"
 #include "masticstep/base/Hash.hpp"
+#include "masticstep/spread/EngineLoadValue.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -156,6 +157,11 @@
 SpreadActions Spread::Publish(const EntryKey& aKey, std::string aValue, Time aNow)
 {
   const EntryTable::Row* known = mTable.Find(HashOf(aKey));
+  const bool isOwnLoad =
+    known != nullptr && known->owner == mSettings.self && aKey.kind == EntryKind::EngineLoad;
+  if (isOwnLoad && !IsWorthPublishing(known->value, aValue, aNow - known->published)) {
+    return {};
+  }
   const std::uint64_t next = known == nullptr ? 0 : known->version + 1;
   SpreadActions actions;
   Accept({},
@@ -179,8 +185,11 @@
     return;
   }
   const std::uint64_t hash = HashOf(aEntry.key);
-  const EntryTable::Outcome outcome = mTable.Merge(aEntry, aNow);
   const EntryTable::Row* row = mTable.Find(hash);
+  // A value that is only published again can wait for the next delta.
+  const bool isNews = row == nullptr || row->value != aEntry.value;
+  const EntryTable::Outcome outcome = mTable.Merge(aEntry, aNow);
+  row = mTable.Find(hash);
   const std::map<std::string, Neighbour>::iterator from = mNeighbours.find(aFrom);
   if (from != mNeighbours.end()) {
     from->second.known[hash] = { aEntry.version,
@@ -188,7 +197,7 @@
   }
   if (outcome == EntryTable::Outcome::Stored) {
     aActions.changes.push_back(aEntry);
-    Enqueue(*row, hash);
+    Enqueue(*row, hash, isNews);
   } else if (outcome == EntryTable::Outcome::Known) {
     if (from != mNeighbours.end()) {
       from->second.pending.erase(hash);
@@ -199,7 +208,7 @@
   }
 }
 
-void Spread::Enqueue(const EntryTable::Row& aRow, std::uint64_t aKeyHash)
+void Spread::Enqueue(const EntryTable::Row& aRow, std::uint64_t aKeyHash, bool aIsNews)
 {
   const EntryPolicy& policy = PolicyOf(aRow.key.kind);
   for (std::pair<const std::string, Neighbour>& item : mNeighbours) {
@@ -212,7 +221,7 @@
       continue;
     }
     neighbour.pending.insert(aKeyHash);
-    neighbour.isUrgent = neighbour.isUrgent || policy.isUrgent;
+    neighbour.isUrgent = neighbour.isUrgent || (policy.isUrgent && aIsNews);
   }
 }
 
--- a/libs/spread/tests/SpreadTests.cpp
+++ b/libs/spread/tests/SpreadTests.cpp
@@ -183,6 +183,30 @@
   });
 }
 
+// Guards against traffic for values that did not change: loads polled twice a second, and urgent
+// entries that are only refreshed.
+MASTICSTEP_TEST("unchanged values cost no frames of their own", "[spread]")
+{
+  SpreadCluster cluster(1, 2, 9);
+  cluster.mNetwork.RunFor(Seconds(2));
+  const std::string load = Encode({ 1, 0, 30, 0, 1000, 2000, 0, 0 });
+  const EntryKey health{ EntryKind::Health, "draft-1" };
+  cluster.Publish("dc0-0", kLoad, load);
+  cluster.Publish("dc0-0", health, "good");
+  cluster.mNetwork.RunFor(Seconds(1));
+  std::size_t sent = 0;
+  cluster.mNetwork.mOnSend = [&sent](const std::string&, const std::string&, const SpreadPayload&) {
+    ++sent;
+  };
+  cluster.Publish("dc0-0", kLoad, load);
+  cluster.Publish("dc0-0", health, "good");
+  CHECK_EQUAL(0U, sent);
+  CHECK_TRUE(cluster.At("dc0-0").mSpread.Table().Get(kLoad, cluster.mNetwork.Now())->age >=
+             Seconds(1));
+  cluster.Publish("dc0-0", health, "bad");
+  CHECK_EQUAL(1U, sent);
+}
+
 // Guards against a version that is restored wrongly from its low half, which could make it go back.
 MASTICSTEP_TEST("versions are restored from their low half", "[spread][codec][property]")
 {
