--- a/libs/routing/src/RouterChoice.cpp
+++ b/libs/routing/src/RouterChoice.cpp
@@ -17,7 +17,7 @@
 // Weight of the newest request in an engine's mean prompt length.
 constexpr double kMeanStep = 0.05;
 // Engines within this cost of the best are equal as far as stale reports can tell.
-constexpr float kNearMargin = 0.05F;
+constexpr float kNearMargin = 0.10F;
 constexpr float kNearShare = 0.15F;
 
 Duration Span(double aSeconds)
