--- a/bench/MixCases.cpp
+++ b/bench/MixCases.cpp
@@ -180,15 +180,21 @@
   return measurements;
 }
 
-// Without ejection a crashed engine fails fast, looks idle and draws more requests.
+// Without ejection, an engine that refuses connections but reports that it is idle draws requests.
 std::vector<Measurement> CompareLoss(const Installation& aInstallation)
 {
   const Scenario scenario = LossScenario();
   std::vector<Measurement> measurements = Compare(aInstallation, scenario);
+  const std::vector<WorkItem> items = MakeWorkload(aInstallation, scenario.workload);
   SimulationOptions options = OptionsOf(aInstallation, scenario);
+  options.isLossHidden = true;
+  const double hidden = Simulate(options, items).goodput;
   options.dispatch = DispatchKind::MasticstepNoEjection;
-  const SimulationResult result = Simulate(options, MakeWorkload(aInstallation, scenario.workload));
-  measurements[0].baselines.push_back({ "no_ejection", result.goodput });
+  const double hiddenWithout = Simulate(options, items).goodput;
+  options.isLossHidden = false;
+  measurements[0].baselines.push_back({ "no_ejection", Simulate(options, items).goodput });
+  measurements.push_back(
+    { "goodput_hidden_loss", hidden, "requests/s", { { "no_ejection", hiddenWithout } } });
   return measurements;
 }
 
--- a/bench/Simulation.hpp
+++ b/bench/Simulation.hpp
@@ -21,6 +21,8 @@
   // A third of the model engines is down in this span, if it is not empty.
   Duration lossFrom{ 0 };
   Duration lossTo{ 0 };
+  // The lost engines are cut off from the daemons only: they go on reporting that they are idle.
+  bool isLossHidden = false;
 };
 
 struct SimulationResult
--- a/bench/SimulationFleet.cpp
+++ b/bench/SimulationFleet.cpp
@@ -38,10 +38,13 @@
 void SimulationState::TakeReport(std::uint32_t aEngine)
 {
   const FakeEngine& engine = mEngines[aEngine];
-  if (engine.state == EngineState::Down) {
+  if (engine.state == EngineState::Down && !mOptions->isLossHidden) {
     return;
   }
   Snapshot snapshot{ aEngine, mNow, engine.Report() };
+  if (engine.state == EngineState::Down) {
+    snapshot.report.state = EngineState::Ready;
+  }
   snapshot.report.sequence = ++mSequences[aEngine];
   mLatest[aEngine] = snapshot;
   mSnapshots.push_back(snapshot);
@@ -202,7 +205,9 @@
     Push(mNow + kSilence, Kind::Failed, sequence.request, sequence.attempt,
          static_cast<std::uint32_t>(routing::FailureKind::Silent));
   }
-  Spread(aEngine, EngineState::Down, kDownDetected);
+  if (!mOptions->isLossHidden) {
+    Spread(aEngine, EngineState::Down, kDownDetected);
+  }
 }
 
 } // namespace masticstep::bench
--- a/libs/routing/src/EngineBelief.cpp
+++ b/libs/routing/src/EngineBelief.cpp
@@ -24,7 +24,7 @@
   summary.zoneCost = static_cast<float>(zoneCost);
   summary.cacheTrust = static_cast<float>(cacheTrust);
   summary.role = static_cast<std::uint8_t>(description.role);
-  summary.isUsable = state == EngineState::Ready && !isRemoved;
+  summary.isUsable = State() == EngineState::Ready && !isRemoved;
   summary.isBreakerClosed = breaker.IsClosed();
   return summary;
 }
--- a/libs/routing/src/EngineBelief.hpp
+++ b/libs/routing/src/EngineBelief.hpp
@@ -20,12 +20,18 @@
   EngineBelief(const EngineDescription& aDescription, RoleModels& aModels);
 
   const CostModel& Model() const { return (*models)[static_cast<std::size_t>(description.role)]; }
+  // The announced state if it is not ready, else the reported one.
+  EngineState State() const { return announced == EngineState::Ready ? reported : announced; }
   EngineSummary Summary() const;
   // Takes the zone's round trip and charge from the options.
   void SetZone(const RouterOptions& aOptions);
 
   EngineDescription description;
-  EngineState state = EngineState::Ready;
+  // What was announced, and what the engine itself reports. Both must be ready, since an engine
+  // that leaves by the platform's list reports that it is ready.
+  EngineState announced = EngineState::Ready;
+  EngineState reported = EngineState::Ready;
+  Time announcedAt{};
   bool isRemoved = false;
   LoadBelief load;
   // Shared by the engines of the service: one engine alone gives too few answers of each class.
--- a/libs/routing/src/Router.cpp
+++ b/libs/routing/src/Router.cpp
@@ -70,9 +70,9 @@
   mState->OnCacheEvent(aEvent);
 }
 
-void Router::OnEngineState(const EngineId& aEngine, EngineState aState, Time)
+void Router::OnEngineState(const EngineId& aEngine, EngineState aState, Time aNow)
 {
-  mState->OnEngineState(aEngine, aState);
+  mState->OnEngineState(aEngine, aState, aNow);
 }
 
 std::uint32_t Router::PredictOutput(const ServiceName& aService, const ClassName& aClass,
--- a/libs/routing/src/RouterChoice.cpp
+++ b/libs/routing/src/RouterChoice.cpp
@@ -95,7 +95,7 @@
 bool Router::State::IsUsable(const EngineBelief& aEngine, const RouteRequest& aRequest,
                              Time aNow) const
 {
-  if (aEngine.state != EngineState::Ready || aEngine.isRemoved) {
+  if (aEngine.State() != EngineState::Ready || aEngine.isRemoved) {
     return false;
   }
   if (mOptions.ejection && !aEngine.breaker.Allows(aNow)) {
@@ -238,7 +238,7 @@
     EngineView view;
     view.id = engine.description.id;
     view.role = engine.description.role;
-    view.state = engine.state;
+    view.state = engine.State();
     view.isEjected = mOptions.ejection && !engine.breaker.Allows(aNow);
     view.ownInFlight = engine.ownInFlight;
     view.running = load.running;
--- a/libs/routing/src/RouterState.cpp
+++ b/libs/routing/src/RouterState.cpp
@@ -199,7 +199,11 @@
     return;
   }
   engine->description.role = aReport.role;
-  engine->state = aReport.state;
+  engine->reported = aReport.state;
+  // A report taken later shows that the engine is up again; only an announcement ends a drain.
+  if (engine->announced != EngineState::Draining && aNow - aReport.age > engine->announcedAt) {
+    engine->announced = EngineState::Ready;
+  }
   Refresh(mEngineIndex[aReport.engine]);
 }
 
@@ -222,11 +226,14 @@
   mSummaries[index].cacheTrust = static_cast<float>(engine->cacheTrust);
 }
 
-void Router::State::OnEngineState(const EngineId& aEngine, EngineState aState)
+void Router::State::OnEngineState(const EngineId& aEngine, EngineState aState, Time aNow)
 {
   EngineBelief* engine = Find(aEngine);
   if (engine != nullptr) {
-    engine->state = aState;
+    engine->announced = aState;
+    engine->announcedAt = aNow;
+    // An announced end of a drain is newer than the drain that the last report showed.
+    engine->reported = aState == EngineState::Ready ? EngineState::Ready : engine->reported;
     Refresh(mEngineIndex[aEngine]);
   }
 }
--- a/libs/routing/src/RouterState.hpp
+++ b/libs/routing/src/RouterState.hpp
@@ -60,7 +60,7 @@
   void OnFailed(RequestId aId, FailureKind aKind, Time aNow);
   void OnLoadReport(const LoadReport& aReport, Time aNow);
   void OnCacheEvent(const CacheEvent& aEvent);
-  void OnEngineState(const EngineId& aEngine, EngineState aState);
+  void OnEngineState(const EngineId& aEngine, EngineState aState, Time aNow);
 
   std::uint32_t PredictOutput(const ServiceName& aService, const ClassName& aClass,
                               const AccountName& aAccount, std::uint32_t aMaxTokens) const;
--- a/libs/routing/tests/RouterTests.cpp
+++ b/libs/routing/tests/RouterTests.cpp
@@ -59,6 +59,28 @@
   }
 }
 
+// Guards against a report that ends a drain, and against an engine that stays down after it is
+// back.
+MASTICSTEP_TEST("a later report ends an announced failure but no drain", "[routing][drain]")
+{
+  Router router = TwoEngines();
+  LoadReport report;
+  report.engine = EngineId("e1");
+  report.sequence = 1;
+  report.kvBlocksTotal = 2000;
+  router.OnEngineState(EngineId("e1"), EngineState::Draining, At(0));
+  router.OnLoadReport(report, At(10));
+  CHECK_TRUE(EngineState::Draining == router.Engines(At(10))[0].state);
+  router.OnEngineState(EngineId("e1"), EngineState::Down, At(20));
+  report.sequence = 2;
+  report.age = Milliseconds(15);
+  router.OnLoadReport(report, At(30));
+  CHECK_TRUE(EngineState::Down == router.Engines(At(30))[0].state);
+  report.sequence = 3;
+  router.OnLoadReport(report, At(40));
+  CHECK_TRUE(EngineState::Ready == router.Engines(At(40))[0].state);
+}
+
 // Guards against sending a burst to one engine while its report still shows it idle.
 MASTICSTEP_TEST("own work in flight counts before the next report", "[routing][load]")
 {
