Count failed engines against the share that may change roles

Cause: maximum_share limited only the planner's own changes, so that a role change could take a further engine out of service while others had failed. Change: engines that are not healthy count as changing.

--- a/libs/roles/include/masticstep/roles/RolePlanner.hpp
+++ b/libs/roles/include/masticstep/roles/RolePlanner.hpp
@@ -59,6 +59,8 @@
   // Whether the change has paid for the whole confirmation time.
   bool IsConfirmed(const std::optional<RoleAction>& aChange, Time aNow);
   std::optional<EngineId> EngineFor(Role aFrom, Time aNow) const;
+  // Engines that are out of service for another reason; they count as changing.
+  std::size_t Unhealthy() const;
   std::size_t MaximumChanging() const;
 
   RolePolicy mPolicy;
--- a/libs/roles/src/RolePlanner.cpp
+++ b/libs/roles/src/RolePlanner.cpp
@@ -86,6 +86,14 @@
     }));
 }
 
+std::size_t RolePlanner::Unhealthy() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mEngines.begin(), mEngines.end(), [](const std::pair<const EngineId, EngineState>& aItem) {
+      return aItem.second.phase == Phase::Serving && !aItem.second.isHealthy;
+    }));
+}
+
 std::size_t RolePlanner::MaximumChanging() const
 {
   // A small data centre must still be able to change one engine.
@@ -117,7 +125,7 @@
   if (!mStarted || aNow - *mStarted < mPolicy.warmUp) {
     return actions;
   }
-  while (Changing() < MaximumChanging()) {
+  while (Changing() + Unhealthy() < MaximumChanging()) {
     const std::optional<RoleAction> change = BestChange(CountsAfterChanges(), aNow);
     if (!IsConfirmed(change, aNow)) {
       break;
--- a/libs/roles/tests/RolePlannerTests.cpp
+++ b/libs/roles/tests/RolePlannerTests.cpp
@@ -61,6 +61,22 @@
   }
 }
 
+// Guards against taking further engines out of service while some have failed.
+MASTICSTEP_TEST("no change starts while the share that may be out has failed", "[roles][failure]")
+{
+  RolePlanner planner = Planner(RolePolicy{});
+  planner.OnEngine({ EngineId("e5"), Role::Decode, false, 0 }, At(0));
+  for (int second = 0; second < 100; ++second) {
+    planner.OnMix({ 4.0, 1.0 }, At(second));
+    CHECK_TRUE(planner.Plan(At(second)).empty());
+  }
+  planner.OnEngine({ EngineId("e5"), Role::Decode, true, 0 }, At(100));
+  planner.OnMix({ 4.0, 1.0 }, At(100));
+  CHECK_TRUE(planner.Plan(At(100)).empty());
+  planner.OnMix({ 4.0, 1.0 }, At(105));
+  CHECK_EQUAL(1U, planner.Plan(At(105)).size());
+}
+
 // Guards against engines that change too often or too many at once, whatever the mix does.
 MASTICSTEP_TEST("interval and share of changing engines hold for any mix", "[roles][property]")
 {
