--- a/libs/admission/src/AdmissionState.hpp
+++ b/libs/admission/src/AdmissionState.hpp
@@ -11,6 +11,14 @@
 
 namespace masticstep::admission {
 
+// Told to callers that are refused because a queue is full.
+constexpr Duration kRetryAfterFull = Seconds(1);
+
+inline double ClassWeight(const ClassLimits& aLimits)
+{
+  return 1.0 + aLimits.priority;
+}
+
 class AdmissionQueue::State
 {
 public:
--- a/libs/admission/tests/AdmissionQueueTests.cpp
+++ b/libs/admission/tests/AdmissionQueueTests.cpp
@@ -131,6 +131,12 @@
       } else if (kind == 6 && !waiting.empty()) {
         RC_ASSERT(queue.Cancel(RequestId{ *waiting.begin() }));
         waiting.erase(waiting.begin());
+      } else if (kind == 7 && !running.empty()) {
+        const std::uint64_t last = *running.rbegin();
+        running.erase(last);
+        if (!queue.OnNoRoom(RequestId{ last }, At(now))) {
+          waiting.insert(last);
+        }
       }
       for (const Refusal& refusal : queue.OnTime(At(now))) {
         RC_ASSERT(waiting.erase(refusal.id.value) == 1);
@@ -141,12 +147,31 @@
       }
       RC_ASSERT(queue.Waiting() == waiting.size());
       RC_ASSERT(queue.InFlight() == running.size());
+      RC_ASSERT(queue.NextWakeUp().has_value() == !waiting.empty());
       RC_ASSERT(queue.Waiting() <= 2 * limit);
       RC_ASSERT(queue.TokensInFlight(kService) <= 2000);
     }
   });
 }
 
+// Guards against a request that loses its place when no engine had room, and against a class that
+// is tried again and again meanwhile.
+MASTICSTEP_TEST("a request without an engine keeps its place and its class rests",
+                "[admission][overload]")
+{
+  AdmissionQueue queue(Options(64));
+  CHECK_TRUE(queue.Offer(Request(1, "a", 100), At(1)).kind == AdmissionKind::Admitted);
+  CHECK_FALSE(queue.OnNoRoom(RequestId{ 1 }, At(1)).has_value());
+  CHECK_EQUAL(0U, queue.InFlight());
+  CHECK_TRUE(queue.Offer(Request(2, "a", 100), At(2)).kind == AdmissionKind::Queued);
+  CHECK_TRUE(queue.Offer(Request(3, "a", 100, "check"), At(2)).kind == AdmissionKind::Admitted);
+  CHECK_TRUE(queue.Release(At(2)).empty());
+  CHECK_TRUE(queue.NextWakeUp() == At(21));
+  const std::vector<AdmissionRequest> released = queue.Release(At(21));
+  CHECK_EQUAL(2U, released.size());
+  CHECK_EQUAL(RequestId{ 1 }, released[0].id);
+}
+
 // Guards against an account that gets more than its weight by larger or more requests.
 MASTICSTEP_TEST("accounts that always wait are served in proportion to their weights",
                 "[admission][property][fair]")
