Run role control in the daemon

Cause: the role planner, the lease and the engine orders existed, but no daemon carried out a role change. Change: every daemon reports the offered work of its callers to its peers every 5 s; the two daemons that rendezvous hashing names try for the lease of the data centre; the holder feeds the planner and gives the orders. Role drains have an entry of their own, so that the end of a role change cannot end a notice to leave; a new holder ends the drains of a predecessor.

--- a/libs/gateway/src/CompletionSession.cpp
+++ b/libs/gateway/src/CompletionSession.cpp
@@ -147,7 +147,9 @@
   request.service = mService->name;
   request.className = mClass->name;
   request.account = mAccount->name;
-  request.tokens = mCall.promptTokens + mParts->engines->ExpectedOutput(Query());
+  const std::uint32_t output = mParts->engines->ExpectedOutput(Query());
+  mParts->work.Add(mService->name, mCall.promptTokens, output);
+  request.tokens = mCall.promptTokens + output;
   request.arrived = mArrived;
   request.deadline = mDeadline;
   mIsWaiting = true;
--- a/libs/gateway/src/Daemon.cpp
+++ b/libs/gateway/src/Daemon.cpp
@@ -4,8 +4,10 @@
 #include "AdmissionPump.hpp"
 #include "CallerHandler.hpp"
 #include "ConfigurationFollower.hpp"
+#include "Drains.hpp"
 #include "EngineLoads.hpp"
 #include "HostListFollower.hpp"
+#include "RoleControl.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -52,9 +54,10 @@
       aParts.admission.OnPeerDemand(aEntry.owner, aEntry.value);
     }
   } else if (aEntry.key.kind == EntryKind::Drain) {
-    const BackendServerName server{ aEntry.key.name };
-    aParts.engines->SetLeaving(server, !aEntry.value.empty(), net::Now());
-    aParts.servers->SetLeaving(server, !aEntry.value.empty(), net::Now());
+    const BackendServerName server = DrainedServer(aEntry.key);
+    const bool isDrained = IsDrained(*aParts.peering, server);
+    aParts.engines->SetLeaving(server, isDrained, net::Now());
+    aParts.servers->SetLeaving(server, isDrained, net::Now());
   }
 }
 
@@ -98,6 +101,7 @@
   mParts->pool->Close();
   mFollower = nullptr;
   mHosts = nullptr;
+  mRoles = nullptr;
   mParts->peering = nullptr;
   mParts->orders = nullptr;
   mStore = nullptr;
@@ -124,6 +128,7 @@
   StartOrders();
   mFollower = std::make_shared<ConfigurationFollower>(mParts, mStore);
   mHosts = std::make_shared<HostListFollower>(mParts, mStore);
+  mRoles = std::make_shared<RoleControl>(mParts, mStore, mWorkers.Context().get_executor());
   const Result<void, net::NetError> peering = StartPeering();
   if (!peering) {
     return Failure(peering.error());
@@ -211,6 +216,7 @@
   spawn([follower = mFollower] { return follower->Watch(); });
   spawn([follower = mFollower] { return follower->ReportInForce(); });
   spawn([hosts = mHosts] { return hosts->Watch(); });
+  spawn([roles = mRoles] { return roles->Run(); });
   spawn([parts = mParts] { return PollLoads(parts); });
   spawn([parts = mParts] { return PumpAdmission(parts); });
   spawn([parts = mParts] { return ShareLimits(parts); });
@@ -243,6 +249,7 @@
   mCallers->StopAccepting();
   mFollower->Stop();
   mHosts->Stop();
+  mRoles->Stop();
   while (mParts->running.Count() > 0 && net::Now() < cut) {
     co_await net::Sleep(kDrainCheckInterval);
   }
--- a/libs/gateway/src/Daemon.hpp
+++ b/libs/gateway/src/Daemon.hpp
@@ -16,6 +16,7 @@
 
 class ConfigurationFollower;
 class HostListFollower;
+class RoleControl;
 
 // The daemon of one host: its servers, worker pool and shutdown.
 class Daemon
@@ -51,6 +52,7 @@
   std::shared_ptr<platform_client::HttpObjectStore> mStore;
   std::shared_ptr<ConfigurationFollower> mFollower;
   std::shared_ptr<HostListFollower> mHosts;
+  std::shared_ptr<RoleControl> mRoles;
 };
 
 } // namespace masticstep::gateway
--- a/libs/gateway/src/GatewayParts.hpp
+++ b/libs/gateway/src/GatewayParts.hpp
@@ -4,6 +4,7 @@
 #include "ConfigurationHolder.hpp"
 #include "DrainState.hpp"
 #include "EngineSelector.hpp"
+#include "OfferedWork.hpp"
 #include "RequestNames.hpp"
 #include "RetryDecider.hpp"
 #include "RunningRequests.hpp"
@@ -29,6 +30,7 @@
   RunningRequests running;
   AdmissionGate admission; // to the engines of model services
   RetryDecider retry;
+  OfferedWork work;                                    // by model service, for role control
   std::unique_ptr<EngineSelector> engines;             // of model services
   std::unique_ptr<EngineSelector> servers;             // of plain services
   std::shared_ptr<Peering> peering;                    // null until the daemon has started
--- /dev/null
+++ b/libs/gateway/src/OfferedWork.cpp
@@ -0,0 +1,96 @@
+#include "OfferedWork.hpp"
+
+#include "masticstep/roles/WorkEstimate.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <optional>
+
+namespace masticstep::gateway {
+
+namespace {
+
+constexpr double kUnitsPerEngine = 1000.0;
+
+long Units(double aWork)
+{
+  return std::lround(aWork * kUnitsPerEngine);
+}
+
+// Reads a number of thousandths that fills the whole text.
+std::optional<double> ParseUnits(std::string_view aText)
+{
+  long n = 0;
+  const std::from_chars_result parsed =
+    std::from_chars(aText.data(), aText.data() + aText.size(), n);
+  if (parsed.ec != std::errc{} || parsed.ptr != aText.data() + aText.size() || n < 0) {
+    return std::nullopt;
+  }
+  return static_cast<double>(n) / kUnitsPerEngine;
+}
+
+void AddPart(std::string_view aPart, WorkByService& aSum)
+{
+  const std::size_t equals = aPart.find('=');
+  const std::size_t comma = aPart.find(',', equals == std::string_view::npos ? 0 : equals);
+  if (equals == std::string_view::npos || equals == 0 || comma == std::string_view::npos) {
+    return;
+  }
+  const std::optional<double> prompt = ParseUnits(aPart.substr(equals + 1, comma - equals - 1));
+  const std::optional<double> output = ParseUnits(aPart.substr(comma + 1));
+  if (!prompt || !output) {
+    return;
+  }
+  roles::MixSample& sample = aSum[ServiceName(std::string(aPart.substr(0, equals)))];
+  sample.promptWork += *prompt;
+  sample.outputWork += *output;
+}
+
+} // namespace
+
+std::string EncodeWork(const WorkByService& aWork)
+{
+  std::string text;
+  for (const std::pair<const ServiceName, roles::MixSample>& item : aWork) {
+    text += text.empty() ? "" : ";";
+    text += item.first.Text();
+    text += '=';
+    text += std::to_string(Units(item.second.promptWork));
+    text += ',';
+    text += std::to_string(Units(item.second.outputWork));
+  }
+  return text;
+}
+
+void AddEncodedWork(std::string_view aText, WorkByService& aSum)
+{
+  while (!aText.empty()) {
+    const std::size_t end = std::min(aText.find(';'), aText.size());
+    AddPart(aText.substr(0, end), aSum);
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+  }
+}
+
+void OfferedWork::Add(const ServiceName& aService, std::uint32_t aPromptTokens,
+                      std::uint32_t aOutputTokens)
+{
+  const roles::MixSample work = roles::WorkOf(aPromptTokens, aOutputTokens, roles::TokenCosts{});
+  const std::lock_guard<std::mutex> lock(mMutex);
+  roles::MixSample& sum = mSums[aService];
+  sum.promptWork += work.promptWork;
+  sum.outputWork += work.outputWork;
+}
+
+WorkByService OfferedWork::Take(Duration aSpan)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  WorkByService work = std::move(mSums);
+  mSums.clear();
+  for (std::pair<const ServiceName, roles::MixSample>& item : work) {
+    item.second.promptWork /= ToSeconds(aSpan);
+    item.second.outputWork /= ToSeconds(aSpan);
+  }
+  return work;
+}
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/OfferedWork.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+#include "masticstep/base/Time.hpp"
+#include "masticstep/roles/MixSample.hpp"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace masticstep::gateway {
+
+// Engine seconds a second that callers offer, by model service.
+using WorkByService = std::map<ServiceName, roles::MixSample>;
+
+// Writes the work as "service=prompt,output;..." with the numbers in thousandths of an engine.
+std::string EncodeWork(const WorkByService& aWork);
+// Adds encoded work of one daemon to a sum. Parts that cannot be read are left out.
+void AddEncodedWork(std::string_view aText, WorkByService& aSum);
+
+// Adds up the work that arrives at this daemon. Safe to use from every thread.
+class OfferedWork
+{
+public:
+  // Counts one request, whether or not it is admitted.
+  void Add(const ServiceName& aService, std::uint32_t aPromptTokens, std::uint32_t aOutputTokens);
+  // Returns the work a second since the last call, over the given span, and starts anew. The span
+  // must be above zero.
+  WorkByService Take(Duration aSpan);
+
+private:
+  std::mutex mMutex;
+  WorkByService mSums; // engine seconds
+};
+
+} // namespace masticstep::gateway
--- /dev/null
+++ b/libs/gateway/src/RoleControl.cpp
@@ -0,0 +1,220 @@
+#include "RoleControl.hpp"
+
+#include "masticstep/net/Clock.hpp"
+#include "masticstep/net/Sleep.hpp"
+#include "masticstep/spread/EngineLoadValue.hpp"
+#include "masticstep/telemetry/Log.hpp"
+
+#include <random>
+#include <utility>
+
+namespace masticstep::gateway {
+
+namespace {
+
+constexpr Duration kStepInterval = Seconds(1);
+// With 74 daemons in a data centre each receives about 0.8 KB/s of these reports.
+constexpr Duration kReportInterval = Seconds(5);
+constexpr const char* kLeaseKey = "roles";
+constexpr std::uint8_t kReady = 0; // state in EngineLoadValue
+constexpr std::uint8_t kDraining = 1;
+
+std::string ProcessNonce()
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr int kLength = 16;
+  std::random_device device;
+  std::string text;
+  for (int i = 0; i < kLength; ++i) {
+    text += kDigits[device() % kDigits.size()];
+  }
+  return text;
+}
+
+roles::RolePolicy PolicyOf(const Service& aService)
+{
+  roles::RolePolicy policy;
+  policy.changeCost = ToSeconds(aService.rolePolicy.changeCost);
+  policy.minimumInterval = aService.rolePolicy.minimumInterval;
+  policy.maximumShare = aService.rolePolicy.maximumShare;
+  return policy;
+}
+
+roles::Role RoleOf(std::uint8_t aNumber)
+{
+  constexpr std::uint8_t kPrefill = 1;
+  constexpr std::uint8_t kDecode = 2;
+  if (aNumber == kPrefill) {
+    return roles::Role::Prefill;
+  }
+  return aNumber == kDecode ? roles::Role::Decode : roles::Role::Mixed;
+}
+
+} // namespace
+
+RoleControl::RoleControl(std::shared_ptr<GatewayParts> aParts,
+                         std::shared_ptr<platform::ObjectStore> aStore, net::Executor aExecutor)
+  : mParts(std::move(aParts))
+  , mStore(std::move(aStore))
+  , mExecutor(std::move(aExecutor))
+{
+}
+
+net::Task<void> RoleControl::Run()
+{
+  const std::shared_ptr<RoleControl> self = shared_from_this();
+  while (!mIsStopped && mParts->peering) {
+    co_await net::Sleep(kStepInterval);
+    const ConfigurationPointer configuration = mParts->configuration.Current();
+    if (!mIsStopped && configuration) {
+      Step(*configuration, net::Now());
+    }
+  }
+  if (mAuthority) {
+    mAuthority->Release();
+  }
+}
+
+void RoleControl::Stop()
+{
+  mIsStopped = true;
+}
+
+void RoleControl::Step(const Configuration& aConfiguration, Time aNow)
+{
+  ReportWork(aNow);
+  FollowOwnership();
+  if (!mAuthority) {
+    return;
+  }
+  FollowConfiguration(aConfiguration);
+  const bool isHolder = mAuthority->IsHolder();
+  if (isHolder && !mWasHolder) {
+    telemetry::Log(telemetry::Level::Info, "role control begins", {});
+    EndDrainsOfPredecessor(aConfiguration);
+  }
+  mWasHolder = isHolder;
+  WorkByService work;
+  for (const Entry& entry : mParts->peering->Entries(EntryKind::OfferedWork)) {
+    if (!entry.IsStale()) {
+      AddEncodedWork(entry.value, work);
+    }
+  }
+  for (const std::pair<const ServiceName, std::shared_ptr<control::RoleController>>& item :
+       mControllers) {
+    FeedController(*item.second, *aConfiguration.FindService(item.first), work, aNow);
+    item.second->Tick(aNow);
+  }
+}
+
+void RoleControl::ReportWork(Time aNow)
+{
+  if (mReported == Time{}) {
+    mReported = aNow;
+  }
+  const Duration span = aNow - mReported;
+  if (span < kReportInterval) {
+    return;
+  }
+  mReported = aNow;
+  mParts->peering->Publish({ EntryKind::OfferedWork, mParts->settings.host.Text() },
+                           EncodeWork(mParts->work.Take(span)));
+}
+
+void RoleControl::FollowOwnership()
+{
+  const bool mustTry = mParts->peering->Role(kLeaseKey) != OwnerRole::None;
+  if (mustTry == (mAuthority != nullptr)) {
+    return;
+  }
+  if (!mustTry) {
+    mAuthority->Release();
+    mAuthority = nullptr;
+    mControllers.clear();
+    mGeneration = 0;
+    mWasHolder = false;
+    return;
+  }
+  control::AuthorityOptions options;
+  options.dataCentre = mParts->settings.dataCentre;
+  options.role = kLeaseKey;
+  options.holder = mParts->settings.host;
+  options.processNonce = ProcessNonce();
+  mAuthority = std::make_shared<control::EngineAuthority>(mExecutor, mStore, std::move(options));
+  mAuthority->Start();
+}
+
+bool RoleControl::IsLocal(const BackendServer& aEngine) const
+{
+  return aEngine.dataCentre == mParts->settings.dataCentre;
+}
+
+void RoleControl::FollowConfiguration(const Configuration& aConfiguration)
+{
+  if (aConfiguration.Generation() == mGeneration) {
+    return;
+  }
+  mGeneration = aConfiguration.Generation();
+  std::vector<control::EngineTarget> targets;
+  Controllers controllers;
+  for (const Service& service : aConfiguration.Services()) {
+    if (service.kind != ServiceKind::Model) {
+      continue;
+    }
+    std::shared_ptr<control::RoleController>& controller = controllers[service.name];
+    const Controllers::iterator it = mControllers.find(service.name);
+    if (it != mControllers.end()) {
+      controller = it->second;
+      controller->SetPolicy(PolicyOf(service));
+    } else {
+      controller = std::make_shared<control::RoleController>(
+        mAuthority, std::make_shared<RoleDrains>(mParts->peering), PolicyOf(service));
+    }
+    for (const BackendServer& engine : service.backendServers) {
+      if (IsLocal(engine)) {
+        targets.push_back(
+          { engine.name, AddressOf(engine.url), engine.url.path, engine.refusesOldFencing });
+      }
+    }
+  }
+  mControllers = std::move(controllers);
+  mAuthority->SetEngines(std::move(targets));
+}
+
+void RoleControl::FeedController(control::RoleController& aController, const Service& aService,
+                                 const WorkByService& aWork, Time aNow)
+{
+  const WorkByService::const_iterator it = aWork.find(aService.name);
+  aController.OnMix(it == aWork.end() ? roles::MixSample{} : it->second, aNow);
+  for (const BackendServer& engine : aService.backendServers) {
+    const std::optional<Entry> entry =
+      mParts->peering->Find({ EntryKind::EngineLoad, engine.name.Text() });
+    const std::optional<EngineLoadValue> load =
+      entry ? DecodeEngineLoad(entry->value) : std::nullopt;
+    if (!IsLocal(engine) || !load) {
+      continue;
+    }
+    const bool isUp = load->state == kReady || load->state == kDraining;
+    roles::EngineStatus status;
+    status.engine = engine.name;
+    status.role = RoleOf(load->role);
+    status.isHealthy = isUp && !entry->IsStale() && !IsLeaving(*mParts->peering, engine.name);
+    status.requests = static_cast<std::uint32_t>(load->running) + load->waiting;
+    aController.OnEngine(status, aNow - entry->age - Milliseconds(load->ageMs));
+  }
+}
+
+void RoleControl::EndDrainsOfPredecessor(const Configuration& aConfiguration)
+{
+  RoleDrains drains(mParts->peering);
+  for (const Service& service : aConfiguration.Services()) {
+    for (const BackendServer& engine : service.backendServers) {
+      const std::optional<Entry> entry = mParts->peering->Find(RoleDrainKey(engine.name));
+      if (IsLocal(engine) && entry && !entry->value.empty()) {
+        drains.Resume(engine.name);
+      }
+    }
+  }
+}
+
+} // namespace masticstep::gateway
--- a/libs/spread/include/masticstep/spread/Entry.hpp
+++ b/libs/spread/include/masticstep/spread/Entry.hpp
@@ -17,7 +17,8 @@
   AccountUsage = 3,   // by daemon; stays in its data centre
   Drain = 4,          // by backend server; goes everywhere; an empty value ends the drain
   ServiceSummary = 5, // by service and data centre; goes everywhere
-  UsageSummary = 6    // by data centre; goes everywhere
+  UsageSummary = 6,   // by data centre; goes everywhere
+  OfferedWork = 7     // by daemon, every 5 s; stays in its data centre
 };
 
 // How entries of a kind travel and age.
--- a/libs/spread/src/Entry.cpp
+++ b/libs/spread/src/Entry.cpp
@@ -11,7 +11,7 @@
   constexpr Duration kHour = std::chrono::hours{ 1 };
   // Engine load is published at least every 2 s, usage and service
   // summaries every 5 s, health and usage summaries every 20 s.
-  static const std::array<EntryPolicy, 7> kPolicies = { {
+  static const std::array<EntryPolicy, 8> kPolicies = { {
     {},
     { true, false, false, true, Seconds(5), Seconds(4) + Milliseconds(500), Seconds(600) },
     { true, false, true, true, Seconds(60), Seconds(45), kHour },
@@ -19,6 +19,7 @@
     { true, true, true, false, 48 * kHour, {}, 48 * kHour },
     { true, true, false, true, Seconds(15), Seconds(12), Seconds(600) },
     { true, true, false, true, Seconds(60), Seconds(45), Seconds(600) },
+    { true, false, false, true, Seconds(15), Seconds(12), Seconds(600) },
   } };
   const std::size_t index = static_cast<std::size_t>(aKind);
   return kPolicies[index < kPolicies.size() ? index : 0];
