Follow changes of an engine's fencing setting

Cause: EngineAuthority kept the first value of refuses_old_fencing of an engine, so a changed service file did not count until a restart.

--- a/libs/authority/include/masticstep/authority/EngineOrderMachine.hpp
+++ b/libs/authority/include/masticstep/authority/EngineOrderMachine.hpp
@@ -67,6 +67,8 @@
   explicit EngineOrderMachine(EngineOptions aOptions);
 
   bool IsIdle() const { return mStep == Step::Idle; }
+  // Follows a change of the engine's settings; counts from the next intent that is settled.
+  void SetRefusesOldFencing(bool aRefuses) { mOptions.refusesOldFencing = aRefuses; }
   // Starts an order; the machine must be idle and the lease held.
   EngineOrderActions Start(EngineOrder aOrder, const LeaseView& aLease, Time aNow);
   EngineOrderActions OnPlatformReply(const platform::PlatformReply& aReply, const LeaseView& aLease,
--- a/libs/control/src/EngineAuthorityCore.cpp
+++ b/libs/control/src/EngineAuthorityCore.cpp
@@ -56,6 +56,7 @@
     const std::map<EngineId, Engine>::iterator it =
       mEngines.try_emplace(target.engine, Engine{ {}, authority::EngineOrderMachine(options), {} })
         .first;
+    it->second.machine.SetRefusesOldFencing(target.refusesOldFencing);
     it->second.target = std::move(target);
   }
 }
