--- a/libs/gateway/src/AdminHandler.cpp
+++ b/libs/gateway/src/AdminHandler.cpp
@@ -109,7 +109,8 @@
                          { "members", Members(*mParts) },
                          { "engines", StatusOf(*mParts->engines) },
                          { "servers", StatusOf(*mParts->servers) },
-                         { "running_requests", mParts->running.Count() } });
+                         { "running_requests", mParts->running.Count() },
+                         { "waiting_requests", mParts->admission.Waiting() } });
 }
 
 net::HttpResponse AdminHandler::Refuse(unsigned aStatus, const net::NetError& aError)
