--- /dev/null
+++ b/libs/gateway/src/CompletionRecovery.cpp
@@ -0,0 +1,142 @@
+// What a CompletionSession does after a failed or stopped attempt.
+#include "CompletionSession.hpp"
+
+#include "masticstep/net/Clock.hpp"
+#include "masticstep/net/HttpClient.hpp"
+#include "masticstep/net/Sleep.hpp"
+
+#include <boost/json/parse.hpp>
+
+#include <utility>
+
+namespace masticstep::gateway {
+
+namespace {
+
+constexpr Duration kRetryAfterFailure = Seconds(1);
+// A cancellation must not hold up the answer to a request that can go elsewhere.
+constexpr net::FetchLimits kCancelLimits{ Milliseconds(300), Milliseconds(500), 4096 };
+
+} // namespace
+
+retry::RetryDecision CompletionSession::Decide(retry::Progress aProgress, bool aIsResumable)
+{
+  const std::uint32_t tokens = mMetrics->Tokens();
+  retry::Attempt attempt;
+  attempt.id = mName.number;
+  attempt.service = mService->name;
+  attempt.progress = tokens > 0 ? retry::Progress::Started : aProgress;
+  attempt.isRepeatable = true;
+  attempt.isResumable = aIsResumable;
+  attempt.mayHaveRunBefore = mMayHaveRun;
+  attempt.tokensRelayed = tokens;
+  attempt.retries = mRetries;
+  attempt.resumes = mResumes;
+  // The deadline bounds the wait for a stream's first token, not the stream.
+  const bool isOpenEnded = mCall.streams && tokens > 0;
+  attempt.deadline = isOpenEnded ? Time::max() : mDeadline;
+  return mParts->retry.Decide(attempt, net::Now());
+}
+
+net::Task<CompletionSession::AttemptEnd> CompletionSession::AfterFailure(
+  const BackendServer& aEngine, EngineStream& aStream, StreamFailure aFailure)
+{
+  mParts->engines->OnFailed(mName.number, ToEngineFailure(aFailure), net::Now());
+  const retry::Progress progress = co_await ProgressOf(aEngine, aStream, aFailure);
+  if (mInterruption == Interruption::CallerGone) {
+    LogEnd("caller left");
+    co_return AttemptEnd::Interrupted;
+  }
+  if (IsCallersFault(aFailure) && mMetrics->Tokens() == 0) {
+    mRefusal = EngineRefusal(aFailure);
+    co_return AttemptEnd::Refused;
+  }
+  const retry::RetryDecision decision = Decide(progress, false);
+  mMayHaveRun = decision.mayHaveRun;
+  if (decision.kind == retry::RetryKind::Retry) {
+    ++mRetries;
+    mExcluded.push_back(aEngine.name);
+    mParts->metrics->GetCounter({ "masticstep_retries_total", "", "" })->Add();
+    co_await net::Sleep(decision.delay);
+    co_return AttemptEnd::TryAnother;
+  }
+  const bool isLate = decision.reason == retry::GiveUpReason::Deadline;
+  mRefusal = { isLate ? 504U : 503U, isLate ? "deadline" : "engine_failed",
+               "the engine failed: " + TextOf(aFailure), decision.run, kRetryAfterFailure };
+  co_return AttemptEnd::Refused;
+}
+
+net::Task<retry::Progress> CompletionSession::ProgressOf(const BackendServer& aEngine,
+                                                         EngineStream& aStream,
+                                                         const StreamFailure& aFailure)
+{
+  if (!aStream.MayHaveArrived()) {
+    co_return retry::Progress::NotSent;
+  }
+  if (IsNotTaken(aFailure) && mResumes == 0) {
+    co_return retry::Progress::NotStarted;
+  }
+  // The engine may still be working; it must stop, and may say that it never began.
+  const std::optional<bool> hasStarted = co_await CancelOnEngine(aEngine);
+  co_return hasStarted == false ? retry::Progress::NotStarted : retry::Progress::Unknown;
+}
+
+net::Task<CompletionSession::AttemptEnd> CompletionSession::AfterInterruption(
+  const BackendServer& aEngine, EngineStream& aStream)
+{
+  aStream.Drop();
+  const bool isLate = mInterruption == Interruption::DeadlinePassed;
+  mParts->engines->OnFailed(
+    mName.number, isLate ? EngineFailure::DeadlineExceeded : EngineFailure::Cancelled, net::Now());
+  std::optional<bool> hasStarted = false;
+  if (aStream.MayHaveArrived()) {
+    hasStarted = co_await CancelOnEngine(aEngine);
+  }
+  mMayHaveRun = mMayHaveRun || mMetrics->Tokens() > 0 || hasStarted != false;
+  co_return InterruptedBetweenAttempts();
+}
+
+CompletionSession::AttemptEnd CompletionSession::InterruptedBetweenAttempts()
+{
+  if (mInterruption == Interruption::CallerGone) {
+    LogEnd("caller left");
+    return AttemptEnd::Interrupted;
+  }
+  const bool isLate = mInterruption == Interruption::DeadlinePassed;
+  const RunState run = mMayHaveRun ? RunState::Unknown : RunState::NotRun;
+  mRefusal =
+    isLate ? Refusal{ 504, "deadline", "the deadline of the class has passed", run, std::nullopt }
+           : Refusal{ 503, "shutdown", "this host stops and can wait no longer", run,
+                      kRetryAfterFailure };
+  return AttemptEnd::Refused;
+}
+
+net::Task<std::optional<bool>> CompletionSession::CancelOnEngine(const BackendServer& aEngine)
+{
+  const net::HttpRequest request{
+    "DELETE", aEngine.url.path + "/streams/" + mName.text, {}, {}, {}
+  };
+  const Result<net::HttpResponse, net::FetchError> reply =
+    co_await net::Fetch(*mParts->pool, AddressOf(aEngine.url), request, kCancelLimits);
+  if (!reply || reply->status != 200) {
+    co_return std::nullopt;
+  }
+  boost::system::error_code ec;
+  const boost::json::value body = boost::json::parse(reply->body, ec);
+  const boost::json::object* object = body.if_object();
+  const boost::json::value* started = object == nullptr ? nullptr : object->if_contains("started");
+  if (started == nullptr || !started->is_bool()) {
+    co_return std::nullopt;
+  }
+  co_return started->get_bool();
+}
+
+Refusal CompletionSession::EngineRefusal(const StreamFailure& aFailure) const
+{
+  const unsigned status = aFailure.status == 413 ? 413 : 400;
+  const RunState run = mMayHaveRun ? RunState::Unknown : RunState::NotRun;
+  return { status, "bad_input", "the engine refused the request: " + aFailure.detail, run,
+           std::nullopt };
+}
+
+} // namespace masticstep::gateway
--- a/libs/gateway/src/EngineStream.hpp
+++ b/libs/gateway/src/EngineStream.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "SseParser.hpp"
+#include "StreamFailure.hpp"
 #include "TokenEvent.hpp"
 #include "masticstep/base/Result.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
@@ -12,25 +13,6 @@
 
 namespace masticstep::gateway {
 
-enum class StreamFailureKind
-{
-  NotConnected, // no byte was sent
-  Silent,       // no byte for the silence limit
-  Broken,       // the connection or the answer ended early, or the answer was not a stream
-  Crossed,      // an answer of another request or offset
-  Rejected,     // the engine answered with an error status; see status
-  Failed,       // the engine reported in the stream that the request failed
-};
-
-struct StreamFailure
-{
-  StreamFailureKind kind = StreamFailureKind::Broken;
-  unsigned status = 0;
-  std::string detail;
-
-  bool operator==(const StreamFailure&) const = default;
-};
-
 // Stream of one request on one engine. The answers are matched by request id and offset. After a
 // failure, Resume continues the stream over a new connection.
 class EngineStream
