Test paused engines and lost connections under load, and a start in an outage

Cause: faults were tested without load, and engines were killed but never paused. Change: three tests. Two of them find a fault: a request whose first engine fell silent is refused with 503 no_engine although another engine is healthy. Router::State::Choose counts the time lost to the failure (Demand::waited, at least 2 s) as load, IsLateByLoad exceeds shedFactor * first_token_ms (0.5 * 1.1 s), and RouterSelector reports Overload as NoEngine. Result: 'a daemon that starts in a platform outage ...' passes; 'requests go on while an engine is paused' and 'lost connections to an engine cost no request under load' fail at the first silence.

--- a/tests/integration/LifecycleTests.cpp
+++ b/tests/integration/LifecycleTests.cpp
@@ -126,3 +126,19 @@
   load.Stop();
   CHECK_EQUAL(std::string(), load.Failures());
 }
+
+// Guards against a daemon that cannot start without the platform although its peers can help.
+MASTICSTEP_TEST("a daemon that starts in a platform outage serves from its peers' configuration",
+                "[integration][restart]")
+{
+  Fleet fleet({});
+  const std::int64_t generation = fleet.Daemon(1).Generation();
+  fleet.Platform().SetFaults(boost::json::object{ { "outage", true } });
+  fleet.Daemon(0).Child().Signal(SIGKILL);
+  CHECK_TRUE(fleet.Daemon(0).Child().WaitForEnd(kLimit).has_value());
+  fleet.Daemon(0).Start();
+  CHECK_TRUE(WaitUntil(kLimit, [&fleet] { return fleet.Daemon(0).IsReady(); }));
+  CHECK_EQUAL(generation, fleet.Daemon(0).Generation());
+  const CompletionCall call = fleet.Completion(0, "after the restart", 10);
+  CHECK_TRUE(standins::StreamNow(call).IsWholeAnswerTo(call));
+}
--- a/tests/integration/StreamsTests.cpp
+++ b/tests/integration/StreamsTests.cpp
@@ -147,3 +147,38 @@
   CheckServes(fleet, 0, 5);
   CheckServes(fleet, 1, 5);
 }
+
+// Guards against lost connections that callers notice under load.
+MASTICSTEP_TEST("lost connections to an engine cost no request under load", "[integration][stream]")
+{
+  FleetShape shape;
+  shape.hasProxies = true;
+  Fleet fleet(shape);
+  CallerLoad load(fleet, 8, 40);
+  CHECK_TRUE(load.WaitForMore(20));
+  for (std::size_t round = 0; round < 2; ++round) {
+    fleet.Proxy(round).SetFaults(boost::json::object{ { "black_hole_open", true } });
+    load.WaitForMore(40);
+    CHECK_EQUAL(std::string(), load.Failures());
+  }
+  load.Stop();
+  CHECK_EQUAL(std::string(), load.Failures());
+  CHECK_TRUE(fleet.Engine(0).Counter("resumed") + fleet.Engine(1).Counter("resumed") > 0);
+}
+
+// Guards against requests that are lost to an engine which takes connections and never answers.
+MASTICSTEP_TEST("requests go on while an engine is paused", "[integration][stream][pause]")
+{
+  Fleet fleet({});
+  CheckServes(fleet, 0, 4);
+  fleet.Engine(0).Child().Signal(SIGSTOP);
+  CheckServes(fleet, 0, 10);
+  CheckServes(fleet, 1, 10);
+  fleet.Engine(0).Child().Signal(SIGCONT);
+  const std::uint64_t before = fleet.Engine(0).Counter("requests");
+  const bool isUsedAgain = WaitUntil(kLimit, [&fleet, before] {
+    CheckServes(fleet, 0, 4);
+    return fleet.Engine(0).Counter("requests") > before;
+  });
+  CHECK_TRUE(isUsedAgain);
+}
