Prefer engines with free KV blocks

Cause: streams were late on decode engines whose blocks were nearly all in use, since the wait for blocks is only predicted once they are. Change: each share of blocks beyond 0.6 costs 0.5 per unit.

--- a/libs/routing/src/Prediction.hpp
+++ b/libs/routing/src/Prediction.hpp
@@ -76,6 +76,10 @@
 // them, which no prediction at the start shows.
 constexpr float kUnsuitedCost = 0.4F;
 
+// Share of KV blocks in use from which later streams of the engine must wait for blocks.
+constexpr float kFullShare = 0.6F;
+constexpr float kFullWeight = 0.5F;
+
 // Penalty of using aShare of a target.
 inline float Penalty(float aShare)
 {
@@ -90,7 +94,10 @@
   const float first = (aDemand.waited + aPrediction.firstToken) / aDemand.firstTokenTarget;
   const float between = aPrediction.betweenTokens / aDemand.betweenTarget;
   const float role = aEngine.role == aDemand.unsuitedRole ? kUnsuitedCost : 0.0F;
-  return Penalty(first) + Penalty(between) + role + kWorkWeight * aPrediction.promptSeconds +
+  const float total = aEngine.usedBlocks + aEngine.freeBlocks;
+  const float used = (aEngine.usedBlocks + aDemand.blocks) / std::max(1.0F, total);
+  const float full = kFullWeight * std::max(0.0F, used - kFullShare);
+  return Penalty(first) + Penalty(between) + role + full + kWorkWeight * aPrediction.promptSeconds +
          aEngine.zoneCost;
 }
 
