--- a/libs/gateway/src/CompletionSession.cpp
+++ b/libs/gateway/src/CompletionSession.cpp
@@ -25,6 +25,7 @@
   , mName(std::move(aName))
   , mResponder(aResponder)
   , mArrived(net::Now())
+  , mWaitingSince(mArrived)
 {
 }
 
@@ -196,6 +197,7 @@
                      { "problem", failure->detail },
                      { "status", failure->status },
                      { "tokens", mMetrics->Tokens() } });
+    mWaitingSince = net::Now();
     const bool mayResume = aStream.MayHaveArrived() && IsConnectionFault(*failure);
     if (!mayResume || Decide(retry::Progress::Unknown, true).kind != retry::RetryKind::Resume) {
       co_return co_await AfterFailure(aEngine, aStream, *failure);
@@ -233,7 +235,7 @@
 EngineQuery CompletionSession::Query() const
 {
   return { mName.number,       mService->name,   mClass->name,       mAccount->name,
-           mCall.promptTokens, mCall.maxTokens,  mCall.prefixHashes, mArrived,
+           mCall.promptTokens, mCall.maxTokens,  mCall.prefixHashes, mWaitingSince,
            mDeadline,          mClass->priority, mExcluded };
 }
 
--- a/libs/gateway/src/CompletionSession.hpp
+++ b/libs/gateway/src/CompletionSession.hpp
@@ -66,6 +66,9 @@
   const RequestName mName;
   net::HttpResponder& mResponder;
   const Time mArrived;
+  // Waiting since then counts as load. Time lost to a failed engine does not: a request that must
+  // go to another engine would be shed as if the fleet were overloaded.
+  Time mWaitingSince;
   ConfigurationPointer mConfiguration;
   const ClientAccount* mAccount = nullptr;
   const Service* mService = nullptr;
