Give each daemon links for one pair of data centres at most

Change: pairs are served in the order of their names by daemons that serve no earlier pair, while there are enough.

--- a/libs/membership/include/masticstep/membership/Membership.hpp
+++ b/libs/membership/include/masticstep/membership/Membership.hpp
@@ -97,7 +97,6 @@
   std::vector<MemberRecord> TakeRumours();
   const std::vector<MemberRecord>& Neighbours() const;
   void RefreshCache() const;
-  std::vector<MemberRecord> ComputeRemoteLinks() const;
   std::optional<MemberRecord> NextRandomTarget();
   std::optional<MemberRecord> Successor() const;
   std::vector<std::string> ReconnectAddresses() const;
--- a/libs/membership/src/MembershipProbing.cpp
+++ b/libs/membership/src/MembershipProbing.cpp
@@ -1,6 +1,6 @@
 // The part of Membership that probes and judges members.
+#include "RemoteLinks.hpp"
 #include "masticstep/membership/Membership.hpp"
-#include "masticstep/membership/Rendezvous.hpp"
 
 #include <algorithm>
 #include <set>
@@ -228,7 +228,7 @@
   std::erase_if(mCachedNeighbours, [this](const MemberRecord& aMember) {
     return aMember.name == mSettings.self.name;
   });
-  mCachedRemoteLinks = ComputeRemoteLinks();
+  mCachedRemoteLinks = ChooseRemoteLinks(mTable.Present(), mSettings.self);
 }
 
 std::optional<MemberRecord> Membership::Successor() const
@@ -271,33 +271,4 @@
   return mTable.Find(name)->record;
 }
 
-std::vector<MemberRecord> Membership::ComputeRemoteLinks() const
-{
-  std::map<DataCentreName, std::vector<MemberRecord>> byDataCentre;
-  for (const MemberRecord& member : mTable.Present()) {
-    byDataCentre[member.dataCentre].push_back(member);
-  }
-  const DataCentreName& own = mSettings.self.dataCentre;
-  std::vector<MemberRecord> links;
-  for (const std::pair<const DataCentreName, std::vector<MemberRecord>>& item : byDataCentre) {
-    if (item.first == own) {
-      continue;
-    }
-    // Both sides use one key, so that each knows which daemons of the other side keep the links.
-    const std::string key =
-      std::min(own, item.first).Text() + "/" + std::max(own, item.first).Text();
-    const std::vector<MemberRecord> here =
-      ChooseByRendezvous(byDataCentre[own], key, kLinksPerDataCentre);
-    const bool isChosen = std::any_of(here.begin(), here.end(), [this](const MemberRecord& aOne) {
-      return aOne.name == mSettings.self.name;
-    });
-    if (isChosen) {
-      const std::vector<MemberRecord> there =
-        ChooseByRendezvous(item.second, key, kLinksPerDataCentre);
-      links.insert(links.end(), there.begin(), there.end());
-    }
-  }
-  return links;
-}
-
 } // namespace masticstep
