Read cache events of the polled engines

The router took cache events, but nothing read them from the engines, so that its belief about prefixes rested on this daemon's own answers alone.

Before: no GET /cache-events from a daemon.

--- a/libs/gateway/src/EngineLoads.cpp
+++ b/libs/gateway/src/EngineLoads.cpp
@@ -1,5 +1,6 @@
 #include "EngineLoads.hpp"
 
+#include "EngineCacheEvents.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/HttpClient.hpp"
 #include "masticstep/net/Sleep.hpp"
@@ -124,7 +125,7 @@
 }
 
 net::Task<void> PollOne(std::shared_ptr<GatewayParts> aParts, BackendServer aEngine,
-                        OwnerRole aRole)
+                        OwnerRole aRole, std::shared_ptr<EngineCacheEvents> aCacheEvents)
 {
   net::HttpRequest request;
   request.target = aEngine.url.path + "/load";
@@ -145,11 +146,12 @@
   if (load) {
     aParts->engines->OnLoad(*load, net::Now());
     Publish(*aParts, aEngine.name, ValueOf(*load), aRole);
+    co_await aCacheEvents->Poll(std::move(aEngine), load->sequence);
   }
 }
 
 void PollAll(const std::shared_ptr<GatewayParts>& aParts, const Configuration& aConfiguration,
-             const net::Executor& aExecutor)
+             const std::shared_ptr<EngineCacheEvents>& aCacheEvents, const net::Executor& aExecutor)
 {
   for (const Service& service : aConfiguration.Services()) {
     if (service.kind != ServiceKind::Model) {
@@ -158,7 +160,8 @@
     for (const BackendServer& engine : service.backendServers) {
       const OwnerRole role = RoleOf(*aParts, engine);
       if (role != OwnerRole::None) {
-        boost::asio::co_spawn(aExecutor, PollOne(aParts, engine, role), boost::asio::detached);
+        boost::asio::co_spawn(aExecutor, PollOne(aParts, engine, role, aCacheEvents),
+                              boost::asio::detached);
       }
     }
   }
@@ -169,10 +172,11 @@
 net::Task<void> PollLoads(std::shared_ptr<GatewayParts> aParts)
 {
   const net::Executor executor = co_await boost::asio::this_coro::executor;
+  const std::shared_ptr<EngineCacheEvents> events = std::make_shared<EngineCacheEvents>(aParts);
   while (aParts->drain.Phase() != DrainPhase::Stopping || aParts->running.Count() > 0) {
     const ConfigurationPointer configuration = aParts->configuration.Current();
     if (configuration) {
-      PollAll(aParts, *configuration, executor);
+      PollAll(aParts, *configuration, events, executor);
     }
     co_await net::Sleep(kPollInterval);
   }
--- a/libs/gateway/src/EngineLoads.hpp
+++ b/libs/gateway/src/EngineLoads.hpp
@@ -7,8 +7,9 @@
 
 namespace masticstep::gateway {
 
-// Polls the load of the engines of this data centre that this daemon owns or is the deputy of, and
-// publishes it to the peers. Runs until the daemon stops.
+// Polls the load and the cache events of the engines of this data centre that this daemon owns or
+// is the deputy of, and publishes the load to the peers. Runs until the daemon stops. Must run on a
+// strand.
 net::Task<void> PollLoads(std::shared_ptr<GatewayParts> aParts);
 
 // Takes the load of an engine that another daemon polls.
--- a/libs/gateway/tests/GatewayBed.hpp
+++ b/libs/gateway/tests/GatewayBed.hpp
@@ -78,6 +78,7 @@
   GatewayBed& operator=(const GatewayBed&) = delete;
 
   GatewayParts& Parts() { return *mParts; }
+  const std::shared_ptr<GatewayParts>& SharedParts() const { return mParts; }
   MemoryStore& Store() { return *mStore; }
   net::HttpResponse Call(net::HttpRequest aRequest);
   // Waits until the outcomes of all orders are recorded.
