Share a summary of each service with other data centres

Engine loads stay within their data centre, so that a router believed every engine elsewhere to be ready and idle, and sent work to dead ones.

Before: with its own engines down, a router chose both engines of the other data centre, whatever their state.

--- a/libs/gateway/src/Daemon.cpp
+++ b/libs/gateway/src/Daemon.cpp
@@ -8,6 +8,7 @@
 #include "EngineLoads.hpp"
 #include "HostListFollower.hpp"
 #include "RoleControl.hpp"
+#include "ServiceSummaries.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -49,6 +50,8 @@
 {
   if (aEntry.key.kind == EntryKind::EngineLoad) {
     OnLoadEntry(aParts, aEntry);
+  } else if (aEntry.key.kind == EntryKind::ServiceSummary) {
+    OnSummaryEntry(aParts, aEntry);
   } else if (aEntry.key.kind == EntryKind::AccountUsage) {
     if (aEntry.owner != aParts.settings.host) {
       aParts.admission.OnPeerDemand(aEntry.owner, aEntry.value);
@@ -220,6 +223,7 @@
   spawn([parts = mParts] { return PollLoads(parts); });
   spawn([parts = mParts] { return PumpAdmission(parts); });
   spawn([parts = mParts] { return ShareLimits(parts); });
+  spawn([parts = mParts] { return ShareSummaries(parts); });
 }
 
 void Daemon::Wait()
