Pause with jitter after watch errors

After an error the watchers of all data centres asked the platform again every 500 ms, and those that had failed together went on together.

The pause is now a random time between half of a bound and the bound, which grows from 500 ms to 2 s, short against the 5 s in which a configuration must be in force. Failed in-force reports pause in the same way.

Before: one pause of 500 ms for every daemon and error.

--- a/libs/gateway/src/ConfigurationFollower.cpp
+++ b/libs/gateway/src/ConfigurationFollower.cpp
@@ -1,5 +1,7 @@
 #include "ConfigurationFollower.hpp"
 
+#include "WatchBackoff.hpp"
+#include "masticstep/base/Hash.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -18,11 +20,14 @@
 namespace {
 
 constexpr Duration kWatchTimeout = Seconds(20);
-constexpr Duration kPauseAfterFailure = Milliseconds(500);
+constexpr Duration kRoleCheckInterval = Milliseconds(500);
 constexpr Duration kReportInterval = Milliseconds(500);
 // Health entries are stale after 60 s.
 constexpr Duration kRepublishInterval = Seconds(20);
 const std::string kWatchKey = "watch";
+// Seeds of the jitter, so that the loops of one daemon differ as well.
+constexpr std::uint64_t kWatchSeed = 1;
+constexpr std::uint64_t kReportSeed = 2;
 
 // Key of the entry by which a daemon tells its generation. Names of backend servers have no slash.
 EntryKey GenerationKey(const HostName& aHost)
@@ -64,11 +69,12 @@
 net::Task<void> ConfigurationFollower::Watch()
 {
   const std::shared_ptr<ConfigurationFollower> self = shared_from_this();
+  WatchBackoff backoff(Hash64(mParts->settings.host.Text(), kWatchSeed));
   std::optional<std::uint64_t> revision; // up to which the manifest was read
   while (!mIsStopped) {
     if (!IsWatcher()) {
       revision.reset();
-      co_await net::Sleep(kPauseAfterFailure);
+      co_await net::Sleep(kRoleCheckInterval);
       continue;
     }
     platform::PlatformCall call = platform::ListRequest{ publication::ManifestKey().Text() };
@@ -80,9 +86,10 @@
     const bool mustRead = !revision || !reply.items.empty();
     if (reply.status != PlatformStatus::Done || (mustRead && !co_await Read())) {
       revision.reset();
-      co_await net::Sleep(kPauseAfterFailure);
+      co_await net::Sleep(backoff.NextPause());
       continue;
     }
+    backoff.OnSuccess();
     revision = reply.revision;
   }
 }
@@ -192,9 +199,11 @@
 net::Task<void> ConfigurationFollower::ReportInForce()
 {
   const std::shared_ptr<ConfigurationFollower> self = shared_from_this();
+  WatchBackoff backoff(Hash64(mParts->settings.host.Text(), kReportSeed));
   std::optional<publication::InForceReport> written;
   Time republish = net::Now();
   while (!mIsStopped && mParts->peering) {
+    Duration pause = kReportInterval;
     const ConfigurationPointer current = mParts->configuration.Current();
     if (current && net::Now() >= republish) {
       mParts->peering->Publish(GenerationKey(mParts->settings.host),
@@ -203,13 +212,18 @@
     }
     if (mParts->peering->Role(kWatchKey) == OwnerRole::Owner) {
       const publication::InForceReport report = LowestInForce();
-      if (written != report && co_await WriteReport(report)) {
-        written = report;
+      if (written != report) {
+        if (co_await WriteReport(report)) {
+          written = report;
+          backoff.OnSuccess();
+        } else {
+          pause = backoff.NextPause();
+        }
       }
     } else {
       written.reset();
     }
-    co_await net::Sleep(kReportInterval);
+    co_await net::Sleep(pause);
   }
 }
 
--- a/libs/gateway/src/HostListFollower.cpp
+++ b/libs/gateway/src/HostListFollower.cpp
@@ -1,5 +1,7 @@
 #include "HostListFollower.hpp"
 
+#include "WatchBackoff.hpp"
+#include "masticstep/base/Hash.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
 
@@ -20,7 +22,9 @@
 const std::string kRoleKey = "hosts";
 constexpr Duration kWatchTimeout = Seconds(20);
 // A leaving server must get no new work 5 s after the notice, outages of the platform aside.
-constexpr Duration kPauseAfterFailure = Milliseconds(500);
+constexpr Duration kRoleCheckInterval = Milliseconds(500);
+// Seed of the jitter; ConfigurationFollower has other ones.
+constexpr std::uint64_t kWatchSeed = 3;
 
 bool SaysLeaving(const std::string& aBody)
 {
@@ -51,11 +55,12 @@
 net::Task<void> HostListFollower::Watch()
 {
   const std::shared_ptr<HostListFollower> self = shared_from_this();
+  WatchBackoff backoff(Hash64(mParts->settings.host.Text(), kWatchSeed));
   std::optional<std::uint64_t> revision; // up to which the list was read
   while (!mIsStopped) {
     if (mParts->peering->Role(kRoleKey) == OwnerRole::None) {
       revision.reset();
-      co_await net::Sleep(kPauseAfterFailure);
+      co_await net::Sleep(kRoleCheckInterval);
       continue;
     }
     platform::PlatformCall call = platform::ListRequest{ kPrefix };
@@ -66,9 +71,10 @@
     const std::uint64_t seen = reply.revision;
     if (reply.status != PlatformStatus::Done || !co_await TakeChanges(std::move(reply.items))) {
       revision.reset();
-      co_await net::Sleep(kPauseAfterFailure);
+      co_await net::Sleep(backoff.NextPause());
       continue;
     }
+    backoff.OnSuccess();
     revision = seen;
   }
 }
--- /dev/null
+++ b/libs/gateway/tests/WatchBackoffTests.cpp
@@ -0,0 +1,44 @@
+#include "WatchBackoff.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <algorithm>
+#include <array>
+
+using namespace masticstep;
+using namespace masticstep::gateway;
+
+// Guards against a platform that is asked at a constant rate all through an outage, and against an
+// end of the outage that is noticed too late.
+MASTICSTEP_TEST("pauses after watch errors grow up to 2 s and start anew", "[gateway][backoff]")
+{
+  const std::array<Duration, 5> bounds = { Milliseconds(500), Seconds(1), Seconds(2), Seconds(2),
+                                           Seconds(2) };
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    WatchBackoff backoff(seed);
+    for (int round = 0; round < 2; ++round) {
+      for (const Duration bound : bounds) {
+        const Duration pause = backoff.NextPause();
+        CHECK_TRUE(pause >= bound / 2);
+        CHECK_TRUE(pause <= bound);
+      }
+      backoff.OnSuccess();
+    }
+  }
+}
+
+// Guards against daemons that ask the platform at the same time after an outage.
+MASTICSTEP_TEST("pauses of the daemons are spread", "[gateway][backoff]")
+{
+  constexpr std::size_t kDaemons = 370; // design section 1.5
+  std::array<std::size_t, 10> slots{};
+  for (std::uint64_t seed = 1; seed <= kDaemons; ++seed) {
+    WatchBackoff backoff(seed);
+    backoff.NextPause();
+    backoff.NextPause();
+    const Duration pause = backoff.NextPause() - Seconds(1);
+    const std::size_t slot = static_cast<std::size_t>(pause / Milliseconds(100));
+    ++slots.at(std::min<std::size_t>(slot, slots.size() - 1));
+  }
+  // Evenly spread, a slot of 100 ms has 37 daemons.
+  CHECK_TRUE(*std::max_element(slots.begin(), slots.end()) <= 2 * kDaemons / slots.size());
+}
