--- a/libs/gateway/src/TokenEvent.cpp
+++ b/libs/gateway/src/TokenEvent.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <array>
+#include <utility>
 
 namespace masticstep::gateway {
 
@@ -48,7 +49,10 @@
   const boost::json::object& event = parsed.get_object();
   const boost::json::value* offset = event.if_contains("offset");
   const boost::json::object* choice = FirstChoice(event);
-  if (offset == nullptr || !offset->is_int64() || offset->get_int64() < 0 || choice == nullptr) {
+  if (offset == nullptr || !offset->is_int64() || choice == nullptr) {
+    return std::nullopt;
+  }
+  if (!std::in_range<std::uint32_t>(offset->get_int64())) {
     return std::nullopt;
   }
   TokenEvent token;
--- a/libs/orders/src/ShardObject.cpp
+++ b/libs/orders/src/ShardObject.cpp
@@ -4,7 +4,9 @@
 #include "masticstep/base/ObjectReader.hpp"
 
 #include <array>
+#include <charconv>
 #include <cstdio>
+#include <utility>
 
 namespace masticstep::orders {
 
@@ -50,11 +52,30 @@
   return text;
 }
 
-std::string FromHex(std::string_view aText)
+std::optional<std::uint8_t> HexValue(char aDigit)
 {
+  const char* end = &aDigit + 1;
+  std::uint8_t value = 0;
+  if (std::from_chars(&aDigit, end, value, 16).ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+// Returns nothing if the text is not pairs of hexadecimal digits.
+std::optional<std::string> FromHex(std::string_view aText)
+{
+  if (aText.size() % 2 != 0) {
+    return std::nullopt;
+  }
   std::string bytes;
-  for (std::size_t i = 0; i + 1 < aText.size(); i += 2) {
-    bytes += static_cast<char>(std::stoi(std::string(aText.substr(i, 2)), nullptr, 16));
+  for (std::size_t i = 0; i < aText.size(); i += 2) {
+    const std::optional<std::uint8_t> high = HexValue(aText[i]);
+    const std::optional<std::uint8_t> low = HexValue(aText[i + 1]);
+    if (!high || !low) {
+      return std::nullopt;
+    }
+    bytes += static_cast<char>(*high * 16 + *low);
   }
   return bytes;
 }
@@ -104,7 +125,11 @@
   outcome.contentType = aReader.OptionalString("type", "");
   outcome.body = aReader.OptionalString("body", "");
   if (aReader.Has("body_hex")) {
-    outcome.body = FromHex(aReader.RequiredString("body_hex"));
+    std::optional<std::string> body = FromHex(aReader.RequiredString("body_hex"));
+    if (!body) {
+      aReader.Report("body_hex", "not hexadecimal", "pairs of hexadecimal digits");
+    }
+    outcome.body = std::move(body).value_or("");
   }
   return outcome;
 }
--- a/libs/orders/tests/ShardObjectTests.cpp
+++ b/libs/orders/tests/ShardObjectTests.cpp
@@ -51,3 +51,13 @@
   CHECK_FALSE(ParseFloor(R"({"floor":-1})").has_value());
   CHECK_EQUAL(17U, *ParseFloor(EncodeFloor(17)));
 }
+
+// Guards against a damaged record that ends the daemon or is replayed as another body.
+MASTICSTEP_TEST("a body that is not hexadecimal makes the object invalid", "[orders]")
+{
+  const std::string head = R"({"outcomes":[{"status":200,"body_hex":")";
+  for (const std::string body : { "zz", "0", "ff0", "+1", " 1", "-1", "0x", "f\\u0000" }) {
+    CHECK_TRUE(!ParseOutcome(head + body + "\"}]}", 0));
+  }
+  CHECK_EQUAL(std::string("\xff\x0a"), ParseOutcome(head + "fF0a\"}]}", 0)->body);
+}
--- a/libs/publication/src/ServiceContent.cpp
+++ b/libs/publication/src/ServiceContent.cpp
@@ -33,7 +33,7 @@
   if (object) {
     ObjectReader reader(*object, kContentFile, "$", faults);
     for (ObjectReader& item : reader.ObjectList("files", true)) {
-      files.push_back({ item.RequiredString("name"), item.OptionalString("text", "") });
+      files.push_back({ item.RequiredString("name"), item.RequiredString("text") });
     }
   }
   if (!faults.empty()) {
--- /dev/null
+++ b/libs/publication/tests/ServiceContentTests.cpp
@@ -0,0 +1,13 @@
+#include "masticstep/publication/ServiceContent.hpp"
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using namespace masticstep::publication;
+
+// Guards against a damaged content object that passes as an empty file.
+MASTICSTEP_TEST("a content object without the text of a file is refused", "[publication]")
+{
+  CHECK_TRUE(!ParseContent(R"({"files":[{"name":"a.service.json"}]})"));
+  const std::vector<ConfigurationFile> files{ { "a.service.json", "{}" } };
+  CHECK_TRUE(ParseContent(EncodeContent(files)) == files);
+}
