Check for braced temporaries in awaited expressions

Cause: g++ 12 destroys a braced temporary inside a co_await expression twice, which crashed the daemon once. Nothing kept such code from coming back.

Change: make check runs tools/check_coroutines.py and its self-test before the linter. The three places that it found are named values now.

--- a/Makefile
+++ b/Makefile
@@ -25,10 +25,12 @@
 bench: build
 	@$(BUILD)/bin/masticstep_bench $(CASE)
 
-# Formatter, library dependency rule and linter.
+# Formatter, library dependency rule, awaited braced temporaries and linter.
 check: install
 	tools/check_format.sh
 	tools/check_dependencies.py
+	tools/check_coroutines_test.py
+	tools/check_coroutines.py
 	cmake -S . -B $(BUILD) -G Ninja >/dev/null
 	tools/check_lint.py $(BUILD)
 
--- a/libs/net/src/HttpClientConnection.cpp
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <optional>
+#include <span>
 #include <utility>
 
 namespace masticstep::net {
@@ -104,8 +105,8 @@
       co_return Failure(NetError{ NetErrorKind::TimedOut, {} });
     }
     const boost::asio::mutable_buffer space = buffer.prepare(kReadSize);
-    const Result<std::size_t, NetError> n =
-      co_await stream->ReadSome({ static_cast<char*>(space.data()), space.size() }, left);
+    const std::span<char> target(static_cast<char*>(space.data()), space.size());
+    const Result<std::size_t, NetError> n = co_await stream->ReadSome(target, left);
     if (!n) {
       if (n.error().kind == NetErrorKind::Closed && parser->is_header_done()) {
         co_return Parse(true);
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <exception>
+#include <span>
 #include <utility>
 
 namespace masticstep::net {
@@ -120,9 +121,9 @@
       co_await mStream->WriteAll(kContinue, mLimits.slowReader);
     }
     const boost::asio::mutable_buffer space = mBuffer.prepare(kReadSize);
+    const std::span<char> target(static_cast<char*>(space.data()), space.size());
     const Duration left = std::max(end - Now(), Milliseconds(1));
-    const Result<std::size_t, NetError> n =
-      co_await mStream->ReadSome({ static_cast<char*>(space.data()), space.size() }, left);
+    const Result<std::size_t, NetError> n = co_await mStream->ReadSome(target, left);
     if (!n) {
       co_return Failure(Refused{ 0, n.error() });
     }
--- a/standins/load_tool/main.cpp
+++ b/standins/load_tool/main.cpp
@@ -71,7 +71,8 @@
 
 Awaitable<void> RunOne(CompletionCall aCall, LoadReport& aReport)
 {
-  const CompletionResult result = co_await StreamCompletion(aCall, {});
+  const TokenObserver observer;
+  const CompletionResult result = co_await StreamCompletion(aCall, observer);
   aReport.Add(aCall, result);
 }
 
