Test TLS towards callers in net over loopback

Cause: TLS was tested only between peers; nothing covered a TLS port for callers.

Change: the certificate authority of the peering tests moves to testing.

--- a/libs/net/tests/LoopbackServer.cpp
+++ b/libs/net/tests/LoopbackServer.cpp
@@ -30,10 +30,12 @@
   return { aStatus, {}, ToString(aError.kind) };
 }
 
-LoopbackServer::LoopbackServer(const ServerLimits& aLimits, FunctionHandler::Function aFunction)
+LoopbackServer::LoopbackServer(const ServerLimits& aLimits, FunctionHandler::Function aFunction,
+                               std::shared_ptr<TlsContext> aTls)
   : mWorkers(2)
   , mServer(std::move(*HttpServer::Create(mWorkers.Context(), { "127.0.0.1", 0 }, aLimits,
-                                          std::make_shared<FunctionHandler>(std::move(aFunction)))))
+                                          std::make_shared<FunctionHandler>(std::move(aFunction)),
+                                          std::move(aTls))))
 {
 }
 
--- a/libs/net/tests/LoopbackServer.hpp
+++ b/libs/net/tests/LoopbackServer.hpp
@@ -33,7 +33,8 @@
 class LoopbackServer
 {
 public:
-  LoopbackServer(const ServerLimits& aLimits, FunctionHandler::Function aFunction);
+  LoopbackServer(const ServerLimits& aLimits, FunctionHandler::Function aFunction,
+                 std::shared_ptr<TlsContext> aTls = nullptr);
   ~LoopbackServer();
   LoopbackServer(const LoopbackServer&) = delete;
   LoopbackServer& operator=(const LoopbackServer&) = delete;
--- a/libs/peering/tests/PeeringTests.cpp
+++ b/libs/peering/tests/PeeringTests.cpp
@@ -1,10 +1,10 @@
-#include "Certificates.hpp"
 #include "HalfSilentPeer.hpp"
 #include "TlsMaterial.hpp"
 #include "masticstep/net/HostPort.hpp"
 #include "masticstep/net/WorkerPool.hpp"
 #include "masticstep/peering/Peering.hpp"
 #include "masticstep/testing/Test.hpp"
+#include "masticstep/testing/TestAuthority.hpp"
 #include "masticstep/wire/FrameCodec.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -19,9 +19,17 @@
 
 using namespace masticstep;
 using boost::asio::ip::tcp;
+using testing::TestAuthority;
 
 namespace {
 
+net::TlsFiles Issue(const TestAuthority& aAuthority, const std::string& aName, long aSerial,
+                    int aDays)
+{
+  const testing::CertificateFiles files = aAuthority.Issue(aName, aSerial, aDays);
+  return { files.certificate, files.key, files.authority };
+}
+
 // Waits for a condition that other threads bring about; the limit only ends a failing test.
 bool Eventually(const std::function<bool()>& aCondition)
 {
@@ -139,14 +147,14 @@
   const TestAuthority stranger;
   net::WorkerPool pool(2);
   PeeringSettings settings = SettingsOf("a", {});
-  settings.tls = authority.Issue("a", 10, 30);
+  settings.tls = Issue(authority, "a", 10, 30);
   const std::unique_ptr<Peering> a = StartPeering(pool, settings);
   settings = SettingsOf("b", { a->Address() });
-  settings.tls = authority.Issue("b", 11, 30);
+  settings.tls = Issue(authority, "b", 11, 30);
   const std::unique_ptr<Peering> b = StartPeering(pool, settings);
   CHECK_TRUE(Eventually([&] { return a->Members().size() == 2U && b->Members().size() == 2U; }));
 
-  const net::TlsFiles strange = stranger.Issue("x", 12, 30);
+  const net::TlsFiles strange = Issue(stranger, "x", 12, 30);
   boost::asio::ssl::context none(boost::asio::ssl::context::tls_client);
   boost::asio::ssl::context other(boost::asio::ssl::context::tls_client);
   other.use_certificate_chain_file(strange.certificate);
@@ -154,7 +162,7 @@
   CHECK_EQUAL(0U, BytesLearned(a->Address(), none));
   CHECK_EQUAL(0U, BytesLearned(a->Address(), other));
   const std::shared_ptr<net::TlsContext> valid =
-    *net::TlsContext::CreateClient(authority.Issue("c", 13, 30));
+    *net::TlsContext::CreateClient(Issue(authority, "c", 13, 30));
   CHECK_TRUE(BytesLearned(a->Address(), valid->Native()) > 0U); // the check can fail
 
   // A daemon of another authority does not get in either, and tells nothing when it is called.
@@ -193,11 +201,11 @@
   const TestAuthority authority;
   net::WorkerPool pool(1);
   PeeringSettings settings = SettingsOf("a", {});
-  settings.tls = authority.Issue("a", 20, 30);
+  settings.tls = Issue(authority, "a", 20, 30);
   const std::unique_ptr<Peering> a = StartPeering(pool, settings);
-  const net::TlsFiles client = authority.Issue("c", 21, 30);
+  const net::TlsFiles client = Issue(authority, "c", 21, 30);
   CHECK_EQUAL(20L, SerialShown(a->Address(), client));
-  authority.Issue("a", 22, 30);
+  Issue(authority, "a", 22, 30);
   a->ReloadCertificates();
   CHECK_TRUE(Eventually([&] { return SerialShown(a->Address(), client) == 22; }));
   authority.Damage("a");
@@ -210,9 +218,9 @@
 MASTICSTEP_TEST("the time to expiry is read from the certificate", "[peering][tls]")
 {
   const TestAuthority authority;
-  CHECK_TRUE(TlsMaterial::Load(authority.Issue("a", 1, 13))->TimeLeft() < kExpiryWarning);
-  CHECK_TRUE(TlsMaterial::Load(authority.Issue("a", 2, 15))->TimeLeft() > kExpiryWarning);
-  CHECK_TRUE(TlsMaterial::Load(authority.Issue("a", 3, -1))->TimeLeft().count() < 0);
+  CHECK_TRUE(TlsMaterial::Load(Issue(authority, "a", 1, 13))->TimeLeft() < kExpiryWarning);
+  CHECK_TRUE(TlsMaterial::Load(Issue(authority, "a", 2, 15))->TimeLeft() > kExpiryWarning);
+  CHECK_TRUE(TlsMaterial::Load(Issue(authority, "a", 3, -1))->TimeLeft().count() < 0);
 }
 
 // Guards against plain links between machines, and against a start that fails without a reason.
--- a/libs/peering/tests/Certificates.hpp
+++ b/libs/testing/include/masticstep/testing/TestAuthority.hpp
@@ -1,14 +1,20 @@
 #pragma once
 
-#include "masticstep/net/TlsContext.hpp"
-
 #include <openssl/evp.h>
 #include <openssl/x509.h>
 
 #include <memory>
 #include <string>
 
-namespace masticstep {
+namespace masticstep::testing {
+
+// PEM files of one host.
+struct CertificateFiles
+{
+  std::string certificate;
+  std::string key;
+  std::string authority;
+};
 
 // Certificate authority for tests. Files go into a temporary folder that lives as long as the
 // object.
@@ -21,7 +27,7 @@
   TestAuthority& operator=(const TestAuthority&) = delete;
 
   // Writes a certificate and key signed by this authority, over earlier files of the same name.
-  net::TlsFiles Issue(const std::string& aName, long aSerial, int aDays) const;
+  CertificateFiles Issue(const std::string& aName, long aSerial, int aDays) const;
   // Writes anything over the certificate of that name.
   void Damage(const std::string& aName) const;
 
@@ -37,4 +43,4 @@
   Certificate mCertificate;
 };
 
-} // namespace masticstep
+} // namespace masticstep::testing
--- a/libs/peering/tests/Certificates.cpp
+++ b/libs/testing/src/TestAuthority.cpp
@@ -1,4 +1,4 @@
-#include "Certificates.hpp"
+#include "masticstep/testing/TestAuthority.hpp"
 
 #include <openssl/ec.h>
 #include <openssl/pem.h>
@@ -9,7 +9,7 @@
 #include <filesystem>
 #include <fstream>
 
-namespace masticstep {
+namespace masticstep::testing {
 
 namespace {
 
@@ -61,12 +61,12 @@
   return certificate;
 }
 
-net::TlsFiles TestAuthority::Issue(const std::string& aName, long aSerial, int aDays) const
+CertificateFiles TestAuthority::Issue(const std::string& aName, long aSerial, int aDays) const
 {
   const Key key(EVP_EC_gen("P-256"), EVP_PKEY_free);
   const Certificate certificate = Sign(aName, aSerial, aDays, key.get(), mCertificate.get());
-  net::TlsFiles files{ mFolder + "/" + aName + ".pem", mFolder + "/" + aName + ".key",
-                       mFolder + "/ca.pem" };
+  CertificateFiles files{ mFolder + "/" + aName + ".pem", mFolder + "/" + aName + ".key",
+                          mFolder + "/ca.pem" };
   WriteFile(files.certificate, [&](std::FILE* aFile) { PEM_write_X509(aFile, certificate.get()); });
   WriteFile(files.key, [&](std::FILE* aFile) {
     PEM_write_PrivateKey(aFile, key.get(), nullptr, nullptr, 0, nullptr, nullptr);
@@ -80,4 +80,4 @@
   std::ofstream(mFolder + "/" + aName + ".pem") << "damaged";
 }
 
-} // namespace masticstep
+} // namespace masticstep::testing
