Test TLS of real daemons towards callers and members

Cause: no test ran a daemon with tls settings.

Change: a fleet with tls and callers: true. Callers get whole answers over TLS and nothing in the clear. Two daemons and a late one with valid certificates see each other; a daemon of another authority is refused and is no member.

--- a/tests/integration/support/DaemonProcess.cpp
+++ b/tests/integration/support/DaemonProcess.cpp
@@ -18,17 +18,23 @@
   for (const standins::Address& peer : aSettings.peers) {
     peers.emplace_back(peer.Text());
   }
-  const boost::json::value text{ { "host", aSettings.host },
-                                 { "region", aSettings.region },
-                                 { "data_centre", aSettings.dataCentre },
-                                 { "caller_address", aSettings.callers.Text() },
-                                 { "peer_address", aSettings.peer.Text() },
-                                 { "admin_address", aSettings.admin.Text() },
-                                 { "platform_url", aSettings.platformUrl },
-                                 { "peers", std::move(peers) },
-                                 { "workers", 2 },
-                                 { "balancer_notice_ms", 1500 },
-                                 { "shutdown_ms", 60000 } };
+  boost::json::object text{ { "host", aSettings.host },
+                            { "region", aSettings.region },
+                            { "data_centre", aSettings.dataCentre },
+                            { "caller_address", aSettings.callers.Text() },
+                            { "peer_address", aSettings.peer.Text() },
+                            { "admin_address", aSettings.admin.Text() },
+                            { "platform_url", aSettings.platformUrl },
+                            { "peers", std::move(peers) },
+                            { "workers", 2 },
+                            { "balancer_notice_ms", 1500 },
+                            { "shutdown_ms", 60000 } };
+  if (aSettings.tls) {
+    text["tls"] = boost::json::object{ { "certificate", aSettings.tls->certificate },
+                                       { "key", aSettings.tls->key },
+                                       { "authority", aSettings.tls->authority },
+                                       { "callers", true } };
+  }
   return boost::json::serialize(text);
 }
 
--- a/tests/integration/support/DaemonProcess.hpp
+++ b/tests/integration/support/DaemonProcess.hpp
@@ -3,6 +3,10 @@
 #include "common/HttpClient.hpp"
 #include "support/Process.hpp"
 
+#include "masticstep/testing/TestAuthority.hpp"
+
+#include <optional>
+
 namespace masticstep::integration {
 
 struct DaemonSettings
@@ -15,6 +19,7 @@
   standins::Address admin;
   std::string platformUrl;
   std::vector<standins::Address> peers;
+  std::optional<testing::CertificateFiles> tls; // also towards callers
 };
 
 // One `masticstep serve`, which can be started again on the same addresses.
--- a/tests/integration/support/Fleet.cpp
+++ b/tests/integration/support/Fleet.cpp
@@ -129,6 +129,9 @@
     settings.admin = addresses[3 * i + 2];
     settings.platformUrl =
       mShape.hasPlatformProxies ? mPlatformProxies[centre]->Url() : mPlatform->Url();
+    if (mShape.hasTls) {
+      settings.tls = mAuthority.Issue(settings.host, static_cast<long>(i) + 2, 30);
+    }
     for (std::size_t j = 0; j < count; ++j) {
       if (j != i) {
         settings.peers.push_back(addresses[3 * j + 1]);
@@ -139,6 +142,23 @@
   }
 }
 
+DaemonSettings Fleet::SettingsOfAnother(const std::string& aHost,
+                                        const testing::TestAuthority& aAuthority) const
+{
+  const std::vector<Address> addresses = FreeAddresses(3);
+  DaemonSettings settings = mDaemons.front()->Settings();
+  settings.host = aHost;
+  settings.callers = addresses[0];
+  settings.peer = addresses[1];
+  settings.admin = addresses[2];
+  settings.peers.clear();
+  for (const std::unique_ptr<DaemonProcess>& daemon : mDaemons) {
+    settings.peers.push_back(daemon->Settings().peer);
+  }
+  settings.tls = aAuthority.Issue(aHost, 50, 30);
+  return settings;
+}
+
 void Fleet::WriteFile(const std::string& aFolder, const std::string& aName,
                       const boost::json::value& aContent) const
 {
--- a/tests/integration/support/Fleet.hpp
+++ b/tests/integration/support/Fleet.hpp
@@ -15,6 +15,7 @@
   std::size_t engines = 2;         // in each data centre
   bool hasProxies = false;         // a fault proxy in front of each engine
   bool hasPlatformProxies = false; // one between the platform and each data centre
+  bool hasTls = false;             // among daemons and towards callers
 };
 
 // Platform, engines, ordering service and daemons with a published configuration. The services are
@@ -39,6 +40,10 @@
   std::size_t DaemonCount() const { return mDaemons.size(); }
   std::size_t EngineCount() const { return mEngines.size(); }
   const std::string& Folder() const { return mFolder; }
+  const testing::TestAuthority& Authority() const { return mAuthority; }
+  // Returns settings of one more daemon in the first data centre, with a certificate of aAuthority.
+  DaemonSettings SettingsOfAnother(const std::string& aHost,
+                                   const testing::TestAuthority& aAuthority) const;
 
   // Writes the files of one service to a folder of its own and returns the folder.
   std::string WriteDrafting(const std::string& aFolder, std::int64_t aDeadlineMs) const;
@@ -63,6 +68,7 @@
 
   FleetShape mShape;
   std::string mFolder;
+  testing::TestAuthority mAuthority;
   std::unique_ptr<StandIn> mPlatform;
   std::unique_ptr<StandIn> mOrdering;
   std::vector<std::unique_ptr<StandIn>> mEngines;
