--- a/libs/membership/include/masticstep/membership/Membership.hpp
+++ b/libs/membership/include/masticstep/membership/Membership.hpp
@@ -97,7 +97,6 @@
   std::vector<MemberRecord> TakeRumours();
   const std::vector<MemberRecord>& Neighbours() const;
   void RefreshCache() const;
-  std::vector<MemberRecord> ComputeRemoteLinks() const;
   std::optional<MemberRecord> NextRandomTarget();
   std::optional<MemberRecord> Successor() const;
   std::vector<std::string> ReconnectAddresses() const;
@@ -114,6 +113,7 @@
   std::vector<HostName> mProbeOrder;
   std::uint64_t mSequence = 0;
   bool mJoined = false; // heard a full view once; before that, all is new and nothing is news
+  bool mIsRemoteRound = false; // other data centres are probed in every second round
   bool mLeft = false;
   // Answers that depend on the view only, kept until it changes. At 370 members each costs about
   // 100 us, and a daemon needs them several times a second.
