Run benchmark cases side by side, each as a process of its own

Change: tools/bench.py runs virtual-time cases on all cores and cases that time this machine alone afterwards.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 # Prints one JSON object a line; CASE=name runs one case.
 bench: build
-	@$(BUILD)/bin/masticstep_bench $(CASE)
+	@tools/bench.py $(BUILD) $(CASE)
 
 # Formatter, library dependency rule, awaited braced temporaries and linter.
 check: install
