--- a/fuzz/WireFuzz.cpp
+++ b/fuzz/wire.cpp
@@ -1,8 +1,5 @@
-// libFuzzer target of the frame codec: first the raw stream, then the input as a body of each type.
-// Build: clang++ -std=c++20 -g -O1 -fsanitize=fuzzer,address,undefined fuzz/WireFuzz.cpp
-// libs/wire/src/*.cpp
-//   libs/base/src/Hash.cpp -Ilibs/wire/include -Ilibs/wire/src -Ilibs/base/include -lxxhash
-//   -lcrypto
+// Fuzz target of the frame codec: first the input as a raw stream, then as a body of each frame type.
+
 #include "masticstep/wire/FrameCodec.hpp"
 
 #include <cstdlib>
--- a/libs/wire/tests/FrameCodecTests.cpp
+++ b/libs/wire/tests/FrameCodecTests.cpp
@@ -110,7 +110,7 @@
 }
 
 // Guards against reads outside a body that has a correct checksum but a hostile structure. The fuzz
-// target fuzz/WireFuzz.cpp does the same without end.
+// target fuzz/wire.cpp does the same without end.
 MASTICSTEP_TEST("random and damaged bodies with correct checksums are read safely", "[wire][fuzz]")
 {
   Random random(20261204);
