--- a/libs/gateway/tests/OfferedWorkTests.cpp
+++ b/libs/gateway/tests/OfferedWorkTests.cpp
@@ -34,8 +34,10 @@
 // Guards against a fleet whose reports alone exceed the traffic of a daemon.
 MASTICSTEP_TEST("at most four daemons of a data centre report work", "[gateway][roles]")
 {
+  constexpr int kMembers = 74;
   std::vector<HostName> members;
-  for (int i = 0; i < 74; ++i) {
+  members.reserve(kMembers);
+  for (int i = 0; i < kMembers; ++i) {
     members.emplace_back("host-" + std::to_string(i));
   }
   std::size_t reporters = 0;
