--- a/tests/integration/support/Fleet.cpp
+++ b/tests/integration/support/Fleet.cpp
@@ -181,13 +181,18 @@
   const boost::json::object counter{ { "name", "counter" },       { "first_token_ms", 1100 },
                                      { "between_tokens_ms", 67 }, { "deadline_ms", aDeadlineMs },
                                      { "priority", 10 },          { "queue_limit", 64 } };
-  WriteFile(aFolder, "drafting.service.json",
-            boost::json::object{ { "service", "drafting" },
-                                 { "kind", "model" },
-                                 { "model", kModel },
-                                 { "version", "1" },
-                                 { "backend_servers", std::move(servers) },
-                                 { "classes", boost::json::array{ counter } } });
+  boost::json::object service{ { "service", "drafting" },
+                               { "kind", "model" },
+                               { "model", kModel },
+                               { "version", "1" },
+                               { "backend_servers", std::move(servers) },
+                               { "classes", boost::json::array{ counter } } };
+  if (mShape.hasEagerRoles) {
+    service["role_policy"] = boost::json::object{ { "change_cost_s", 0 },
+                                                  { "minimum_interval_s", 1 },
+                                                  { "maximum_share", 0.5 } };
+  }
+  WriteFile(aFolder, "drafting.service.json", service);
   return mFolder + "/" + aFolder;
 }
 
--- a/tests/integration/support/Fleet.hpp
+++ b/tests/integration/support/Fleet.hpp
@@ -16,6 +16,7 @@
   bool hasProxies = false;         // a fault proxy in front of each engine
   bool hasPlatformProxies = false; // one between the platform and each data centre
   bool hasTls = false;             // among daemons and towards callers
+  bool hasEagerRoles = false;      // role changes cost nothing and may follow each other at once
 };
 
 // Platform, engines, ordering service and daemons with a published configuration. The services are
