Compute conditions before RapidCheck captures them

Cause: RC_ASSERT overloads ||, so both sides are evaluated; two properties read past the end of a map and the error of a value. AddressSanitizer found the first (roles_tests), reading showed the second (config_tests). Change: the condition is a variable of its own; the properties are the same. Result: roles_tests and config_tests pass with AddressSanitizer and UBSan; before, roles_tests aborted.

--- a/libs/config/tests/SettingsTests.cpp
+++ b/libs/config/tests/SettingsTests.cpp
@@ -63,6 +63,8 @@
     std::string text = kValid;
     text[aPosition % text.size()] = aByte;
     const Result<Settings, Faults> settings = ParseSettings(text, "s");
-    RC_ASSERT(settings.has_value() || !settings.error().empty());
+    // RapidCheck evaluates both sides of a captured ||, so the condition is computed first.
+    const bool saysWhy = settings.has_value() || !settings.error().empty();
+    RC_ASSERT(saysWhy);
   });
 }
--- a/libs/roles/tests/RolePlannerTests.cpp
+++ b/libs/roles/tests/RolePlannerTests.cpp
@@ -96,7 +96,10 @@
       for (const RoleAction& action : planner.Plan(At(second))) {
         if (action.kind == RoleActionKind::Drain) {
           const auto last = changed.find(action.engine);
-          RC_ASSERT(last == changed.end() || At(second) - last->second >= policy.minimumInterval);
+          // RapidCheck evaluates both sides of a captured ||, so the condition is computed first.
+          const bool hasWaited =
+            last == changed.end() || At(second) - last->second >= policy.minimumInterval;
+          RC_ASSERT(hasWaited);
           RC_ASSERT(drained.insert(action.engine).second);
         } else {
           RC_ASSERT(drained.erase(action.engine) == 1);
