--- a/libs/cli/include/masticstep/cli/CommandLine.hpp
+++ b/libs/cli/include/masticstep/cli/CommandLine.hpp
@@ -12,6 +12,7 @@
 enum class CommandKind
 {
   Serve,
+  Relay, // a daemon on an entry host of the users' platform
   Check,
   Publish,
   Status,
--- a/libs/cli/src/CommandLine.cpp
+++ b/libs/cli/src/CommandLine.cpp
@@ -14,6 +14,7 @@
 
 Usage:
   masticstep serve --settings FILE
+  masticstep relay [--settings FILE]
   masticstep check DIR...
   masticstep publish DIR... --platform URL [--wait] [--timeout SECONDS]
   masticstep status [--json] [--admin ADDRESS]
@@ -22,7 +23,8 @@
   masticstep --version
 
 Options:
-  --settings FILE    Settings of this host (JSON).
+  --settings FILE    Settings of this host: JSON for serve; for relay the platform's file, which
+                     the platform names if the option is left out.
   --platform URL     Address of the platform's object API, such as http://127.0.0.1:7000.
   --wait             Wait until the configuration is in force in every data centre.
   --timeout SECONDS  Longest wait [default: 30].
@@ -54,6 +56,7 @@
 CommandKind KindOf(const Options& aOptions)
 {
   const std::map<std::string, CommandKind> kinds = { { "serve", CommandKind::Serve },
+                                                     { "relay", CommandKind::Relay },
                                                      { "check", CommandKind::Check },
                                                      { "publish", CommandKind::Publish },
                                                      { "status", CommandKind::Status },
--- a/libs/cli/src/Run.cpp
+++ b/libs/cli/src/Run.cpp
@@ -1,5 +1,6 @@
 #include "masticstep/cli/Run.hpp"
 
+#include "masticstep/adapter/RunRelay.hpp"
 #include "masticstep/cli/AdminCommands.hpp"
 #include "masticstep/cli/CheckCommand.hpp"
 #include "masticstep/cli/CommandLine.hpp"
@@ -20,6 +21,8 @@
   switch (command->kind) {
     case CommandKind::Serve:
       return static_cast<ExitCode>(gateway::Serve(command->settingsFile));
+    case CommandKind::Relay:
+      return static_cast<ExitCode>(adapter::RunRelay(command->settingsFile));
     case CommandKind::Check:
       return RunCheck(command->folders, std::cout, std::cerr);
     case CommandKind::Status:
--- /dev/null
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -0,0 +1,280 @@
+#include "masticstep/dispatch/Dispatcher.hpp"
+
+#include "masticstep/base/Hash.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace masticstep::dispatch {
+
+namespace {
+
+// Reading speed assumed of an engine before its first answer.
+constexpr double kFirstReadSecondsPerToken = 1.0 / 64000.0;
+constexpr double kSpeedStep = 0.1;
+// Shorter prompts say more about the network than about the engine.
+constexpr double kShortestReadForSpeed = 0.01;
+// Engines for answers read prompts at half the speed.
+constexpr double kDecodeReadFactor = 2.0;
+// Costs of a request that leaves the data centre or the region, as seconds that it must win back.
+constexpr double kOtherDataCentreSeconds = 0.02;
+constexpr double kOtherRegionSeconds = 0.12;
+// Transfers between engines take this much longer between data centres and between regions.
+constexpr double kDataCentreTransferFactor = 2.0;
+constexpr double kRegionTransferFactor = 10.0;
+// Time that one more running request costs the others of an engine.
+constexpr double kSecondsPerRunning = 0.002;
+// Weight of reading again against waiting.
+constexpr double kReadWeight = 1.5;
+// Part of the shared tokens that the engine picked by hashing is believed to hold from other daemons.
+constexpr double kAffinityShare = 0.3;
+
+double Uncertainty(Random& aRandom)
+{
+  return 1.0 + 0.02 * aRandom.Uniform();
+}
+
+} // namespace
+
+Dispatcher::Belief::Belief(Backend aBackend, std::uint64_t aCacheTokens)
+  : backend(std::move(aBackend))
+  , cache(aCacheTokens)
+  , readSecondsPerToken(kFirstReadSecondsPerToken)
+{
+}
+
+Dispatcher::Dispatcher(Place aPlace, std::uint64_t aSeed)
+  : mPlace(std::move(aPlace))
+  , mRandom(aSeed)
+{
+}
+
+void Dispatcher::SetTable(std::shared_ptr<const RouteTable> aTable)
+{
+  mTable = std::move(aTable);
+}
+
+std::uint64_t Dispatcher::CacheTokens(const ServiceName& aService) const
+{
+  const ServiceTraits* service = mTable ? mTable->FindService(aService) : nullptr;
+  return service != nullptr && service->engine ? service->engine->kvTokens : 0;
+}
+
+void Dispatcher::SetBackends(const std::map<BackendServerName, Backend>& aBackends)
+{
+  std::erase_if(mBeliefs, [&aBackends](const auto& aEntry) {
+    const auto found = aBackends.find(aEntry.first);
+    return found == aBackends.end() || found->second.born != aEntry.second.backend.born;
+  });
+  for (const auto& [id, backend] : aBackends) {
+    const auto [it, isNew] = mBeliefs.try_emplace(id, backend, CacheTokens(backend.service));
+    it->second.backend = backend;
+  }
+}
+
+Dispatcher::Belief* Dispatcher::Find(const BackendServerName& aBackend)
+{
+  const auto found = mBeliefs.find(aBackend);
+  return found == mBeliefs.end() ? nullptr : &found->second;
+}
+
+bool Dispatcher::IsUsable(const BackendServerName& aBackend) const
+{
+  const auto found = mBeliefs.find(aBackend);
+  return found != mBeliefs.end() && !found->second.backend.isDraining;
+}
+
+bool Dispatcher::MayUse(const Belief& aBelief, const ServiceName& aService,
+                        const BackendNames& aExcluded, Time aNow) const
+{
+  const Backend& backend = aBelief.backend;
+  return backend.service == aService && !backend.isDraining && aBelief.breaker.Allows(aNow) &&
+         std::find(aExcluded.begin(), aExcluded.end(), backend.id) == aExcluded.end();
+}
+
+double Dispatcher::DistanceSeconds(const Backend& aBackend) const
+{
+  if (aBackend.dataCentre == mPlace.dataCentre) {
+    return 0.0;
+  }
+  return aBackend.region == mPlace.region ? kOtherDataCentreSeconds : kOtherRegionSeconds;
+}
+
+double Dispatcher::ReadCost(const Belief& aBelief, const PromptWork& aWork, Time aNow,
+                            PromptPlacement& aPlacement) const
+{
+  const double cached = aBelief.cache.CachedTokens(aWork.prompt, aWork.keys, aNow);
+  const double tokens = std::max(0.0, aWork.prompt.promptTokens - cached);
+  const double factor = aBelief.backend.stage == Stage::Decode ? kDecodeReadFactor : 1.0;
+  const double read = tokens * aBelief.readSecondsPerToken * factor;
+  aPlacement.engine = aBelief.backend;
+  aPlacement.wait = aBelief.load.Wait(aNow);
+  aPlacement.read = FromSeconds(read);
+  return ToSeconds(aPlacement.wait) + kReadWeight * read + DistanceSeconds(aBelief.backend);
+}
+
+std::optional<PromptPlacement> Dispatcher::BestReader(const PromptWork& aWork, Stage aStage,
+                                                      Time aNow)
+{
+  // Daemons that know nothing of each other's requests meet at the engine with the highest hash.
+  const std::size_t shared = aWork.keys.size() < 2 ? 0 : aWork.keys.size() - 2;
+  const std::uint64_t sharedKey = aWork.keys.empty() ? 0 : aWork.keys[shared];
+  const std::uint32_t sharedTokens =
+    aWork.keys.size() < 2 ? 0 : aWork.prompt.parts[shared].tokens;
+  const Belief* preferred = nullptr;
+  std::uint64_t highest = 0;
+  for (const auto& [id, belief] : mBeliefs) {
+    if (belief.backend.stage != aStage || DistanceSeconds(belief.backend) > 0.0 ||
+        !MayUse(belief, aWork.service, aWork.excluded, aNow)) {
+      continue;
+    }
+    const std::uint64_t hash = Hash64(id.Text(), sharedKey);
+    if (preferred == nullptr || hash > highest) {
+      preferred = &belief;
+      highest = hash;
+    }
+  }
+  std::optional<PromptPlacement> best;
+  double lowest = std::numeric_limits<double>::max();
+  for (const auto& [id, belief] : mBeliefs) {
+    if (belief.backend.stage != aStage || !MayUse(belief, aWork.service, aWork.excluded, aNow)) {
+      continue;
+    }
+    PromptPlacement placement;
+    double cost = ReadCost(belief, aWork, aNow, placement) * Uncertainty(mRandom);
+    if (&belief == preferred) {
+      cost -= kAffinityShare * sharedTokens * belief.readSecondsPerToken;
+    }
+    if (cost < lowest) {
+      lowest = cost;
+      best = placement;
+    }
+  }
+  return best;
+}
+
+std::optional<PromptPlacement> Dispatcher::PlacePrompt(const PromptWork& aWork, Time aNow)
+{
+  for (const Stage stage : { Stage::Prefill, Stage::Whole, Stage::Decode }) {
+    std::optional<PromptPlacement> placement = BestReader(aWork, stage, aNow);
+    if (placement) {
+      return placement;
+    }
+  }
+  return std::nullopt;
+}
+
+double Dispatcher::TransferSeconds(const Backend& aSource, const Backend& aTarget,
+                                   const PromptWork& aWork) const
+{
+  const ServiceTraits* service = mTable ? mTable->FindService(aWork.service) : nullptr;
+  if (service == nullptr || !service->engine || service->engine->linkMegabitsPerSecond <= 0.0) {
+    return 0.0;
+  }
+  constexpr double kBitsPerMegabit = 1e6;
+  constexpr double kBitsPerByte = 8.0;
+  double factor = 1.0;
+  if (aSource.dataCentre != aTarget.dataCentre) {
+    factor = aSource.region == aTarget.region ? kDataCentreTransferFactor : kRegionTransferFactor;
+  }
+  const double bits = aWork.prompt.promptTokens * service->engine->kvBytesPerToken * kBitsPerByte;
+  return factor * bits / (service->engine->linkMegabitsPerSecond * kBitsPerMegabit);
+}
+
+std::optional<Backend> Dispatcher::PlaceAnswer(const PromptWork& aWork, const Backend* aSource,
+                                               Time aNow)
+{
+  std::optional<Backend> best;
+  double lowest = std::numeric_limits<double>::max();
+  for (const auto& [id, belief] : mBeliefs) {
+    if (belief.backend.stage == Stage::Prefill ||
+        !MayUse(belief, aWork.service, aWork.excluded, aNow)) {
+      continue;
+    }
+    const double running = static_cast<double>(belief.load.Own()) + belief.load.Others(aNow);
+    const double slots = std::max(1U, belief.backend.slots);
+    // An engine without a free slot makes the request wait.
+    const double full = std::max(0.0, running + 1.0 - slots) / slots;
+    double cost = kSecondsPerRunning * running + full + DistanceSeconds(belief.backend);
+    if (aSource != nullptr) {
+      cost += TransferSeconds(*aSource, belief.backend, aWork);
+    }
+    cost *= Uncertainty(mRandom);
+    if (cost < lowest) {
+      lowest = cost;
+      best = belief.backend;
+    }
+  }
+  return best;
+}
+
+std::optional<Backend> Dispatcher::PlaceCall(const ServiceName& aService,
+                                             const BackendNames& aExcluded, Time aNow)
+{
+  std::optional<Backend> best;
+  double lowest = std::numeric_limits<double>::max();
+  for (const auto& [id, belief] : mBeliefs) {
+    if (!MayUse(belief, aService, aExcluded, aNow)) {
+      continue;
+    }
+    const double running = static_cast<double>(belief.load.Own()) + belief.load.Others(aNow);
+    const double slots = std::max(1U, belief.backend.slots);
+    const double cost = (DistanceSeconds(belief.backend) + 0.1 * running / slots +
+                         std::max(0.0, running + 1.0 - slots) / slots +
+                         belief.breaker.FailureShare()) *
+                        Uncertainty(mRandom);
+    if (cost < lowest) {
+      lowest = cost;
+      best = belief.backend;
+    }
+  }
+  return best;
+}
+
+void Dispatcher::OnSent(const BackendServerName& aBackend, RequestId aId, Duration aCost, Time aNow)
+{
+  if (Belief* belief = Find(aBackend)) {
+    belief->load.OnSent(aId, aCost, aNow);
+    belief->breaker.OnSent(aNow);
+  }
+}
+
+void Dispatcher::OnDone(const BackendServerName& aBackend, RequestId aId, Outcome aOutcome,
+                        Time aNow)
+{
+  Belief* belief = Find(aBackend);
+  if (belief == nullptr) {
+    return;
+  }
+  belief->load.OnDone(aId, aNow);
+  if (aOutcome == Outcome::Answered) {
+    belief->breaker.OnSuccess();
+  } else {
+    belief->breaker.OnFailure(aNow);
+  }
+}
+
+void Dispatcher::OnSample(const BackendServerName& aBackend, const LoadSample& aSample, Time aNow)
+{
+  if (Belief* belief = Find(aBackend)) {
+    belief->load.OnSample(aSample, aNow);
+  }
+}
+
+void Dispatcher::OnPromptRead(const BackendServerName& aBackend, const PromptWork& aWork,
+                              const PromptPlacement& aPlacement, Duration aTook, Time aNow)
+{
+  Belief* belief = Find(aBackend);
+  if (belief == nullptr) {
+    return;
+  }
+  belief->cache.OnRead(aWork.prompt, aWork.keys, aNow);
+  const double expected = ToSeconds(aPlacement.read);
+  if (aPlacement.wait == Duration::zero() && expected >= kShortestReadForSpeed) {
+    const double ratio = std::clamp(ToSeconds(aTook) / expected, 0.5, 4.0);
+    belief->readSecondsPerToken *= 1.0 + kSpeedStep * (ratio - 1.0);
+  }
+}
+
+} // namespace masticstep::dispatch
--- a/libs/gateway/src/Daemon.cpp
+++ b/libs/gateway/src/Daemon.cpp
@@ -71,7 +71,7 @@
 
 net::ServerLimits LimitsOf(const ConnectionLimits& aLimits)
 {
-  return { aLimits.headerBytes, aLimits.bodyBytes, aLimits.idle, aLimits.connectionsPerSource,
+  return { aLimits.headerBytes, aLimits.bodyBytes, aLimits.idle, aLimits.idle, aLimits.connectionsPerSource,
            aLimits.slowReader };
 }
 
--- a/libs/net/include/masticstep/net/ConnectionPool.hpp
+++ b/libs/net/include/masticstep/net/ConnectionPool.hpp
@@ -46,8 +46,10 @@
 
   static std::shared_ptr<ConnectionPool> Create(PoolLimits aLimits = {});
 
-  // Returns an idle connection or opens one, for use on the current executor.
-  Task<Result<Lease, NetError>> Acquire(HostPort aAddress, Duration aConnectTimeout);
+  // Returns an idle connection or opens one, for use on the current executor. A connection that was
+  // idle for longer than aMaximumIdle is not used.
+  Task<Result<Lease, NetError>> Acquire(HostPort aAddress, Duration aConnectTimeout,
+                                        Duration aMaximumIdle = Duration::max());
   // Opens a connection. For use when others to this address may be silent.
   Task<Result<Lease, NetError>> AcquireFresh(HostPort aAddress, Duration aConnectTimeout);
   // Closes the idle connections to an address.
@@ -68,7 +70,7 @@
   void Return(HttpClientConnection aConnection);
   // Takes the connections out that have been idle for too long. The mutex must be held.
   std::vector<Idle> TakeExpired(Time aNow);
-  std::unique_ptr<HttpClientConnection> TakeIdle(const HostPort& aAddress);
+  std::unique_ptr<HttpClientConnection> TakeIdle(const HostPort& aAddress, Duration aMaximumIdle);
 
   const PoolLimits mLimits;
   mutable std::mutex mMutex;
--- a/libs/net/include/masticstep/net/HttpClientConnection.hpp
+++ b/libs/net/include/masticstep/net/HttpClientConnection.hpp
@@ -24,8 +24,14 @@
   // Returns what has arrived of the body; empty at its end.
   Task<Result<std::string, NetError>> ReadBodySome(Duration aTimeout);
 
+  // Drops the answer whose head was read, which belongs to another request, and makes ReadHead read
+  // the next one. The connection is not reusable afterwards.
+  Task<Result<void, NetError>> SkipAnswer(Duration aTimeout);
+
   // Returns true if the last answer was read in full and the server keeps the connection open.
   bool IsReusable();
+  // Time that the server keeps the connection open without a request, by its last answer.
+  Duration MaximumIdle() const;
   void Close();
   // See ByteStream.
   void Attach(Executor aExecutor);
--- a/libs/net/include/masticstep/net/HttpServer.hpp
+++ b/libs/net/include/masticstep/net/HttpServer.hpp
@@ -20,7 +20,8 @@
 {
   std::size_t headerBytes = 16384;
   std::size_t bodyBytes = 1048576;
-  Duration idle = Seconds(60); // between requests, and for reading one request
+  Duration idle = Seconds(60);   // between requests, and for reading one body
+  Duration header = Seconds(60); // from the first byte of a request to the end of its header
   std::size_t connectionsPerSource = 1024;
   Duration slowReader = Seconds(10); // for the caller to take one piece of an answer
 
@@ -39,6 +40,9 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   std::uint16_t Port() const;
+  // Takes new limits over, except connectionsPerSource; they hold from each connection's next
+  // request.
+  void SetLimits(const ServerLimits& aLimits);
   // From now on every answer asks the caller to close the connection.
   void CloseAfterAnswers();
   // Ends the acceptor and closes connections without a request.
--- a/libs/net/include/masticstep/net/NetError.hpp
+++ b/libs/net/include/masticstep/net/NetError.hpp
@@ -11,7 +11,8 @@
   ResolveFailed,
   ConnectFailed,
   TimedOut,
-  Closed,    // the other side ended or reset the connection
+  Closed,    // the other side ended the connection
+  Reset,     // the connection broke
   Cancelled, // this side closed the connection
   Malformed, // not HTTP
   HeaderTooLarge,
--- a/libs/net/src/Clock.cpp
+++ b/libs/net/src/Clock.cpp
@@ -1,13 +1,14 @@
 #include "masticstep/net/Clock.hpp"
 
-#include <chrono>
+#include <ctime>
 
 namespace masticstep::net {
 
 Time Now()
 {
-  const std::chrono::steady_clock::duration n = std::chrono::steady_clock::now().time_since_epoch();
-  return Time(std::chrono::duration_cast<Duration>(n));
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time(Seconds(now.tv_sec) + Microseconds(now.tv_nsec / 1000));
 }
 
 } // namespace masticstep::net
--- a/libs/net/src/Connect.cpp
+++ b/libs/net/src/Connect.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <utility>
 #include <vector>
 
@@ -18,6 +21,24 @@
 
 constexpr asio::as_tuple_t<asio::use_awaitable_t<>> kAsResult{};
 
+// A peer that vanished without a reset is noticed after about the first three values in seconds.
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbeCount = 2;
+constexpr int kUnacknowledgedMilliseconds = 3000;
+
+// Makes the kernel probe the connection, since some connections fall silent without a reset.
+void DetectSilence(Socket& aSocket)
+{
+  const int handle = aSocket.native_handle();
+  const int enabled = 1;
+  setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof(enabled));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeIdleSeconds, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeIntervalSeconds, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMilliseconds, sizeof(int));
+}
+
 // Returns the endpoints of a host. Address literals need no resolver.
 Task<Result<std::vector<tcp::endpoint>, NetError>> Resolve(const HostPort& aAddress)
 {
@@ -63,6 +84,7 @@
   }
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
+  DetectSilence(socket);
   co_return socket;
 }
 
--- a/libs/net/src/ConnectionPool.cpp
+++ b/libs/net/src/ConnectionPool.cpp
@@ -35,9 +35,10 @@
 }
 
 Task<Result<ConnectionPool::Lease, NetError>> ConnectionPool::Acquire(HostPort aAddress,
-                                                                      Duration aConnectTimeout)
+                                                                      Duration aConnectTimeout,
+                                                                      Duration aMaximumIdle)
 {
-  std::unique_ptr<HttpClientConnection> idle = TakeIdle(aAddress);
+  std::unique_ptr<HttpClientConnection> idle = TakeIdle(aAddress, aMaximumIdle);
   if (idle) {
     idle->Attach(co_await boost::asio::this_coro::executor);
     co_return Lease(shared_from_this(), std::move(*idle), false);
@@ -57,16 +58,19 @@
   co_return Lease(shared_from_this(), std::move(connection), true);
 }
 
-std::unique_ptr<HttpClientConnection> ConnectionPool::TakeIdle(const HostPort& aAddress)
+std::unique_ptr<HttpClientConnection> ConnectionPool::TakeIdle(const HostPort& aAddress,
+                                                               Duration aMaximumIdle)
 {
   std::vector<Idle> stale; // closed after the lock is released
-  const Time oldest = Now() - mLimits.maximumIdle;
+  const Time now = Now();
   const std::lock_guard<std::mutex> lock(mMutex);
   std::vector<Idle>& idle = mIdle[aAddress];
   while (!idle.empty()) {
     Idle candidate = std::move(idle.back());
     idle.pop_back();
-    if (candidate.since >= oldest && candidate.connection.IsReusable()) {
+    const Duration longest =
+      std::min({ mLimits.maximumIdle, aMaximumIdle, candidate.connection.MaximumIdle() });
+    if (now - candidate.since <= longest && candidate.connection.IsReusable()) {
       return std::make_unique<HttpClientConnection>(std::move(candidate.connection));
     }
     stale.push_back(std::move(candidate));
--- a/libs/net/src/HttpClientConnection.cpp
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <charconv>
 #include <optional>
 #include <span>
 #include <utility>
@@ -20,6 +21,26 @@
 constexpr std::size_t kReadSize = 8192;
 constexpr std::uint32_t kMaximumHead = 65536;
 
+// The server may close a little before the time that it states.
+constexpr Duration kIdleMargin = Milliseconds(500);
+constexpr std::int64_t kLongestIdleSeconds = 86400;
+
+// Returns the idle time that a Keep-Alive header states, such as "timeout=5, max=100".
+Duration IdleTimeOf(std::string_view aKeepAlive)
+{
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t begin = aKeepAlive.find(kName);
+  if (begin == std::string_view::npos) {
+    return Duration::max();
+  }
+  const char* const digits = aKeepAlive.data() + begin + kName.size();
+  std::int64_t seconds = 0;
+  const std::from_chars_result result =
+    std::from_chars(digits, aKeepAlive.data() + aKeepAlive.size(), seconds);
+  const bool isUsable = result.ec == std::errc() && seconds >= 0 && seconds < kLongestIdleSeconds;
+  return isUsable ? Seconds(seconds) - kIdleMargin : Duration::max();
+}
+
 HttpHeaders HeadersOf(const http::fields& aFields)
 {
   HttpHeaders headers;
@@ -39,6 +60,8 @@
   template <class Predicate>
   Task<Result<void, NetError>> ReadUntil(Predicate aIsEnough, Duration aTimeout);
   Result<void, NetError> Parse(bool aAtEnd);
+  // Starts to parse a new answer.
+  void ExpectAnswer();
 
   std::unique_ptr<ByteStream> stream;
   HostPort address;
@@ -47,6 +70,8 @@
   std::optional<Parser> parser;
   bool isExchanging = false;
   bool isHeadRequest = false;
+  bool hasSkipped = false;
+  Duration maximumIdle = Duration::max();
 };
 
 HttpClientConnection::HttpClientConnection(std::unique_ptr<ByteStream> aStream, HostPort aAddress)
@@ -89,6 +114,15 @@
   return {};
 }
 
+void HttpClientConnection::State::ExpectAnswer()
+{
+  parser.emplace();
+  parser->eager(true);
+  parser->header_limit(kMaximumHead);
+  parser->body_limit(boost::none);
+  parser->skip(isHeadRequest);
+}
+
 template <class Predicate>
 Task<Result<void, NetError>> HttpClientConnection::State::ReadUntil(Predicate aIsEnough,
                                                                     Duration aTimeout)
@@ -122,11 +156,7 @@
 {
   mState->isExchanging = true;
   mState->isHeadRequest = aRequest.method == "HEAD";
-  mState->parser.emplace();
-  mState->parser->eager(true);
-  mState->parser->header_limit(kMaximumHead);
-  mState->parser->body_limit(boost::none);
-  mState->parser->skip(mState->isHeadRequest);
+  mState->ExpectAnswer();
   const std::string text = RequestText(aRequest, mState->host);
   co_return co_await mState->stream->WriteAll(text, aTimeout);
 }
@@ -140,6 +170,8 @@
     co_return Failure(done.error());
   }
   const http::response<http::string_body>& message = state.parser->get();
+  const boost::beast::string_view keepAlive = message[http::field::keep_alive];
+  state.maximumIdle = IdleTimeOf({ keepAlive.data(), keepAlive.size() });
   co_return HttpResponseHead{ message.result_int(), HeadersOf(message) };
 }
 
@@ -159,15 +191,37 @@
   co_return text;
 }
 
+Task<Result<void, NetError>> HttpClientConnection::SkipAnswer(Duration aTimeout)
+{
+  State& state = *mState;
+  state.hasSkipped = true;
+  const Time end = Now() + aTimeout;
+  while (!state.parser->is_done()) {
+    const Result<std::string, NetError> part = co_await ReadBodySome(end - Now());
+    if (!part) {
+      co_return Failure(part.error());
+    }
+  }
+  state.isExchanging = true;
+  state.ExpectAnswer();
+  co_return Result<void, NetError>{};
+}
+
 bool HttpClientConnection::IsReusable()
 {
-  if (!mState || !mState->stream->IsOpen() || mState->isExchanging || !mState->parser) {
+  if (!mState || !mState->stream->IsOpen() || mState->isExchanging || mState->hasSkipped ||
+      !mState->parser) {
     return false;
   }
   return mState->parser->is_done() && mState->parser->keep_alive() && mState->buffer.size() == 0 &&
          !mState->stream->HasInput();
 }
 
+Duration HttpClientConnection::MaximumIdle() const
+{
+  return mState->maximumIdle;
+}
+
 void HttpClientConnection::Close()
 {
   mState->stream->Close();
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -28,12 +28,12 @@
        std::shared_ptr<HttpHandler> aHandler, std::shared_ptr<TlsContext> aTls)
     : mContext(aContext)
     , mAcceptor(asio::make_strand(aContext))
-    , mLimits(aLimits)
     , mHandler(std::move(aHandler))
     , mTls(std::move(aTls))
     , mSwitches(std::make_shared<ServerSwitches>())
     , mSources(aLimits.connectionsPerSource)
   {
+    mSwitches->limits = std::make_shared<const ServerLimits>(aLimits);
   }
 
   Result<void, NetError> Listen(const HostPort& aAddress);
@@ -53,7 +53,6 @@
   asio::io_context& mContext;
   tcp::acceptor mAcceptor;
   std::uint16_t mPort = 0;
-  const ServerLimits mLimits;
   const std::shared_ptr<HttpHandler> mHandler;
   const std::shared_ptr<TlsContext> mTls;
   const std::shared_ptr<ServerSwitches> mSwitches;
@@ -127,11 +126,12 @@
 {
   const std::shared_ptr<Core> self = shared_from_this();
   const bool isCounted = mSources.TryAdd(aSource);
+  const Duration handshake = mSwitches->limits.load()->idle;
   Result<std::unique_ptr<ByteStream>, NetError> stream =
-    co_await AcceptStream(std::move(aSocket), mTls, mLimits.idle);
+    co_await AcceptStream(std::move(aSocket), mTls, handshake);
   if (stream) {
     const std::shared_ptr<ServerConnection> connection =
-      std::make_shared<ServerConnection>(std::move(*stream), aSource, mLimits, mHandler, mSwitches);
+      std::make_shared<ServerConnection>(std::move(*stream), aSource, mHandler, mSwitches);
     if (isCounted) {
       const Executor executor = co_await asio::this_coro::executor;
       {
@@ -204,6 +204,11 @@
   return mCore->mPort;
 }
 
+void HttpServer::SetLimits(const ServerLimits& aLimits)
+{
+  mCore->mSwitches->limits = std::make_shared<const ServerLimits>(aLimits);
+}
+
 void HttpServer::CloseAfterAnswers()
 {
   mCore->mSwitches->closesAfterAnswers = true;
--- a/libs/net/src/HttpText.cpp
+++ b/libs/net/src/HttpText.cpp
@@ -36,7 +36,9 @@
   std::string text = aRequest.method + " ";
   AppendSafely(text, aRequest.target);
   text += " HTTP/1.1\r\n";
-  AppendHeader(text, "Host", aHost);
+  if (FindHeader(aRequest.headers, "Host").empty()) {
+    AppendHeader(text, "Host", aHost);
+  }
   for (const HttpHeader& header : aRequest.headers) {
     AppendHeader(text, header.name, header.value);
   }
--- a/libs/net/src/HttpText.hpp
+++ b/libs/net/src/HttpText.hpp
@@ -14,7 +14,7 @@
   UntilClose // for HTTP/1.0 callers
 };
 
-// Returns the bytes of a request. Host and Content-Length are added.
+// Returns the bytes of a request. Content-Length is added, and Host if the request has none.
 std::string RequestText(const HttpRequest& aRequest, const std::string& aHost);
 
 // Returns the status line and headers of an answer, with the empty line.
--- a/libs/net/src/NetError.cpp
+++ b/libs/net/src/NetError.cpp
@@ -15,6 +15,8 @@
       return "timed out";
     case NetErrorKind::Closed:
       return "connection closed";
+    case NetErrorKind::Reset:
+      return "connection reset";
     case NetErrorKind::Cancelled:
       return "cancelled";
     case NetErrorKind::Malformed:
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -50,6 +50,20 @@
   return aStatus == 413 ? NetErrorKind::BodyTooLarge : NetErrorKind::Malformed;
 }
 
+// Returns whether others might see another end of the message than this parser does. A transfer
+// encoding other than "chunked" leaves the length unknown, and the rest of the body would be taken
+// for a request.
+bool HasAmbiguousLength(const http::request<http::string_body>& aMessage)
+{
+  const std::size_t encodings = aMessage.count(http::field::transfer_encoding);
+  if (encodings == 0) {
+    return aMessage.count(http::field::content_length) > 1;
+  }
+  return encodings > 1 || aMessage.version() < 11 ||
+         aMessage.count(http::field::content_length) > 0 ||
+         !boost::beast::iequals(aMessage[http::field::transfer_encoding], "chunked");
+}
+
 // Feeds the waiting bytes to the parser.
 boost::system::error_code ParseWaiting(Parser& aParser, boost::beast::flat_buffer& aBuffer)
 {
@@ -70,12 +84,11 @@
 } // namespace
 
 ServerConnection::ServerConnection(std::unique_ptr<ByteStream> aStream, std::string aSource,
-                                   const ServerLimits& aLimits,
                                    std::shared_ptr<HttpHandler> aHandler,
                                    std::shared_ptr<ServerSwitches> aSwitches)
   : mStream(std::move(aStream))
   , mSource(std::move(aSource))
-  , mLimits(aLimits)
+  , mLimits(*aSwitches->limits.load())
   , mHandler(std::move(aHandler))
   , mSwitches(std::move(aSwitches))
 {
@@ -85,6 +98,7 @@
 {
   bool goesOn = true;
   while (goesOn && !mSwitches->isStopped) {
+    mLimits = *mSwitches->limits.load();
     Result<Incoming, Refused> incoming = co_await ReadRequest();
     if (!incoming) {
       if (incoming.error().status != 0) {
@@ -105,16 +119,25 @@
   parser.body_limit(mLimits.bodyBytes);
   mIsIdle = mBuffer.size() == 0;
   bool hasContinued = false;
-  Time end = Now() + mLimits.idle;
+  bool isInBody = false;
+  Time end = Now() + (mIsIdle ? mLimits.idle : mLimits.header);
   while (true) {
     const boost::system::error_code ec = ParseWaiting(parser, mBuffer);
     if (ec) {
       const unsigned status = StatusOf(ec);
       co_return Failure(Refused{ status, { KindOf(status), ec.message() } });
     }
+    if (parser.is_header_done() && HasAmbiguousLength(parser.get())) {
+      co_return Failure(
+        Refused{ 400, { NetErrorKind::Malformed, "transfer encoding is not supported" } });
+    }
     if (parser.is_done()) {
       break;
     }
+    if (parser.is_header_done() && !isInBody) {
+      isInBody = true;
+      end = Now() + mLimits.idle;
+    }
     if (parser.is_header_done() && !hasContinued &&
         boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       hasContinued = true;
@@ -129,9 +152,8 @@
     }
     mBuffer.commit(*n);
     if (mIsIdle) {
-      // The whole request must arrive within one idle time of its first byte.
       mIsIdle = false;
-      end = Now() + mLimits.idle;
+      end = Now() + mLimits.header;
     }
   }
   Incoming incoming;
--- a/libs/net/src/ServerConnection.hpp
+++ b/libs/net/src/ServerConnection.hpp
@@ -16,6 +16,7 @@
 {
   std::atomic<bool> closesAfterAnswers{ false };
   std::atomic<bool> isStopped{ false };
+  std::atomic<std::shared_ptr<const ServerLimits>> limits;
 };
 
 // Reads the requests of one connection one after another and has them answered.
@@ -23,7 +24,7 @@
 {
 public:
   ServerConnection(std::unique_ptr<ByteStream> aStream, std::string aSource,
-                   const ServerLimits& aLimits, std::shared_ptr<HttpHandler> aHandler,
+                   std::shared_ptr<HttpHandler> aHandler,
                    std::shared_ptr<ServerSwitches> aSwitches);
 
   // Serves until the connection ends.
@@ -51,7 +52,7 @@
 
   std::unique_ptr<ByteStream> mStream;
   std::string mSource;
-  const ServerLimits mLimits;
+  ServerLimits mLimits; // of the current request
   std::shared_ptr<HttpHandler> mHandler;
   std::shared_ptr<ServerSwitches> mSwitches;
   boost::beast::flat_buffer mBuffer;
--- a/libs/net/src/SocketStream.cpp
+++ b/libs/net/src/SocketStream.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/ssl/error.hpp>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -101,7 +102,10 @@
   if (aError == asio::error::operation_aborted || aError == asio::error::bad_descriptor) {
     return { NetErrorKind::Cancelled, {} };
   }
-  return { NetErrorKind::Closed, aError.message() };
+  if (aError == asio::error::eof || aError == asio::ssl::error::stream_truncated) {
+    return { NetErrorKind::Closed, aError.message() };
+  }
+  return { NetErrorKind::Reset, aError.message() };
 }
 
 template <class Next>
--- /dev/null
+++ b/libs/relay/include/masticstep/relay/PlatformFeed.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "masticstep/base/Result.hpp"
+#include "masticstep/dispatch/Backend.hpp"
+#include "masticstep/dispatch/RouteTable.hpp"
+#include "masticstep/net/Task.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticstep::relay {
+
+enum class FeedErrorKind : std::uint8_t
+{
+  Unavailable, // no answer, or a refusal for now
+  HistoryGone, // the changes after the revision are no longer kept; list again
+  NotUnderstood
+};
+
+struct FeedError
+{
+  FeedErrorKind kind = FeedErrorKind::Unavailable;
+  std::string detail;
+};
+
+// Entry of one backend server; without a description it was removed or cannot be read, and then
+// names no backend server to use.
+struct BackendChange
+{
+  BackendServerName id;
+  std::optional<dispatch::Backend> backend;
+
+  bool operator==(const BackendChange&) const = default;
+};
+
+// State or changes up to a revision of the platform's store.
+struct BackendFeed
+{
+  std::vector<BackendChange> changes;
+  std::uint64_t revision = 0;
+};
+
+struct TableFeed
+{
+  std::shared_ptr<const dispatch::RouteTable> table; // null if it did not change or is not there
+  std::uint64_t revision = 0;
+};
+
+// The platform's list of backend servers and its configuration. A watch waits for changes for a
+// while and may return none.
+class PlatformFeed
+{
+public:
+  virtual ~PlatformFeed() = default;
+
+  virtual net::Task<Result<BackendFeed, FeedError>> ListBackends() = 0;
+  virtual net::Task<Result<BackendFeed, FeedError>> WatchBackends(std::uint64_t aRevision) = 0;
+  virtual net::Task<Result<TableFeed, FeedError>> ReadTable() = 0;
+  virtual net::Task<Result<TableFeed, FeedError>> WatchTable(std::uint64_t aRevision) = 0;
+};
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/include/masticstep/relay/RelayParts.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "masticstep/dispatch/BackendDirectory.hpp"
+#include "masticstep/dispatch/Dispatcher.hpp"
+#include "masticstep/dispatch/RetryBudget.hpp"
+#include "masticstep/dispatch/RouteTable.hpp"
+#include "masticstep/net/ConnectionPool.hpp"
+#include "masticstep/relay/Dialect.hpp"
+#include "masticstep/telemetry/Metrics.hpp"
+
+#include <memory>
+
+namespace masticstep::relay {
+
+// State of one daemon that its requests share. Used on one thread only, since an entry host gives
+// the daemon less than a core; so it needs no locks.
+struct RelayParts
+{
+  RelayParts(net::Executor aExecutor, std::shared_ptr<const Dialect> aDialect,
+             dispatch::Place aPlace, std::uint64_t aSeed);
+
+  const net::Executor executor;
+  const std::shared_ptr<const Dialect> dialect;
+  const std::shared_ptr<net::ConnectionPool> pool;
+  telemetry::Metrics metrics;
+  std::shared_ptr<const dispatch::RouteTable> table; // null until a configuration is known
+  dispatch::BackendDirectory directory;
+  dispatch::Dispatcher dispatcher;
+  dispatch::RetryBudget retries;
+  std::uint64_t nextRequest = 1;
+  std::size_t running = 0; // requests that were read and are not answered
+};
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/EventSplitter.cpp
@@ -0,0 +1,66 @@
+#include "EventSplitter.hpp"
+
+#include <charconv>
+
+namespace masticstep::relay {
+
+namespace {
+
+// Returns the length of the first event with its empty line; 0 if its end has not arrived. Lines
+// end with LF or CR LF.
+std::size_t EventLength(std::string_view aBytes)
+{
+  const std::size_t plain = aBytes.find("\n\n");
+  const std::size_t withReturn = aBytes.find("\n\r\n");
+  if (plain == std::string_view::npos && withReturn == std::string_view::npos) {
+    return 0;
+  }
+  return plain < withReturn ? plain + 2 : withReturn + 3;
+}
+
+std::optional<std::uint64_t> IdOfLine(std::string_view aLine)
+{
+  constexpr std::string_view kField = "id:";
+  if (!aLine.starts_with(kField)) {
+    return std::nullopt;
+  }
+  aLine.remove_prefix(kField.size());
+  if (aLine.starts_with(' ')) {
+    aLine.remove_prefix(1);
+  }
+  std::uint64_t id = 0;
+  const std::from_chars_result result =
+    std::from_chars(aLine.data(), aLine.data() + aLine.size(), id);
+  return result.ec == std::errc() ? std::optional<std::uint64_t>(id) : std::nullopt;
+}
+
+std::optional<std::uint64_t> IdOf(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    const std::size_t end = aEvent.find('\n');
+    const std::optional<std::uint64_t> id = IdOfLine(aEvent.substr(0, end));
+    if (id || end == std::string_view::npos) {
+      return id;
+    }
+    aEvent.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<StreamEvent> EventSplitter::Next()
+{
+  const std::string_view rest = std::string_view(mBytes).substr(mBegin);
+  const std::size_t length = EventLength(rest);
+  if (length == 0) {
+    mBytes.erase(0, mBegin);
+    mBegin = 0;
+    return std::nullopt;
+  }
+  StreamEvent event{ std::string(rest.substr(0, length)), IdOf(rest.substr(0, length)) };
+  mBegin += length;
+  return event;
+}
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/Exchange.cpp
@@ -0,0 +1,119 @@
+#include "Exchange.hpp"
+
+#include "masticstep/net/Clock.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::relay {
+
+namespace {
+
+constexpr Duration kConnectTimeout = Milliseconds(700);
+constexpr std::size_t kMaximumAnswer = 16777216;
+constexpr unsigned kMisdirected = 421;
+
+Duration Left(Time aDeadline)
+{
+  return std::max(aDeadline - net::Now(), Milliseconds(1));
+}
+
+ExchangeError Error(Progress aProgress, const net::NetError& aError)
+{
+  return { aProgress, aError.kind, net::ToString(aError) };
+}
+
+} // namespace
+
+Exchange::Exchange(RelayParts& aParts, const dispatch::Backend& aBackend, std::string aCallId)
+  : mParts(aParts)
+  , mBackend(aBackend)
+  , mCallId(std::move(aCallId))
+{
+}
+
+net::Task<Result<AnswerHead, ExchangeError>> Exchange::Start(net::HttpRequest aRequest,
+                                                             Time aDeadline, Duration aMaximumIdle)
+{
+  const net::HostPort address{ mBackend.address.ip, mBackend.address.port };
+  const Duration connect = std::min(kConnectTimeout, Left(aDeadline));
+  Result<net::ConnectionPool::Lease, net::NetError> lease =
+    co_await mParts.pool->Acquire(address, connect, aMaximumIdle);
+  if (!lease) {
+    co_return Failure(Error(Progress::NotSent, lease.error()));
+  }
+  mLease.emplace(std::move(*lease));
+  if (mIsClosed) {
+    co_return Failure(ExchangeError{ Progress::NotSent, net::NetErrorKind::Cancelled, {} });
+  }
+  const Result<void, net::NetError> sent = co_await (*mLease)->Send(aRequest, Left(aDeadline));
+  if (!sent) {
+    co_return Failure(Error(Progress::Unknown, sent.error()));
+  }
+  const Result<AnswerHead, net::NetError> head = co_await ReadOwnHead(aDeadline);
+  if (!head) {
+    co_return Failure(Error(Progress::Unknown, head.error()));
+  }
+  if (head->load) {
+    mParts.dispatcher.OnSample(mBackend.id, *head->load, net::Now());
+  }
+  if (head->hasNotRun || head->status == kMisdirected) {
+    // Takes the rest of the answer, so that the connection can be used again.
+    co_await ReadAll(aDeadline);
+    co_return Failure(ExchangeError{ Progress::NotRun, net::NetErrorKind::Closed,
+                                     "status " + std::to_string(head->status) });
+  }
+  co_return *head;
+}
+
+net::Task<Result<AnswerHead, net::NetError>> Exchange::ReadOwnHead(Time aDeadline)
+{
+  while (true) {
+    Result<net::HttpResponseHead, net::NetError> head =
+      co_await (*mLease)->ReadHead(Left(aDeadline));
+    if (!head) {
+      co_return Failure(head.error());
+    }
+    AnswerHead answer = mParts.dialect->ReadHead(*head);
+    if (answer.callId == mCallId || answer.callId.empty()) {
+      mHead = std::move(*head);
+      co_return answer;
+    }
+    // A second answer to an earlier request of the connection.
+    const Result<void, net::NetError> skipped = co_await (*mLease)->SkipAnswer(Left(aDeadline));
+    if (!skipped) {
+      co_return Failure(skipped.error());
+    }
+  }
+}
+
+net::Task<Result<std::string, net::NetError>> Exchange::ReadSome(Duration aTimeout)
+{
+  co_return co_await (*mLease)->ReadBodySome(aTimeout);
+}
+
+net::Task<Result<std::string, net::NetError>> Exchange::ReadAll(Time aDeadline)
+{
+  std::string body;
+  while (true) {
+    Result<std::string, net::NetError> part = co_await (*mLease)->ReadBodySome(Left(aDeadline));
+    if (!part || part->empty()) {
+      co_return part ? Result<std::string, net::NetError>(std::move(body)) : part;
+    }
+    body += *part;
+    if (body.size() > kMaximumAnswer) {
+      (*mLease)->Close();
+      co_return Failure(net::NetError{ net::NetErrorKind::BodyTooLarge, {} });
+    }
+  }
+}
+
+void Exchange::Close()
+{
+  mIsClosed = true;
+  if (mLease) {
+    (*mLease)->Close();
+  }
+}
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/FeedPause.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "masticstep/base/Random.hpp"
+#include "masticstep/base/Time.hpp"
+
+namespace masticstep::relay {
+
+// Pauses after failed calls to the platform: growing, with jitter, so that daemons do not return
+// together.
+class FeedPause
+{
+public:
+  explicit FeedPause(std::uint64_t aSeed);
+
+  Duration Next();
+  void OnSuccess() { mFailures = 0; }
+
+private:
+  Random mRandom;
+  std::uint32_t mFailures = 0;
+};
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/PlainSession.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Session.hpp"
+
+namespace masticstep::relay {
+
+// Relays a request to a plain service. The answer is passed on once it is whole.
+class PlainSession : public Session
+{
+public:
+  using Session::Session;
+
+  net::Task<void> Run() override;
+
+private:
+  enum class Step
+  {
+    Done, // the caller has its answer
+    Again // another backend server may be tried
+  };
+
+  net::Task<Step> Attempt();
+  net::Task<Step> Answer(const dispatch::Backend& aBackend, Exchange& aExchange, AnswerHead aHead);
+  net::Task<Step> AfterFailure(const dispatch::Backend& aBackend, ExchangeError aError);
+  bool MayRunAgain();
+};
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/PromptSession.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "EventSplitter.hpp"
+#include "Session.hpp"
+
+namespace masticstep::relay {
+
+// Relays a request to a model: one engine reads the prompt, another one takes its memory over and
+// writes the answer, whose events are passed on as they arrive.
+class PromptSession : public Session
+{
+public:
+  PromptSession(std::shared_ptr<RelayParts> aParts, Incoming aIncoming,
+                net::HttpResponder& aResponder);
+  ~PromptSession() override;
+
+  net::Task<void> Run() override;
+
+private:
+  enum class Step
+  {
+    Done, // the request is answered or given up
+    Again // another engine may be tried
+  };
+
+  net::Task<Step> Attempt();
+  // Has the prompt read, unless its memory is held already.
+  net::Task<Step> ReadPrompt(const dispatch::PromptPlacement& aPlacement);
+  net::Task<Step> WriteAnswer(const dispatch::Backend& aEngine);
+  net::Task<Step> Relay(const dispatch::Backend& aEngine, Exchange& aExchange, AnswerHead aHead);
+  net::Task<Step> PassOn(const dispatch::Backend& aEngine, Exchange& aExchange, AnswerHead aHead);
+  // Passes the whole events on that have arrived. Returns false if the caller has left.
+  net::Task<bool> PassEvents(EventSplitter& aEvents, const Exchange& aExchange, AnswerHead aHead);
+  net::Task<Step> AfterPromptFailure(const dispatch::Backend& aEngine, ExchangeError aError);
+  net::Task<Step> AfterAnswerFailure(const dispatch::Backend& aEngine, ExchangeError aError);
+  // Ends an answer that has begun without its end, or refuses one that has not.
+  net::Task<Step> BreakOff(std::string aReason, std::string aMessage);
+  // Frees memory that was read and that nobody will take.
+  void FreePrompt();
+
+  dispatch::PromptWork mWork;
+  std::optional<PromptHandle> mSource;
+  std::optional<dispatch::Backend> mReader; // engine of mSource
+  std::optional<std::uint64_t> mLastEventId;
+  std::uint32_t mReads = 0;
+};
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -0,0 +1,213 @@
+#include "masticstep/relay/RelayDaemon.hpp"
+
+#include "Followers.hpp"
+#include "OperatorPages.hpp"
+#include "masticstep/net/Clock.hpp"
+#include "masticstep/net/Sleep.hpp"
+#include "masticstep/relay/RelayHandler.hpp"
+#include "masticstep/telemetry/Log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace masticstep::relay {
+
+namespace asio = boost::asio;
+using telemetry::Level;
+
+namespace {
+
+constexpr Duration kReloadInterval = Seconds(2);
+constexpr Duration kDrainCheck = Milliseconds(20);
+// The balancer asks once a second and sends nothing more after two answers without success.
+constexpr Duration kBalancerNotice = Milliseconds(2500);
+// The process ends this long before the platform kills it.
+constexpr Duration kGraceReserve = Milliseconds(300);
+// The balancer connects from few addresses.
+constexpr std::size_t kConnectionsPerSource = 4096;
+constexpr Duration kSlowReader = Seconds(5);
+
+std::uint64_t RandomSeed()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+net::ServerLimits ToServerLimits(const dispatch::CallerLimits& aLimits)
+{
+  net::ServerLimits limits;
+  limits.headerBytes = aLimits.headerBytes;
+  limits.bodyBytes = aLimits.bodyBytes;
+  limits.header = aLimits.header;
+  limits.idle = aLimits.idle;
+  limits.connectionsPerSource = kConnectionsPerSource;
+  limits.slowReader = kSlowReader;
+  return limits;
+}
+
+} // namespace
+
+RelayDaemon::RelayDaemon(RelaySettings aSettings, std::shared_ptr<const Dialect> aDialect)
+  : mSettings(std::move(aSettings))
+  , mContext(1)
+  , mSignals(mContext)
+  , mParts(std::make_shared<RelayParts>(mContext.get_executor(), std::move(aDialect),
+                                        mSettings.place, RandomSeed()))
+{
+  mParts->retries.SetBounds(mSettings.retries);
+}
+
+RelayDaemon::~RelayDaemon()
+{
+  mParts->pool->Close();
+}
+
+Result<std::unique_ptr<RelayDaemon>, net::NetError> RelayDaemon::Create(
+  RelaySettings aSettings, std::shared_ptr<const Dialect> aDialect, const FeedFactory& aFeed)
+{
+  std::unique_ptr<RelayDaemon> daemon(new RelayDaemon(std::move(aSettings), std::move(aDialect)));
+  const Result<void, net::NetError> started = daemon->Start(aFeed);
+  if (!started) {
+    return Failure(started.error());
+  }
+  return daemon;
+}
+
+Result<void, net::NetError> RelayDaemon::Start(const FeedFactory& aFeed)
+{
+  Result<std::unique_ptr<net::HttpServer>, net::NetError> callers =
+    net::HttpServer::Create(mContext, mSettings.callers, ToServerLimits(dispatch::CallerLimits{}),
+                            std::make_shared<RelayHandler>(mParts));
+  if (!callers) {
+    return Failure(callers.error());
+  }
+  mCallers = std::move(*callers);
+  const std::shared_ptr<OperatorPages> pages = std::make_shared<OperatorPages>(
+    mParts, mSettings.readinessPath, [this] { return IsReady(); });
+  Result<std::unique_ptr<net::HttpServer>, net::NetError> readiness =
+    net::HttpServer::Create(mContext, mSettings.readiness, net::ServerLimits{}, pages);
+  if (!readiness) {
+    return Failure(readiness.error());
+  }
+  mReadiness = std::move(*readiness);
+  if (mSettings.metrics) {
+    Result<std::unique_ptr<net::HttpServer>, net::NetError> metrics =
+      net::HttpServer::Create(mContext, *mSettings.metrics, net::ServerLimits{}, pages);
+    if (!metrics) {
+      return Failure(metrics.error());
+    }
+    mMetrics = std::move(*metrics);
+  }
+  mFollowers = std::make_shared<Followers>(mParts, aFeed(mContext.get_executor()), RandomSeed());
+  mFollowers->OnTable([this] { ApplyLimits(); });
+  StartLoops();
+  telemetry::Log(Level::Info, "daemon started",
+                 { { "callers", net::ToString(mSettings.callers) },
+                   { "data_centre", mSettings.place.dataCentre.Text() } });
+  return {};
+}
+
+void RelayDaemon::StartLoops()
+{
+  const auto spawn = [this](auto aFunction) {
+    asio::co_spawn(mContext, std::move(aFunction), asio::detached);
+  };
+  spawn([followers = mFollowers] { return followers->FollowTable(); });
+  spawn([followers = mFollowers] { return followers->FollowBackends(); });
+  spawn([followers = mFollowers] { return followers->ExpireBackends(); });
+  spawn([this] { return WaitForSignals(); });
+  spawn([this] { return ReloadNowAndThen(); });
+}
+
+void RelayDaemon::Run()
+{
+  mContext.run();
+}
+
+void RelayDaemon::ApplyLimits()
+{
+  mCallers->SetLimits(ToServerLimits(mParts->table->Limits()));
+}
+
+bool RelayDaemon::IsReady() const
+{
+  return !mIsDraining && mParts->table && mParts->directory.IsKnown();
+}
+
+void RelayDaemon::OnReload(std::function<void()> aReload)
+{
+  mReload = std::move(aReload);
+}
+
+void RelayDaemon::SetFeed(const FeedFactory& aFeed)
+{
+  mFollowers->SetFeed(aFeed(mContext.get_executor()));
+}
+
+void RelayDaemon::SetRetryBounds(dispatch::RetryBounds aBounds)
+{
+  mParts->retries.SetBounds(aBounds);
+}
+
+net::Task<void> RelayDaemon::WaitForSignals()
+{
+  mSignals.add(SIGTERM);
+  mSignals.add(SIGINT);
+  mSignals.add(SIGHUP);
+  while (true) {
+    const auto [ec, signal] = co_await mSignals.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (ec) {
+      co_return;
+    }
+    if (signal != SIGHUP) {
+      Drain();
+    } else if (mReload) {
+      telemetry::Log(Level::Info, "settings are read again", { { "cause", "SIGHUP" } });
+      mReload();
+    }
+  }
+}
+
+net::Task<void> RelayDaemon::ReloadNowAndThen()
+{
+  while (true) {
+    co_await net::Sleep(kReloadInterval);
+    if (mReload) {
+      mReload();
+    }
+  }
+}
+
+void RelayDaemon::Drain()
+{
+  if (std::exchange(mIsDraining, true)) {
+    return;
+  }
+  telemetry::Log(Level::Info, "shutdown begins",
+                 { { "running", static_cast<std::uint64_t>(mParts->running) } });
+  asio::co_spawn(mContext, [this] { return Shutdown(); }, asio::detached);
+}
+
+net::Task<void> RelayDaemon::Shutdown()
+{
+  const Time begin = net::Now();
+  const Time end = begin + std::max(mSettings.grace - kGraceReserve, Duration::zero());
+  mCallers->CloseAfterAnswers();
+  co_await net::Sleep(std::min(kBalancerNotice, mSettings.grace / 2));
+  mCallers->StopAccepting();
+  while ((mParts->running > 0 || mCallers->ConnectionCount() > 0) && net::Now() < end) {
+    co_await net::Sleep(kDrainCheck);
+  }
+  telemetry::Log(mParts->running == 0 ? Level::Info : Level::Warning, "shutdown ends",
+                 { { "cut", static_cast<std::uint64_t>(mParts->running) } });
+  mContext.stop();
+}
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/RelayParts.cpp
@@ -0,0 +1,23 @@
+#include "masticstep/relay/RelayParts.hpp"
+
+#include <utility>
+
+namespace masticstep::relay {
+
+namespace {
+
+// Backend servers bound the connections of all daemons together.
+constexpr net::PoolLimits kPoolLimits{ .idlePerAddress = 12, .maximumIdle = Seconds(8) };
+
+} // namespace
+
+RelayParts::RelayParts(net::Executor aExecutor, std::shared_ptr<const Dialect> aDialect,
+                       dispatch::Place aPlace, std::uint64_t aSeed)
+  : executor(std::move(aExecutor))
+  , dialect(std::move(aDialect))
+  , pool(net::ConnectionPool::Create(kPoolLimits))
+  , dispatcher(std::move(aPlace), aSeed)
+{
+}
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/Session.cpp
@@ -0,0 +1,115 @@
+#include "Session.hpp"
+
+#include "masticstep/net/Clock.hpp"
+#include "masticstep/telemetry/Log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::relay {
+
+using telemetry::Level;
+
+namespace {
+
+constexpr Duration kShortestRetryAfter = Milliseconds(100);
+// Callers honour at most a third of their time as a pause.
+constexpr std::int64_t kRetryAfterPart = 4;
+constexpr Duration kLongestRetryAfter = Milliseconds(1000);
+
+} // namespace
+
+Session::Session(std::shared_ptr<RelayParts> aParts, Incoming aIncoming,
+                 net::HttpResponder& aResponder)
+  : mParts(std::move(aParts))
+  , mIncoming(std::move(aIncoming))
+  , mResponder(aResponder)
+{
+  ++mParts->running;
+  mParts->retries.OnRequest(mIncoming.service, mIncoming.arrived);
+  mResponder.OnGone([this] { OnGone(); });
+}
+
+Session::~Session()
+{
+  mResponder.OnGone(nullptr);
+  --mParts->running;
+}
+
+bool Session::IsLate() const
+{
+  return net::Now() >= mIncoming.deadline;
+}
+
+void Session::OnGone()
+{
+  if (mExchange != nullptr) {
+    mExchange->Close();
+  }
+}
+
+Duration Session::RetryAfter() const
+{
+  const Duration part = mIncoming.TimeLeft(net::Now()) / kRetryAfterPart;
+  return std::clamp(part, kShortestRetryAfter, kLongestRetryAfter);
+}
+
+net::Task<void> Session::Refuse(Refusal aRefusal)
+{
+  mParts->metrics.GetCounter({ "masticstep_refusals_total", "reason", aRefusal.reason })->Add();
+  LogEnd(IsGone() ? "caller_gone" : aRefusal.reason, aRefusal.status);
+  if (IsGone() || mResponder.HasStarted()) {
+    co_return;
+  }
+  net::HttpResponse response = ToResponse(aRefusal);
+  co_await mResponder.Send(std::move(response));
+}
+
+net::Task<void> Session::GiveUp(std::string aReason, std::string aMessage)
+{
+  Refusal refusal = mMayHaveRun
+                      ? MayHaveRun(std::move(aReason), std::move(aMessage))
+                      : NotRun(std::move(aReason), std::move(aMessage), RetryAfter());
+  if (mMayHaveRun && IsLate()) {
+    refusal.status = 504;
+  }
+  co_await Refuse(std::move(refusal));
+}
+
+bool Session::TakeRepeat()
+{
+  return mParts->retries.TryTake(mIncoming.service, net::Now());
+}
+
+SendOptions Session::OptionsFor(const dispatch::Backend& aBackend) const
+{
+  SendOptions options;
+  options.backend = aBackend.id;
+  options.timeLeft = mIncoming.TimeLeft(net::Now());
+  options.lastEventId = mIncoming.call.lastEventId;
+  return options;
+}
+
+void Session::LogFailure(const dispatch::Backend& aBackend, const ExchangeError& aError) const
+{
+  telemetry::Log(Level::Warning, "attempt failed",
+                 { { "request_id", mIncoming.call.id },
+                   { "backend", aBackend.id.Text() },
+                   { "problem", aError.detail },
+                   { "not_run", aError.progress != Progress::Unknown } });
+}
+
+void Session::LogEnd(std::string_view aOutcome, unsigned aStatus) const
+{
+  const Duration spent = net::Now() - mIncoming.arrived;
+  telemetry::Log(Level::Info, "request finished",
+                 { { "request_id", mIncoming.call.id },
+                   { "outcome", std::string(aOutcome) },
+                   { "status", aStatus },
+                   { "route", mIncoming.route->name },
+                   { "service", mIncoming.service.Text() },
+                   { "configuration", mIncoming.table->Version() },
+                   { "milliseconds", ToSeconds(spent) * 1000.0 } });
+}
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/Session.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Exchange.hpp"
+#include "Incoming.hpp"
+#include "masticstep/net/HttpHandler.hpp"
+
+#include <string_view>
+
+namespace masticstep::relay {
+
+// What the ways to answer a request have in common: the caller's connection, the exchange that runs
+// now, the budget for repeats, and the log.
+class Session
+{
+public:
+  Session(std::shared_ptr<RelayParts> aParts, Incoming aIncoming, net::HttpResponder& aResponder);
+  virtual ~Session();
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  // Answers the request.
+  virtual net::Task<void> Run() = 0;
+
+protected:
+  // Whether nobody waits for the answer any more.
+  bool IsGone() const { return mResponder.IsGone(); }
+  bool IsLate() const;
+  // Called when the caller leaves.
+  virtual void OnGone();
+  // Sends a refusal of this daemon's own, unless the caller has left or an answer has begun.
+  net::Task<void> Refuse(Refusal aRefusal);
+  // Refuses a request that no backend server can take; the promise that it has not run is only made
+  // if no backend server may have begun it.
+  net::Task<void> GiveUp(std::string aReason, std::string aMessage);
+  // Counts a further send of this request if the budget of the service allows it.
+  bool TakeRepeat();
+  void LogFailure(const dispatch::Backend& aBackend, const ExchangeError& aError) const;
+  void LogEnd(std::string_view aOutcome, unsigned aStatus) const;
+  SendOptions OptionsFor(const dispatch::Backend& aBackend) const;
+  Duration RetryAfter() const;
+
+  const std::shared_ptr<RelayParts> mParts;
+  const Incoming mIncoming;
+  net::HttpResponder& mResponder;
+  Exchange* mExchange = nullptr;  // that runs now
+  bool mMayHaveRun = false;       // at some backend server
+  std::uint32_t mRuns = 0;        // backend servers that may have run it
+  dispatch::BackendNames mExcluded;
+};
+
+} // namespace masticstep::relay
