--- a/libs/relay/src/Followers.cpp
+++ b/libs/relay/src/Followers.cpp
@@ -68,9 +68,9 @@
     }
     OnFeedError("backends", reply.error(), isGood);
     isGood = false;
-    if (reply.error().kind != FeedErrorKind::Unavailable) {
-      revision.reset();
-    } else {
+    // A store that broke a watch off may have dropped changes that the watch never told of.
+    revision.reset();
+    if (reply.error().kind == FeedErrorKind::Unavailable) {
       mParts->directory.OnStoreLost();
     }
     co_await net::Sleep(pause.Next());
@@ -145,9 +145,7 @@
     }
     OnFeedError("configuration", reply.error(), isGood);
     isGood = false;
-    if (reply.error().kind != FeedErrorKind::Unavailable) {
-      revision.reset();
-    }
+    revision.reset();
     co_await net::Sleep(pause.Next());
   }
 }
--- a/libs/relay/src/Incoming.cpp
+++ b/libs/relay/src/Incoming.cpp
@@ -9,6 +9,12 @@
 
 constexpr Duration kStartingRetryAfter = Milliseconds(500);
 
+// Path without its query.
+std::string_view PathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
 } // namespace
 
 Result<Incoming, Refusal> Accept(RelayParts& aParts, net::HttpRequest aRequest, Time aNow)
@@ -26,7 +32,11 @@
   incoming.table = aParts.table;
   incoming.route = incoming.table->Match(incoming.call.host, incoming.call.target);
   if (incoming.route == nullptr) {
-    return Failure(Refusal{ 404, "no_route", "no route has this host and path", std::nullopt });
+    return Failure(Refusal{ 404, "no_route",
+                            "no route of configuration " + std::to_string(aParts.table->Version()) +
+                              " has host '" + incoming.call.host + "' and path '" +
+                              std::string(PathOf(incoming.call.target)) + "'",
+                            std::nullopt });
   }
   incoming.service = dispatch::ChooseService(*incoming.route, incoming.call.id);
   incoming.arrived = aNow;
