--- a/libs/platform_client/src/HttpObjectStore.cpp
+++ b/libs/platform_client/src/HttpObjectStore.cpp
@@ -18,11 +18,11 @@
 
 namespace {
 
-// Longest time of a call: a watch may use its whole wait and half as much again.
+// Longest time of a call: a watch waits for changes before it is answered.
 Duration TimeLimit(const PlatformRequest& aRequest, Duration aCall)
 {
   const auto* watch = std::get_if<platform::WatchRequest>(&aRequest.call);
-  return watch == nullptr ? aCall : watch->timeout * 3 / 2 + aCall;
+  return watch == nullptr ? aCall : watch->timeout + aCall;
 }
 
 } // namespace
