Keep large shared parts on one engine of all regions

Change: daemons meet at the engine with the highest hash, of all regions for parts of 1,500 tokens and more; reading weighs 3 against waiting.

--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -25,10 +25,13 @@
 constexpr double kRegionTransferFactor = 10.0;
 // Time that one more running request costs the others of an engine.
 constexpr double kSecondsPerRunning = 0.002;
-// Weight of reading again against waiting.
-constexpr double kReadWeight = 1.5;
+// Weight of reading against waiting: what is read here takes the engine's time from others.
+constexpr double kReadWeight = 3.0;
 // Part of the shared tokens that the engine picked by hashing is believed to hold from other daemons.
-constexpr double kAffinityShare = 0.3;
+constexpr double kAffinityShare = 0.8;
+// Shared parts of this size are kept on one engine of all regions, smaller ones on one of each data
+// centre: reading them again costs more than leaving the region.
+constexpr std::uint32_t kWorthLeavingRegion = 1500;
 
 double Uncertainty(Random& aRandom)
 {
@@ -122,10 +125,12 @@
   const std::uint64_t sharedKey = aWork.keys.empty() ? 0 : aWork.keys[shared];
   const std::uint32_t sharedTokens =
     aWork.keys.size() < 2 ? 0 : aWork.prompt.parts[shared].tokens;
+  const bool isWorthLeaving = sharedTokens >= kWorthLeavingRegion;
   const Belief* preferred = nullptr;
   std::uint64_t highest = 0;
   for (const auto& [id, belief] : mBeliefs) {
-    if (belief.backend.stage != aStage || DistanceSeconds(belief.backend) > 0.0 ||
+    const bool isNear = DistanceSeconds(belief.backend) <= 0.0;
+    if (belief.backend.stage != aStage || (!isNear && !isWorthLeaving) ||
         !MayUse(belief, aWork.service, aWork.excluded, aNow)) {
       continue;
     }
@@ -144,7 +149,9 @@
     PromptPlacement placement;
     double cost = ReadCost(belief, aWork, aNow, placement) * Uncertainty(mRandom);
     if (&belief == preferred) {
-      cost -= kAffinityShare * sharedTokens * belief.readSecondsPerToken;
+      const double known = belief.cache.CachedTokens(aWork.prompt, aWork.keys, aNow);
+      const double unknown = std::max(0.0, sharedTokens - known);
+      cost -= kReadWeight * kAffinityShare * unknown * belief.readSecondsPerToken;
     }
     if (cost < lowest) {
       lowest = cost;
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -2,6 +2,7 @@
 
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/HttpClient.hpp"
+#include "masticstep/telemetry/Log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -122,6 +123,13 @@
   const Time now = net::Now();
   mParts->dispatcher.OnDone(engine.id, mIncoming.number, Outcome::Answered, now);
   mParts->dispatcher.OnPromptRead(engine.id, mWork, aPlacement, now - sent, now);
+  telemetry::Log(telemetry::Level::Info, "prompt read",
+                 { { "request_id", mIncoming.call.id },
+                   { "engine", engine.id.Text() },
+                   { "tokens", mWork.prompt.promptTokens },
+                   { "expected_wait_ms", ToSeconds(aPlacement.wait) * 1000.0 },
+                   { "expected_read_ms", ToSeconds(aPlacement.read) * 1000.0 },
+                   { "took_ms", ToSeconds(now - sent) * 1000.0 } });
   mSource = PromptHandle{ engine.address, *handle };
   mReader = engine;
   co_return Step::Again;
@@ -207,7 +215,7 @@
   }
   mParts->dispatcher.OnDone(aEngine.id, mIncoming.number, Outcome::Answered, net::Now());
   co_await mResponder.EndStream();
-  LogEnd("answered", aHead.status);
+  LogEnd("answered", aHead.status, mFirstEvent);
   co_return Step::Done;
 }
 
@@ -229,6 +237,7 @@
     co_return !IsGone();
   }
   if (!mResponder.HasStarted()) {
+    mFirstEvent = net::Now();
     net::HttpResponseHead head{ aHead.status, mParts->dialect->ToCaller(aExchange.Headers()) };
     mResponder.StartStream(std::move(head));
   }
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -43,6 +43,7 @@
   std::optional<dispatch::Backend> mReader; // engine of mSource
   std::optional<std::uint64_t> mLastEventId;
   std::uint32_t mReads = 0;
+  std::optional<Time> mFirstEvent;
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -99,9 +99,11 @@
                    { "not_run", aError.progress != Progress::Unknown } });
 }
 
-void Session::LogEnd(std::string_view aOutcome, unsigned aStatus) const
+void Session::LogEnd(std::string_view aOutcome, unsigned aStatus,
+                     std::optional<Time> aFirstEvent) const
 {
   const Duration spent = net::Now() - mIncoming.arrived;
+  const Duration first = aFirstEvent.value_or(net::Now()) - mIncoming.arrived;
   telemetry::Log(Level::Info, "request finished",
                  { { "request_id", mIncoming.call.id },
                    { "outcome", std::string(aOutcome) },
@@ -109,6 +111,7 @@
                    { "route", mIncoming.route->name },
                    { "service", mIncoming.service.Text() },
                    { "configuration", mIncoming.table->Version() },
+                   { "first_event_ms", ToSeconds(first) * 1000.0 },
                    { "milliseconds", ToSeconds(spent) * 1000.0 } });
 }
 
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -35,7 +35,8 @@
   // Counts a further send of this request if the budget of the service allows it.
   bool TakeRepeat();
   void LogFailure(const dispatch::Backend& aBackend, const ExchangeError& aError) const;
-  void LogEnd(std::string_view aOutcome, unsigned aStatus) const;
+  void LogEnd(std::string_view aOutcome, unsigned aStatus,
+              std::optional<Time> aFirstEvent = std::nullopt) const;
   SendOptions OptionsFor(const dispatch::Backend& aBackend) const;
   Duration RetryAfter() const;
 
