--- a/libs/dispatch/include/masticstep/dispatch/StagePlan.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/StagePlan.hpp
@@ -19,7 +19,7 @@
 struct StagePolicy
 {
   // Part of a data centre's engines that writes answers; the others read prompts.
-  double answerShare = 0.3;
+  double answerShare = 0.4;
   std::uint32_t minimumAnswering = 1; // in each data centre
 
   bool operator==(const StagePolicy&) const = default;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -12,7 +12,10 @@
 
 // Reading speed assumed of an engine before its first answer.
 constexpr double kFirstReadSecondsPerToken = 1.0 / 64000.0;
-constexpr double kSpeedStep = 0.1;
+// Work of other daemons makes an observation longer and never shorter, so the estimate follows short
+// ones faster.
+constexpr double kFasterStep = 0.2;
+constexpr double kSlowerStep = 0.01;
 // Shorter prompts say more about the network than about the engine.
 constexpr double kShortestReadForSpeed = 0.01;
 // Engines for answers read prompts at half the speed.
@@ -279,8 +282,9 @@
   belief->cache.OnRead(aWork.prompt, aWork.keys, aNow);
   const double expected = ToSeconds(aPlacement.read);
   if (aPlacement.wait == Duration::zero() && expected >= kShortestReadForSpeed) {
-    const double ratio = std::clamp(ToSeconds(aTook) / expected, 0.5, 4.0);
-    belief->readSecondsPerToken *= 1.0 + kSpeedStep * (ratio - 1.0);
+    const double ratio = std::clamp(ToSeconds(aTook) / expected, 0.5, 2.0);
+    const double step = ratio < 1.0 ? kFasterStep : kSlowerStep;
+    belief->readSecondsPerToken *= 1.0 + step * (ratio - 1.0);
   }
 }
 
--- a/libs/relay/src/Exchange.hpp
+++ b/libs/relay/src/Exchange.hpp
@@ -41,6 +41,7 @@
   void Close();
 
   const net::HttpHeaders& Headers() const { return mHead.headers; }
+  const BackendServerName& BackendId() const { return mBackend.id; }
 
 private:
   net::Task<Result<AnswerHead, net::NetError>> ReadOwnHead(Time aDeadline);
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -153,7 +153,8 @@
 
 net::Task<PromptSession::Step> PromptSession::WriteAnswer(const dispatch::Backend& aEngine)
 {
-  mParts->dispatcher.OnSent(aEngine.id, mIncoming.number, Duration::zero(), net::Now());
+  mSent = net::Now();
+  mParts->dispatcher.OnSent(aEngine.id, mIncoming.number, Duration::zero(), mSent);
   SendOptions options = OptionsFor(aEngine);
   options.source = mSource;
   options.priority = mIncoming.route->priority;
@@ -238,6 +239,10 @@
   }
   if (!mResponder.HasStarted()) {
     mFirstEvent = net::Now();
+    telemetry::Log(telemetry::Level::Info, "answer begins",
+                   { { "request_id", mIncoming.call.id },
+                     { "engine", aExchange.BackendId().Text() },
+                     { "after_send_ms", ToSeconds(*mFirstEvent - mSent) * 1000.0 } });
     net::HttpResponseHead head{ aHead.status, mParts->dialect->ToCaller(aExchange.Headers()) };
     mResponder.StartStream(std::move(head));
   }
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -43,6 +43,7 @@
   std::optional<dispatch::Backend> mReader; // engine of mSource
   std::optional<std::uint64_t> mLastEventId;
   std::uint32_t mReads = 0;
+  Time mSent; // when the engine was last asked for the answer
   std::optional<Time> mFirstEvent;
 };
 
