Share the work that lies at each engine within a data centre

Cause: daemons sent short prompts behind long ones of other daemons that they did not know of (3,549 of 4,985 reads expected no wait, 1 in 20 took 17 times as long as expected). Change: each daemon sends its work as a datagram every 20 ms when it changed; daemons find each other in the store. Answers are placed by slots and memory in use.

--- a/libs/dispatch/include/masticstep/dispatch/BackendLoad.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/BackendLoad.hpp
@@ -2,6 +2,7 @@
 
 #include "masticstep/base/Identifier.hpp"
 #include "masticstep/base/Time.hpp"
+#include "masticstep/dispatch/PeerWork.hpp"
 
 #include <cstdint>
 #include <unordered_map>
@@ -23,24 +24,33 @@
 class BackendLoad
 {
 public:
-  // A request that needs the server for about aCost was sent.
-  void OnSent(RequestId aId, Duration aCost, Time aNow);
+  // A request was sent that the server needs aRead to read, or whose answer keeps aTokens of a
+  // prompt in its memory.
+  void OnSent(RequestId aId, Duration aRead, std::uint32_t aTokens, Time aNow);
   void OnDone(RequestId aId, Time aNow);
   // The sample came with an answer; the request that it answers counts as done already.
   void OnSample(const LoadSample& aSample, Time aNow);
 
-  // Returns how long work sent now would wait for work sent before.
-  Duration Wait(Time aNow) const;
-  std::size_t Own() const { return mOwn.size(); }
-  // Expected number of requests of other daemons.
+  // Work that this daemon sent.
+  Work Own(Time aNow) const;
+  // Expected number of requests of other daemons, by the latest sample.
   double Others(Time aNow) const;
+  // Time that the server reads on average for one request of this daemon.
+  Duration MeanRead() const { return FromSeconds(mMeanReadSeconds); }
 
 private:
-  std::unordered_map<RequestId, Duration> mOwn;
-  Time mBusyUntil{}; // by own work
+  struct Sent
+  {
+    Duration read{ 0 };
+    std::uint32_t tokens = 0;
+  };
+
+  std::unordered_map<RequestId, Sent> mOwn;
+  std::uint64_t mTokens = 0; // of mOwn
+  Time mBusyUntil{};         // by own reading
   double mOthers = 0.0;
   Time mSampled{};
-  double mMeanCostSeconds = 0.0;
+  double mMeanReadSeconds = 0.0;
 };
 
 } // namespace masticstep::dispatch
--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "masticstep/dispatch/Backend.hpp"
 #include "masticstep/dispatch/BackendLoad.hpp"
 #include "masticstep/dispatch/Breaker.hpp"
+#include "masticstep/dispatch/PeerWork.hpp"
 #include "masticstep/dispatch/PrefixCache.hpp"
 #include "masticstep/dispatch/RouteTable.hpp"
 
@@ -70,15 +71,19 @@
   std::optional<Backend> PlaceCall(const ServiceName& aService, const BackendNames& aExcluded,
                                    Time aNow);
 
-  void OnSent(const BackendServerName& aBackend, RequestId aId, Duration aCost, Time aNow);
+  // aRead is the time for reading the prompt, aTokens what an answer keeps in memory of it.
+  void OnSent(const BackendServerName& aBackend, RequestId aId, Duration aRead,
+              std::uint32_t aTokens, Time aNow);
   void OnDone(const BackendServerName& aBackend, RequestId aId, Outcome aOutcome, Time aNow);
   void OnSample(const BackendServerName& aBackend, const LoadSample& aSample, Time aNow);
   // The engine has read the prompt; aTook is the time from sending to the answer.
   void OnPromptRead(const BackendServerName& aBackend, const PromptWork& aWork,
                     const PromptPlacement& aPlacement, Duration aTook, Time aNow);
 
-  // Whether the daemon knows the backend server and it takes new work.
-  bool IsUsable(const BackendServerName& aBackend) const;
+  // Work of this daemon, for the others of its data centre.
+  WorkByBackend OwnWork(Time aNow) const;
+  // Work of another daemon.
+  void OnPeerWork(const HostName& aHost, std::uint64_t aSequence, WorkByBackend aWork, Time aNow);
 
 private:
   struct Belief
@@ -92,6 +97,8 @@
     double readSecondsPerToken;
   };
 
+  // Work of all daemons at a backend server, as far as it is known.
+  Work WorkAt(const Belief& aBelief, Time aNow) const;
   bool MayUse(const Belief& aBelief, const ServiceName& aService, const BackendNames& aExcluded,
               Time aNow) const;
   double DistanceSeconds(const Backend& aBackend) const;
@@ -107,6 +114,7 @@
   Random mRandom;
   std::shared_ptr<const RouteTable> mTable;
   std::map<BackendServerName, Belief> mBeliefs;
+  PeerWork mPeers;
 };
 
 } // namespace masticstep::dispatch
--- /dev/null
+++ b/libs/dispatch/include/masticstep/dispatch/PeerWork.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "masticstep/base/Identifier.hpp"
+#include "masticstep/base/Time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace masticstep::dispatch {
+
+// Work that lies at one backend server.
+struct Work
+{
+  Duration read{ 0 };         // time that the server still needs for reading prompts
+  std::uint32_t requests = 0; // sent and not answered in full
+  std::uint64_t tokens = 0;   // of the prompts of running answers
+
+  bool operator==(const Work&) const = default;
+};
+
+using WorkByBackend = std::map<BackendServerName, Work>;
+
+// What the other daemons of the data centre say of their work. A daemon that falls silent is
+// forgotten.
+class PeerWork
+{
+public:
+  // Takes a report over unless a newer one of the same daemon is known.
+  void OnReport(const HostName& aHost, std::uint64_t aSequence, WorkByBackend aWork, Time aNow);
+  // Returns the work of all others at a backend server. Reading goes on since each report.
+  Work At(const BackendServerName& aBackend, Time aNow) const;
+  // Number of daemons that were heard lately.
+  std::size_t Count(Time aNow) const;
+
+private:
+  struct Report
+  {
+    std::uint64_t sequence = 0;
+    Time taken;
+    WorkByBackend work;
+  };
+
+  std::map<HostName, Report> mReports;
+};
+
+} // namespace masticstep::dispatch
--- a/libs/dispatch/src/BackendLoad.cpp
+++ b/libs/dispatch/src/BackendLoad.cpp
@@ -13,21 +13,25 @@
 
 } // namespace
 
-void BackendLoad::OnSent(RequestId aId, Duration aCost, Time aNow)
+void BackendLoad::OnSent(RequestId aId, Duration aRead, std::uint32_t aTokens, Time aNow)
 {
-  mOwn[aId] = aCost;
-  mBusyUntil = std::max(mBusyUntil, aNow) + aCost;
-  mMeanCostSeconds += kMeanStep * (ToSeconds(aCost) - mMeanCostSeconds);
+  mOwn[aId] = { aRead, aTokens };
+  mTokens += aTokens;
+  mBusyUntil = std::max(mBusyUntil, aNow) + aRead;
+  mMeanReadSeconds += kMeanStep * (ToSeconds(aRead) - mMeanReadSeconds);
 }
 
 void BackendLoad::OnDone(RequestId aId, Time aNow)
 {
-  if (mOwn.erase(aId) == 0) {
+  const auto found = mOwn.find(aId);
+  if (found == mOwn.end()) {
     return;
   }
+  mTokens -= found->second.tokens;
+  mOwn.erase(found);
   Duration left{ 0 };
-  for (const auto& [id, cost] : mOwn) {
-    left += cost;
+  for (const auto& [id, sent] : mOwn) {
+    left += sent.read;
   }
   mBusyUntil = std::min(mBusyUntil, aNow + left);
 }
@@ -45,10 +49,10 @@
   return mOthers * std::exp(-std::max(0.0, age));
 }
 
-Duration BackendLoad::Wait(Time aNow) const
+Work BackendLoad::Own(Time aNow) const
 {
-  const Duration own = std::max(Duration::zero(), mBusyUntil - aNow);
-  return own + FromSeconds(Others(aNow) * mMeanCostSeconds);
+  return { std::max(Duration::zero(), mBusyUntil - aNow), static_cast<std::uint32_t>(mOwn.size()),
+           mTokens };
 }
 
 } // namespace masticstep::dispatch
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -28,6 +28,8 @@
 constexpr double kRegionTransferFactor = 10.0;
 // Time that one more running request costs the others of an engine.
 constexpr double kSecondsPerRunning = 0.002;
+// Steps of an engine take longer the more tokens its running requests keep in memory.
+constexpr double kSecondsOfFullMemory = 0.2;
 // Weight of reading against waiting: what is read here takes the engine's time from others.
 constexpr double kReadWeight = 3.0;
 // Part of the shared tokens that the engine picked by hashing is believed to hold from other daemons.
@@ -85,10 +87,36 @@
   return found == mBeliefs.end() ? nullptr : &found->second;
 }
 
-bool Dispatcher::IsUsable(const BackendServerName& aBackend) const
+Work Dispatcher::WorkAt(const Belief& aBelief, Time aNow) const
 {
-  const auto found = mBeliefs.find(aBackend);
-  return found != mBeliefs.end() && !found->second.backend.isDraining;
+  const Work own = aBelief.load.Own(aNow);
+  const Work peers = mPeers.At(aBelief.backend.id, aNow);
+  // The sample counts all daemons, also those of other data centres, but it is older.
+  const double sampled = aBelief.load.Others(aNow);
+  const Duration sampledRead = FromSeconds(sampled * ToSeconds(aBelief.load.MeanRead()));
+  Work work;
+  work.read = own.read + std::max(peers.read, sampledRead);
+  work.requests = own.requests + std::max(peers.requests, static_cast<std::uint32_t>(sampled));
+  work.tokens = own.tokens + peers.tokens;
+  return work;
+}
+
+WorkByBackend Dispatcher::OwnWork(Time aNow) const
+{
+  WorkByBackend all;
+  for (const auto& [id, belief] : mBeliefs) {
+    const Work work = belief.load.Own(aNow);
+    if (work.requests > 0) {
+      all.emplace(id, work);
+    }
+  }
+  return all;
+}
+
+void Dispatcher::OnPeerWork(const HostName& aHost, std::uint64_t aSequence, WorkByBackend aWork,
+                            Time aNow)
+{
+  mPeers.OnReport(aHost, aSequence, std::move(aWork), aNow);
 }
 
 bool Dispatcher::MayUse(const Belief& aBelief, const ServiceName& aService,
@@ -115,7 +143,7 @@
   const double factor = aBelief.backend.stage == Stage::Decode ? kDecodeReadFactor : 1.0;
   const double read = tokens * aBelief.readSecondsPerToken * factor;
   aPlacement.engine = aBelief.backend;
-  aPlacement.wait = aBelief.load.Wait(aNow);
+  aPlacement.wait = WorkAt(aBelief, aNow).read;
   aPlacement.read = FromSeconds(read);
   return ToSeconds(aPlacement.wait) + kReadWeight * read + DistanceSeconds(aBelief.backend);
 }
@@ -202,11 +230,15 @@
         !MayUse(belief, aWork.service, aWork.excluded, aNow)) {
       continue;
     }
-    const double running = static_cast<double>(belief.load.Own()) + belief.load.Others(aNow);
+    const Work work = WorkAt(belief, aNow);
+    const double running = work.requests;
     const double slots = std::max(1U, belief.backend.slots);
     // An engine without a free slot makes the request wait.
     const double full = std::max(0.0, running + 1.0 - slots) / slots;
-    double cost = kSecondsPerRunning * running + full + DistanceSeconds(belief.backend);
+    const double memory = std::max<std::uint64_t>(CacheTokens(aWork.service), 1);
+    const double used = static_cast<double>(work.tokens + aWork.prompt.promptTokens) / memory;
+    double cost = kSecondsPerRunning * running + full + DistanceSeconds(belief.backend) +
+                  kSecondsOfFullMemory * used;
     if (aSource != nullptr) {
       cost += TransferSeconds(*aSource, belief.backend, aWork);
     }
@@ -228,7 +260,7 @@
     if (!MayUse(belief, aService, aExcluded, aNow)) {
       continue;
     }
-    const double running = static_cast<double>(belief.load.Own()) + belief.load.Others(aNow);
+    const double running = WorkAt(belief, aNow).requests;
     const double slots = std::max(1U, belief.backend.slots);
     const double cost = (DistanceSeconds(belief.backend) + 0.1 * running / slots +
                          std::max(0.0, running + 1.0 - slots) / slots +
@@ -242,10 +274,11 @@
   return best;
 }
 
-void Dispatcher::OnSent(const BackendServerName& aBackend, RequestId aId, Duration aCost, Time aNow)
+void Dispatcher::OnSent(const BackendServerName& aBackend, RequestId aId, Duration aRead,
+                        std::uint32_t aTokens, Time aNow)
 {
   if (Belief* belief = Find(aBackend)) {
-    belief->load.OnSent(aId, aCost, aNow);
+    belief->load.OnSent(aId, aRead, aTokens, aNow);
     belief->breaker.OnSent(aNow);
   }
 }
--- /dev/null
+++ b/libs/dispatch/src/PeerWork.cpp
@@ -0,0 +1,50 @@
+#include "masticstep/dispatch/PeerWork.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::dispatch {
+
+namespace {
+
+// Daemons with work report several times within this time.
+constexpr Duration kExpiry = Milliseconds(1000);
+
+} // namespace
+
+void PeerWork::OnReport(const HostName& aHost, std::uint64_t aSequence, WorkByBackend aWork,
+                        Time aNow)
+{
+  std::erase_if(mReports,
+                [aNow](const auto& aItem) { return aItem.second.taken + kExpiry < aNow; });
+  const auto found = mReports.find(aHost);
+  if (found != mReports.end() && found->second.sequence >= aSequence) {
+    return;
+  }
+  mReports[aHost] = { aSequence, aNow, std::move(aWork) };
+}
+
+Work PeerWork::At(const BackendServerName& aBackend, Time aNow) const
+{
+  Work sum;
+  for (const auto& [host, report] : mReports) {
+    const auto found = report.work.find(aBackend);
+    if (found == report.work.end() || report.taken + kExpiry < aNow) {
+      continue;
+    }
+    sum.read += std::max(Duration::zero(), found->second.read - (aNow - report.taken));
+    sum.requests += found->second.requests;
+    sum.tokens += found->second.tokens;
+  }
+  return sum;
+}
+
+std::size_t PeerWork::Count(Time aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mReports.begin(), mReports.end(), [aNow](const auto& aItem) {
+      return aItem.second.taken + kExpiry >= aNow;
+    }));
+}
+
+} // namespace masticstep::dispatch
--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -20,6 +20,7 @@
 
 class Followers;
 class StageControl;
+class WorkSharing;
 
 // What one daemon needs to know at its start.
 struct RelaySettings
@@ -30,6 +31,7 @@
   net::HostPort readiness; // address that the balancer asks
   std::string readinessPath;
   std::optional<net::HostPort> metrics;
+  net::HostPort sharing; // address for datagrams between the daemons of the data centre
   Duration grace = Seconds(8); // from the stop signal to the end of the process
   dispatch::RetryBounds retries;
   dispatch::StagePolicy stages;
@@ -91,6 +93,7 @@
   std::shared_ptr<RelayParts> mParts;
   std::shared_ptr<Followers> mFollowers;
   std::shared_ptr<StageControl> mStages;
+  std::shared_ptr<WorkSharing> mSharing; // null if its port cannot be used
   std::unique_ptr<net::HttpServer> mCallers;
   std::unique_ptr<net::HttpServer> mReadiness;
   std::unique_ptr<net::HttpServer> mMetrics;
--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -42,7 +42,7 @@
     co_await GiveUp("no_backend", "no backend server of the service is available");
     co_return Step::Done;
   }
-  mParts->dispatcher.OnSent(backend->id, mIncoming.number, Duration::zero(), net::Now());
+  mParts->dispatcher.OnSent(backend->id, mIncoming.number, Duration::zero(), 0, net::Now());
   Exchange exchange(*mParts, *backend, mIncoming.call.id);
   mExchange = &exchange;
   net::HttpRequest request = mParts->dialect->ToBackend(mIncoming.call, OptionsFor(*backend));
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -98,7 +98,7 @@
   const dispatch::Backend engine = aPlacement.engine;
   const Time sent = net::Now();
   ++mReads;
-  mParts->dispatcher.OnSent(engine.id, mIncoming.number, aPlacement.read, sent);
+  mParts->dispatcher.OnSent(engine.id, mIncoming.number, aPlacement.read, 0, sent);
   SendOptions options = OptionsFor(engine);
   options.readsPromptOnly = true;
   options.priority = mIncoming.route->priority;
@@ -154,7 +154,8 @@
 net::Task<PromptSession::Step> PromptSession::WriteAnswer(const dispatch::Backend& aEngine)
 {
   mSent = net::Now();
-  mParts->dispatcher.OnSent(aEngine.id, mIncoming.number, Duration::zero(), mSent);
+  mParts->dispatcher.OnSent(aEngine.id, mIncoming.number, Duration::zero(),
+                            mWork.prompt.promptTokens, mSent);
   SendOptions options = OptionsFor(aEngine);
   options.source = mSource;
   options.priority = mIncoming.route->priority;
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -3,6 +3,7 @@
 #include "Followers.hpp"
 #include "OperatorPages.hpp"
 #include "StageControl.hpp"
+#include "WorkSharing.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/relay/RelayHandler.hpp"
@@ -119,6 +120,8 @@
   PlatformAccess access = aAccess(mContext.get_executor());
   mFollowers = std::make_shared<Followers>(mParts, access.feed, RandomSeed());
   mFollowers->OnTable([this] { ApplyLimits(); });
+  mSharing = WorkSharing::Create(mParts, access.store, mSettings.host, mSettings.place.dataCentre,
+                                 mSettings.sharing);
   StartStages(std::move(access));
   StartLoops();
   telemetry::Log(Level::Info, "daemon started",
@@ -153,6 +156,11 @@
   spawn([followers = mFollowers] { return followers->FollowBackends(); });
   spawn([followers = mFollowers] { return followers->ExpireBackends(); });
   spawn([stages = mStages] { return stages->Run(); });
+  if (mSharing) {
+    spawn([sharing = mSharing] { return sharing->Receive(); });
+    spawn([sharing = mSharing] { return sharing->Report(); });
+    spawn([sharing = mSharing] { return sharing->Discover(); });
+  }
   spawn([this] { return WaitForSignals(); });
   spawn([this] { return ReloadNowAndThen(); });
 }
--- /dev/null
+++ b/libs/relay/src/WorkSharing.cpp
@@ -0,0 +1,203 @@
+#include "WorkSharing.hpp"
+
+#include "masticstep/base/ObjectReader.hpp"
+#include "masticstep/net/Clock.hpp"
+#include "masticstep/net/Sleep.hpp"
+#include "masticstep/telemetry/Log.hpp"
+#include "masticstep/wire/WorkReport.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::relay {
+
+namespace asio = boost::asio;
+using platform::PlatformReply;
+using platform::PlatformStatus;
+using telemetry::Level;
+
+namespace {
+
+// Kind of the daemons' entries in the store.
+const std::string kPrefix = "masticstep-daemons/";
+// Work of a prompt lasts some tens of milliseconds, so older reports are of little use.
+constexpr Duration kReportInterval = Milliseconds(20);
+// A daemon without changes repeats its report before the others forget it.
+constexpr Duration kRepeatInterval = Milliseconds(300);
+constexpr Duration kDiscoverInterval = Seconds(5);
+constexpr Duration kRetryInterval = Milliseconds(700);
+constexpr std::size_t kMaximumPeers = 64;
+constexpr IntegerRange kPorts{ 1, 65535 };
+
+} // namespace
+
+std::shared_ptr<WorkSharing> WorkSharing::Create(std::shared_ptr<RelayParts> aParts,
+                                                 std::shared_ptr<platform::ObjectStore> aStore,
+                                                 HostName aHost, DataCentreName aDataCentre,
+                                                 net::HostPort aAddress)
+{
+  boost::system::error_code ec;
+  Udp::socket socket(aParts->executor);
+  socket.open(Udp::v4(), ec);
+  if (!ec) {
+    socket.bind(Udp::endpoint(asio::ip::make_address(aAddress.host), aAddress.port), ec);
+  }
+  if (!ec) {
+    socket.non_blocking(true, ec);
+  }
+  if (ec) {
+    telemetry::Log(Level::Error, "work is not shared",
+                   { { "address", net::ToString(aAddress) }, { "problem", ec.message() } });
+    return nullptr;
+  }
+  aAddress.port = socket.local_endpoint().port();
+  return std::shared_ptr<WorkSharing>(
+    new WorkSharing(std::move(aParts), std::move(aStore), std::move(aHost), std::move(aDataCentre),
+                    std::move(aAddress), std::move(socket)));
+}
+
+WorkSharing::WorkSharing(std::shared_ptr<RelayParts> aParts,
+                         std::shared_ptr<platform::ObjectStore> aStore, HostName aHost,
+                         DataCentreName aDataCentre, net::HostPort aAddress, Udp::socket aSocket)
+  : mParts(std::move(aParts))
+  , mStore(std::move(aStore))
+  , mHost(std::move(aHost))
+  , mDataCentre(std::move(aDataCentre))
+  , mAddress(std::move(aAddress))
+  , mSocket(std::move(aSocket))
+{
+}
+
+net::Task<void> WorkSharing::Receive()
+{
+  const std::shared_ptr<WorkSharing> self = shared_from_this();
+  std::string buf(wire::kMaximumWorkReport, '\0');
+  while (true) {
+    Udp::endpoint sender;
+    const auto [ec, n] = co_await mSocket.async_receive_from(
+      asio::buffer(buf), sender, asio::as_tuple(asio::use_awaitable));
+    if (ec) {
+      co_await net::Sleep(kRetryInterval);
+      continue;
+    }
+    const Result<wire::WorkReport, wire::WireError> report =
+      wire::DecodeWorkReport(std::string_view(buf.data(), n));
+    if (!report || report->host == mHost) {
+      continue;
+    }
+    dispatch::WorkByBackend work;
+    for (const wire::BackendWork& item : report->backends) {
+      work[item.backend] = { item.read, item.requests, item.tokens };
+    }
+    mParts->dispatcher.OnPeerWork(report->host, report->sequence, std::move(work), net::Now());
+  }
+}
+
+net::Task<void> WorkSharing::Report()
+{
+  const std::shared_ptr<WorkSharing> self = shared_from_this();
+  dispatch::WorkByBackend sent;
+  Time sentAt{};
+  while (true) {
+    co_await net::Sleep(kReportInterval);
+    const Time now = net::Now();
+    dispatch::WorkByBackend work = mParts->dispatcher.OwnWork(now);
+    if (mPeers.empty() || (work == sent && now < sentAt + kRepeatInterval)) {
+      continue;
+    }
+    wire::WorkReport report{ mHost, static_cast<std::uint64_t>(now.time_since_epoch().count()),
+                             {} };
+    for (const auto& [id, item] : work) {
+      report.backends.push_back({ id, item.read, item.requests, item.tokens });
+    }
+    Send(wire::EncodeWorkReport(report));
+    sent = std::move(work);
+    sentAt = now;
+  }
+}
+
+void WorkSharing::Send(const std::string& aDatagram)
+{
+  for (const Udp::endpoint& peer : mPeers) {
+    // A datagram that cannot be sent now is as good as lost; the next one follows.
+    boost::system::error_code ignored;
+    mSocket.send_to(asio::buffer(aDatagram), peer, 0, ignored);
+  }
+}
+
+std::string WorkSharing::OwnEntry() const
+{
+  return boost::json::serialize(boost::json::object{ { "ip", mAddress.host },
+                                                     { "port", mAddress.port },
+                                                     { "data_centre", mDataCentre.Text() } });
+}
+
+net::Task<PlatformReply> WorkSharing::Call(platform::PlatformCall aCall)
+{
+  platform::PlatformRequest request;
+  request.number = mNextCall++;
+  request.call = std::move(aCall);
+  const auto submit = [this, &request](auto aHandler) {
+    const auto handler = std::make_shared<decltype(aHandler)>(std::move(aHandler));
+    mStore->Submit(std::move(request), [handler, executor = mParts->executor](PlatformReply aReply) {
+      asio::post(executor, [handler, reply = std::move(aReply)]() mutable {
+        (*handler)(std::move(reply));
+      });
+    });
+  };
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(PlatformReply)>(
+    submit, asio::use_awaitable);
+}
+
+net::Task<void> WorkSharing::Discover()
+{
+  const std::shared_ptr<WorkSharing> self = shared_from_this();
+  while (true) {
+    if (!mIsEntered) {
+      platform::PlatformCall write =
+        platform::ConditionalWrite{ platform::ObjectKey{ kPrefix + mHost.Text() }, std::nullopt,
+                                    OwnEntry() };
+      const PlatformReply written = co_await Call(std::move(write));
+      // An entry that is there already is of an earlier process on this host, with the same content.
+      mIsEntered = written.status == PlatformStatus::Done ||
+                   written.status == PlatformStatus::Conflict;
+    }
+    platform::PlatformCall list = platform::ListRequest{ kPrefix, {} };
+    const PlatformReply listed = co_await Call(std::move(list));
+    if (listed.status == PlatformStatus::Done) {
+      TakePeers(listed.items);
+    }
+    const bool isDone = mIsEntered && listed.status == PlatformStatus::Done && !mPeers.empty();
+    co_await net::Sleep(isDone ? kDiscoverInterval : kRetryInterval);
+  }
+}
+
+void WorkSharing::TakePeers(const std::vector<platform::ObjectChange>& aEntries)
+{
+  std::vector<Udp::endpoint> peers;
+  for (const platform::ObjectChange& entry : aEntries) {
+    Faults faults;
+    const std::optional<boost::json::object> object =
+      ParseObject(entry.body, entry.key.Text(), faults);
+    if (!object || entry.key.Text() == kPrefix + mHost.Text() || peers.size() >= kMaximumPeers) {
+      continue;
+    }
+    ObjectReader reader(*object, entry.key.Text(), "$", faults);
+    const std::string ip = reader.RequiredString("ip");
+    const std::int64_t port = reader.RequiredInteger("port", kPorts);
+    const std::string dataCentre = reader.RequiredString("data_centre");
+    boost::system::error_code ec;
+    const asio::ip::address address = asio::ip::make_address(ip, ec);
+    if (faults.empty() && !ec && dataCentre == mDataCentre.Text()) {
+      peers.emplace_back(address, static_cast<std::uint16_t>(port));
+    }
+  }
+  mPeers = std::move(peers);
+}
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/src/WorkSharing.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "masticstep/net/HostPort.hpp"
+#include "masticstep/platform/ObjectStore.hpp"
+#include "masticstep/relay/RelayParts.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace masticstep::relay {
+
+// Tells the other daemons of the data centre which work this daemon has sent to which backend server.
+// The daemons find each other in the platform's store and talk by datagrams; a lost one is replaced
+// by the next.
+class WorkSharing : public std::enable_shared_from_this<WorkSharing>
+{
+public:
+  // Without a usable port the daemon goes on without the others' reports.
+  static std::shared_ptr<WorkSharing> Create(std::shared_ptr<RelayParts> aParts,
+                                             std::shared_ptr<platform::ObjectStore> aStore,
+                                             HostName aHost, DataCentreName aDataCentre,
+                                             net::HostPort aAddress);
+
+  net::Task<void> Receive();
+  net::Task<void> Report();
+  // Enters this daemon in the store and reads the entries of the others, from time to time.
+  net::Task<void> Discover();
+
+private:
+  using Udp = boost::asio::ip::udp;
+
+  WorkSharing(std::shared_ptr<RelayParts> aParts, std::shared_ptr<platform::ObjectStore> aStore,
+              HostName aHost, DataCentreName aDataCentre, net::HostPort aAddress,
+              Udp::socket aSocket);
+  net::Task<platform::PlatformReply> Call(platform::PlatformCall aCall);
+  void TakePeers(const std::vector<platform::ObjectChange>& aEntries);
+  void Send(const std::string& aDatagram);
+  std::string OwnEntry() const;
+
+  const std::shared_ptr<RelayParts> mParts;
+  const std::shared_ptr<platform::ObjectStore> mStore;
+  const HostName mHost;
+  const DataCentreName mDataCentre;
+  const net::HostPort mAddress;
+  Udp::socket mSocket;
+  std::vector<Udp::endpoint> mPeers;
+  bool mIsEntered = false;
+  std::uint64_t mNextCall = 1;
+};
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/wire/src/WorkReport.cpp
@@ -0,0 +1,58 @@
+#include "masticstep/wire/WorkReport.hpp"
+
+#include "generated/work_generated.h"
+
+#include <algorithm>
+
+namespace masticstep::wire {
+
+namespace {
+
+// Longer times and larger numbers are not plausible and would overflow sums.
+constexpr std::uint64_t kLongestRead = 3600000000ULL; // microseconds
+constexpr std::uint64_t kMostTokens = 1ULL << 40U;
+
+} // namespace
+
+std::string EncodeWorkReport(const WorkReport& aReport)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<flatbuffers::Offset<fb::BackendWork>> backends;
+  for (const BackendWork& work : aReport.backends) {
+    const std::uint64_t read =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(work.read.count(), 0));
+    backends.push_back(fb::CreateBackendWork(builder, builder.CreateString(work.backend.Text()),
+                                             read, work.requests, work.tokens));
+  }
+  const flatbuffers::Offset<fb::WorkReport> report =
+    fb::CreateWorkReport(builder, builder.CreateString(aReport.host.Text()), aReport.sequence,
+                         builder.CreateVector(backends));
+  fb::FinishWorkReportBuffer(builder, report);
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+Result<WorkReport, WireError> DecodeWorkReport(std::string_view aBytes)
+{
+  const std::uint8_t* bytes = reinterpret_cast<const std::uint8_t*>(aBytes.data());
+  flatbuffers::Verifier verifier(bytes, aBytes.size());
+  if (aBytes.size() > kMaximumWorkReport || !fb::VerifyWorkReportBuffer(verifier)) {
+    return Failure(WireError{ WireErrorKind::BadBody, "datagram is no work report" });
+  }
+  const fb::WorkReport* table = fb::GetWorkReport(bytes);
+  if (table->host() == nullptr || table->backends() == nullptr) {
+    return Failure(WireError{ WireErrorKind::BadBody, "work report lacks its host or its list" });
+  }
+  WorkReport report{ HostName{ table->host()->str() }, table->sequence(), {} };
+  for (const fb::BackendWork* item : *table->backends()) {
+    if (item->backend() == nullptr) {
+      return Failure(WireError{ WireErrorKind::BadBody, "work report names no backend server" });
+    }
+    const std::uint64_t read = std::min<std::uint64_t>(item->read_us(), kLongestRead);
+    report.backends.push_back({ BackendServerName{ item->backend()->str() },
+                                Microseconds(static_cast<std::int64_t>(read)), item->requests(),
+                                std::min<std::uint64_t>(item->tokens(), kMostTokens) });
+  }
+  return report;
+}
+
+} // namespace masticstep::wire
