Let the share of engines that answer follow slots and the measured mix

Change: the share begins with what the slots suggest and follows the measured work, at most two engines at a time under load.

--- a/libs/relay/include/masticstep/relay/RelayParts.hpp
+++ b/libs/relay/include/masticstep/relay/RelayParts.hpp
@@ -4,6 +4,7 @@
 #include "masticstep/dispatch/Dispatcher.hpp"
 #include "masticstep/dispatch/RetryBudget.hpp"
 #include "masticstep/dispatch/RouteTable.hpp"
+#include "masticstep/dispatch/StageDemand.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
 #include "masticstep/relay/Dialect.hpp"
 #include "masticstep/telemetry/Metrics.hpp"
@@ -27,6 +28,7 @@
   dispatch::BackendDirectory directory;
   dispatch::Dispatcher dispatcher;
   dispatch::RetryBudget retries;
+  dispatch::StageDemand demand;
   std::uint64_t nextRequest = 1;
   std::size_t running = 0; // requests that were read and are not answered
 };
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -122,6 +122,7 @@
   }
   const Time now = net::Now();
   mParts->dispatcher.OnDone(engine.id, mIncoming.number, Outcome::Answered, now);
+  mParts->demand.OnRead(mIncoming.service, aPlacement.read, now);
   mParts->dispatcher.OnPromptRead(engine.id, mWork, aPlacement, now - sent, now);
   telemetry::Log(telemetry::Level::Info, "prompt read",
                  { { "request_id", mIncoming.call.id },
@@ -215,7 +216,9 @@
     ExchangeError error{ Progress::Unknown, net::NetErrorKind::Closed, "stream has no end" };
     co_return co_await AfterAnswerFailure(aEngine, std::move(error));
   }
-  mParts->dispatcher.OnDone(aEngine.id, mIncoming.number, Outcome::Answered, net::Now());
+  const Time now = net::Now();
+  mParts->dispatcher.OnDone(aEngine.id, mIncoming.number, Outcome::Answered, now);
+  mParts->demand.OnAnswer(mIncoming.service, now - mSent, aEngine.slots, now);
   co_await mResponder.EndStream();
   LogEnd("answered", aHead.status, mFirstEvent);
   co_return Step::Done;
--- a/libs/relay/src/StageControl.cpp
+++ b/libs/relay/src/StageControl.cpp
@@ -1,5 +1,6 @@
 #include "StageControl.hpp"
 
+#include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
 
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr Duration kPlanInterval = Milliseconds(500);
+// Engines of all data centres that change at once while requests are served.
+constexpr std::size_t kChangesAtOnce = 2;
 
 } // namespace
 
@@ -55,8 +58,26 @@
     }
   }
   mAuthority->SetEngines(std::move(targets));
-  for (const dispatch::StageChange& change : dispatch::PlanStages(backends, mPolicy)) {
-    if (!mChanging.contains(change.engine)) {
+  for (const dispatch::ServiceTraits& service : mParts->table->Services()) {
+    if (service.engine) {
+      PlanService(service);
+    }
+  }
+}
+
+void StageControl::PlanService(const dispatch::ServiceTraits& aService)
+{
+  const Time now = net::Now();
+  const double start = dispatch::ExpectedAnswerShare(aService.engine->slots);
+  dispatch::StageShare& share = mShares.try_emplace(aService.name, start).first->second;
+  const std::optional<double> measured = mParts->demand.AnswerShare(aService.name, now);
+  dispatch::StagePolicy policy = mPolicy;
+  policy.answerShare = share.Follow(measured, now);
+  // Without requests nobody misses the engines that change.
+  policy.maximumChanges = measured ? 1 : 0;
+  for (const dispatch::StageChange& change :
+       dispatch::PlanStages(mParts->directory.All(), aService.name, policy)) {
+    if (!mChanging.contains(change.engine) && (!measured || mChanging.size() < kChangesAtOnce)) {
       Give(change);
     }
   }
--- a/libs/relay/src/StageControl.hpp
+++ b/libs/relay/src/StageControl.hpp
@@ -4,6 +4,7 @@
 #include "masticstep/dispatch/StagePlan.hpp"
 #include "masticstep/relay/RelayParts.hpp"
 
+#include <map>
 #include <memory>
 #include <set>
 
@@ -31,6 +32,7 @@
 
 private:
   void Plan();
+  void PlanService(const dispatch::ServiceTraits& aService);
   void Give(const dispatch::StageChange& aChange);
 
   const std::shared_ptr<RelayParts> mParts;
@@ -38,6 +40,7 @@
   const StageWords mWords;
   const dispatch::StagePolicy mPolicy;
   const bool mEnginesCheckFencing;
+  std::map<ServiceName, dispatch::StageShare> mShares;
   std::set<BackendServerName> mChanging;
   bool mIsStopped = false;
 };
