Open breakers for servers that do not work at all, and read lost memory elsewhere

Change: failure shares are a cost in the choice; refusals and missing connections open the breaker sooner; if all are open the best is tried; after two refused handovers another engine reads.

--- a/libs/dispatch/include/masticstep/dispatch/Breaker.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Breaker.hpp
@@ -6,12 +6,18 @@
 
 namespace masticstep::dispatch {
 
-// Circuit breaker of one backend server, by the outcomes of this daemon's own requests.
+// Circuit breaker of one backend server, by the outcomes of this daemon's own requests. It opens
+// when a server does not work at all. One that fails part of its requests stays closed, and its
+// failure share counts against it where servers are compared.
 class Breaker
 {
 public:
   void OnSuccess();
   void OnFailure(Time aNow);
+  // The server did not take a request, as one does that is full or changes its stage.
+  void OnRefusal(Time aNow);
+  // The server could not be reached; opens at once.
+  void OnUnreachable(Time aNow);
 
   // Returns whether new requests may be sent. After a pause one request at a time may, as a probe.
   bool Allows(Time aNow) const;
@@ -22,9 +28,13 @@
   double FailureShare() const { return mFailureShare; }
 
 private:
+  void Count(std::uint32_t aFailures, Time aNow);
+  void Open(Time aNow);
+  Duration Pause() const;
+
   bool mIsOpen = false;
   std::uint32_t mFailuresInRow = 0;
-  std::uint32_t mTrips = 0; // since the last success of a probe
+  std::uint32_t mTrips = 0; // since the last success
   double mFailureShare = 0.0;
   Time mProbeAt{};
 };
--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -46,9 +46,11 @@
 // How an attempt ended, as far as it tells something about the backend server.
 enum class Outcome : std::uint8_t
 {
-  Answered, // a whole answer, or one that the caller no longer wanted
-  Refused,  // full or otherwise not willing
-  Failed    // broken, silent or unreachable
+  Answered,    // a whole answer
+  Abandoned,   // nobody wanted the answer any more; says nothing
+  Refused,     // full or otherwise not willing
+  Failed,      // broken or silent
+  Unreachable, // no connection
 };
 
 // Chooses backend servers and keeps what is believed of them. No I/O; not thread-safe; times must
@@ -80,6 +82,9 @@
   void OnPromptRead(const BackendServerName& aBackend, const PromptWork& aWork,
                     const PromptPlacement& aPlacement, Duration aTook, Time aNow);
 
+  // Another engine took the memory of a prompt over from its reader, or could not get it.
+  void OnHandover(const BackendServerName& aReader, bool aDone, Time aNow);
+
   // Work of this daemon, for the others of its data centre.
   WorkByBackend OwnWork(Time aNow) const;
   // Work of another daemon.
@@ -93,16 +98,20 @@
     Backend backend;
     BackendLoad load;
     Breaker breaker;
+    Breaker handover; // of memory that the engine has read
     PrefixCache cache;
     double readSecondsPerToken;
   };
 
   // Work of all daemons at a backend server, as far as it is known.
   Work WorkAt(const Belief& aBelief, Time aNow) const;
-  bool MayUse(const Belief& aBelief, const ServiceName& aService, const BackendNames& aExcluded,
-              Time aNow) const;
+  // Backend servers of the service that may get new work. If the breakers of all are open, trying
+  // one is better than refusing.
+  std::vector<const Belief*> Candidates(const ServiceName& aService, const BackendNames& aExcluded,
+                                        bool (*aIsSuited)(Stage), Time aNow) const;
   double DistanceSeconds(const Backend& aBackend) const;
-  std::optional<PromptPlacement> BestReader(const PromptWork& aWork, Stage aStage, Time aNow);
+  std::optional<PromptPlacement> BestReader(const PromptWork& aWork, bool (*aIsSuited)(Stage),
+                                            Time aNow);
   double ReadCost(const Belief& aBelief, const PromptWork& aWork, Time aNow,
                   PromptPlacement& aPlacement) const;
   double TransferSeconds(const Backend& aSource, const Backend& aTarget,
--- a/libs/dispatch/src/Breaker.cpp
+++ b/libs/dispatch/src/Breaker.cpp
@@ -6,37 +6,55 @@
 
 namespace {
 
-constexpr std::uint32_t kFailuresToOpen = 3;
-// A backend server that fails part of its requests is left alone from this share on.
-constexpr double kShareToOpen = 0.3;
-constexpr double kShareStep = 0.12; // weight of the newest outcome
+constexpr std::uint32_t kFailuresToOpen = 4;
+constexpr double kShareStep = 0.08; // weight of the newest outcome
 constexpr Duration kFirstPause = Milliseconds(400);
-constexpr std::uint32_t kMaximumDoublings = 3;
+constexpr std::uint32_t kMaximumDoublings = 2;
 
 } // namespace
 
+Duration Breaker::Pause() const
+{
+  return kFirstPause * (1LL << std::min(mTrips, kMaximumDoublings));
+}
+
+void Breaker::Open(Time aNow)
+{
+  mIsOpen = true;
+  mProbeAt = aNow + Pause();
+  ++mTrips;
+}
+
 void Breaker::OnSuccess()
 {
   mFailureShare -= kShareStep * mFailureShare;
   mFailuresInRow = 0;
-  if (mIsOpen) {
-    mIsOpen = false;
-    mTrips = 0;
-    // A few failures after the probe open it again.
-    mFailureShare = std::min(mFailureShare, kShareToOpen / 2);
-  }
+  mIsOpen = false;
+  mTrips = 0;
 }
 
-void Breaker::OnFailure(Time aNow)
+void Breaker::Count(std::uint32_t aFailures, Time aNow)
 {
   mFailureShare += kShareStep * (1.0 - mFailureShare);
-  ++mFailuresInRow;
-  if (!mIsOpen && mFailuresInRow < kFailuresToOpen && mFailureShare < kShareToOpen) {
-    return;
+  mFailuresInRow += aFailures;
+  if (mIsOpen || mFailuresInRow >= kFailuresToOpen) {
+    Open(aNow);
   }
-  mIsOpen = true;
-  mProbeAt = aNow + kFirstPause * (1LL << std::min(mTrips, kMaximumDoublings));
-  ++mTrips;
+}
+
+void Breaker::OnFailure(Time aNow)
+{
+  Count(1, aNow);
+}
+
+void Breaker::OnRefusal(Time aNow)
+{
+  Count(kFailuresToOpen / 2, aNow);
+}
+
+void Breaker::OnUnreachable(Time aNow)
+{
+  Count(kFailuresToOpen, aNow);
 }
 
 bool Breaker::Allows(Time aNow) const
@@ -47,7 +65,7 @@
 void Breaker::OnSent(Time aNow)
 {
   if (mIsOpen) {
-    mProbeAt = aNow + kFirstPause * (1LL << std::min(mTrips, kMaximumDoublings));
+    mProbeAt = aNow + Pause();
   }
 }
 
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -38,6 +38,24 @@
 // centre: reading them again costs more than leaving the region.
 constexpr std::uint32_t kWorthLeavingRegion = 1500;
 
+// What a failure costs the request.
+constexpr double kSecondsOfFailure = 1.0;
+
+bool ReadsPrompts(Stage aStage)
+{
+  return aStage != Stage::Decode;
+}
+
+bool WritesAnswers(Stage aStage)
+{
+  return aStage != Stage::Prefill;
+}
+
+bool IsAny(Stage /*aStage*/)
+{
+  return true;
+}
+
 double Uncertainty(Random& aRandom)
 {
   return 1.0 + 0.02 * aRandom.Uniform();
@@ -119,12 +137,27 @@
   mPeers.OnReport(aHost, aSequence, std::move(aWork), aNow);
 }
 
-bool Dispatcher::MayUse(const Belief& aBelief, const ServiceName& aService,
-                        const BackendNames& aExcluded, Time aNow) const
+std::vector<const Dispatcher::Belief*> Dispatcher::Candidates(const ServiceName& aService,
+                                                              const BackendNames& aExcluded,
+                                                              bool (*aIsSuited)(Stage),
+                                                              Time aNow) const
 {
-  const Backend& backend = aBelief.backend;
-  return backend.service == aService && !backend.isDraining && aBelief.breaker.Allows(aNow) &&
-         std::find(aExcluded.begin(), aExcluded.end(), backend.id) == aExcluded.end();
+  std::vector<const Belief*> all;
+  std::vector<const Belief*> allowed;
+  for (const auto& [id, belief] : mBeliefs) {
+    const Backend& backend = belief.backend;
+    const bool isExcluded =
+      std::find(aExcluded.begin(), aExcluded.end(), id) != aExcluded.end();
+    if (backend.service != aService || backend.isDraining || isExcluded ||
+        !aIsSuited(backend.stage)) {
+      continue;
+    }
+    all.push_back(&belief);
+    if (belief.breaker.Allows(aNow) && belief.handover.Allows(aNow)) {
+      allowed.push_back(&belief);
+    }
+  }
+  return allowed.empty() ? all : allowed;
 }
 
 double Dispatcher::DistanceSeconds(const Backend& aBackend) const
@@ -145,12 +178,15 @@
   aPlacement.engine = aBelief.backend;
   aPlacement.wait = WorkAt(aBelief, aNow).read;
   aPlacement.read = FromSeconds(read);
-  return ToSeconds(aPlacement.wait) + kReadWeight * read + DistanceSeconds(aBelief.backend);
+  return ToSeconds(aPlacement.wait) + kReadWeight * read + DistanceSeconds(aBelief.backend) +
+         kSecondsOfFailure * (aBelief.breaker.FailureShare() + aBelief.handover.FailureShare());
 }
 
-std::optional<PromptPlacement> Dispatcher::BestReader(const PromptWork& aWork, Stage aStage,
-                                                      Time aNow)
+std::optional<PromptPlacement> Dispatcher::BestReader(const PromptWork& aWork,
+                                                      bool (*aIsSuited)(Stage), Time aNow)
 {
+  const std::vector<const Belief*> candidates =
+    Candidates(aWork.service, aWork.excluded, aIsSuited, aNow);
   // Daemons that know nothing of each other's requests meet at the engine with the highest hash.
   const std::size_t shared = aWork.keys.size() < 2 ? 0 : aWork.keys.size() - 2;
   const std::uint64_t sharedKey = aWork.keys.empty() ? 0 : aWork.keys[shared];
@@ -159,30 +195,25 @@
   const bool isWorthLeaving = sharedTokens >= kWorthLeavingRegion;
   const Belief* preferred = nullptr;
   std::uint64_t highest = 0;
-  for (const auto& [id, belief] : mBeliefs) {
-    const bool isNear = DistanceSeconds(belief.backend) <= 0.0;
-    if (belief.backend.stage != aStage || (!isNear && !isWorthLeaving) ||
-        !MayUse(belief, aWork.service, aWork.excluded, aNow)) {
+  for (const Belief* belief : candidates) {
+    if (DistanceSeconds(belief->backend) > 0.0 && !isWorthLeaving) {
       continue;
     }
-    const std::uint64_t hash = Hash64(id.Text(), sharedKey);
+    const std::uint64_t hash = Hash64(belief->backend.id.Text(), sharedKey);
     if (preferred == nullptr || hash > highest) {
-      preferred = &belief;
+      preferred = belief;
       highest = hash;
     }
   }
   std::optional<PromptPlacement> best;
   double lowest = std::numeric_limits<double>::max();
-  for (const auto& [id, belief] : mBeliefs) {
-    if (belief.backend.stage != aStage || !MayUse(belief, aWork.service, aWork.excluded, aNow)) {
-      continue;
-    }
+  for (const Belief* belief : candidates) {
     PromptPlacement placement;
-    double cost = ReadCost(belief, aWork, aNow, placement) * Uncertainty(mRandom);
-    if (&belief == preferred) {
-      const double known = belief.cache.CachedTokens(aWork.prompt, aWork.keys, aNow);
+    double cost = ReadCost(*belief, aWork, aNow, placement) * Uncertainty(mRandom);
+    if (belief == preferred) {
+      const double known = belief->cache.CachedTokens(aWork.prompt, aWork.keys, aNow);
       const double unknown = std::max(0.0, sharedTokens - known);
-      cost -= kReadWeight * kAffinityShare * unknown * belief.readSecondsPerToken;
+      cost -= kReadWeight * kAffinityShare * unknown * belief->readSecondsPerToken;
     }
     if (cost < lowest) {
       lowest = cost;
@@ -194,13 +225,8 @@
 
 std::optional<PromptPlacement> Dispatcher::PlacePrompt(const PromptWork& aWork, Time aNow)
 {
-  for (const Stage stage : { Stage::Prefill, Stage::Whole, Stage::Decode }) {
-    std::optional<PromptPlacement> placement = BestReader(aWork, stage, aNow);
-    if (placement) {
-      return placement;
-    }
-  }
-  return std::nullopt;
+  std::optional<PromptPlacement> placement = BestReader(aWork, ReadsPrompts, aNow);
+  return placement ? placement : BestReader(aWork, WritesAnswers, aNow);
 }
 
 double Dispatcher::TransferSeconds(const Backend& aSource, const Backend& aTarget,
@@ -225,11 +251,9 @@
 {
   std::optional<Backend> best;
   double lowest = std::numeric_limits<double>::max();
-  for (const auto& [id, belief] : mBeliefs) {
-    if (belief.backend.stage == Stage::Prefill ||
-        !MayUse(belief, aWork.service, aWork.excluded, aNow)) {
-      continue;
-    }
+  for (const Belief* candidate :
+       Candidates(aWork.service, aWork.excluded, WritesAnswers, aNow)) {
+    const Belief& belief = *candidate;
     const Work work = WorkAt(belief, aNow);
     const double running = work.requests;
     const double slots = std::max(1U, belief.backend.slots);
@@ -238,7 +262,8 @@
     const double memory = std::max<std::uint64_t>(CacheTokens(aWork.service), 1);
     const double used = static_cast<double>(work.tokens + aWork.prompt.promptTokens) / memory;
     double cost = kSecondsPerRunning * running + full + DistanceSeconds(belief.backend) +
-                  kSecondsOfFullMemory * used;
+                  kSecondsOfFullMemory * used +
+                  kSecondsOfFailure * belief.breaker.FailureShare();
     if (aSource != nullptr) {
       cost += TransferSeconds(*aSource, belief.backend, aWork);
     }
@@ -256,15 +281,13 @@
 {
   std::optional<Backend> best;
   double lowest = std::numeric_limits<double>::max();
-  for (const auto& [id, belief] : mBeliefs) {
-    if (!MayUse(belief, aService, aExcluded, aNow)) {
-      continue;
-    }
+  for (const Belief* candidate : Candidates(aService, aExcluded, IsAny, aNow)) {
+    const Belief& belief = *candidate;
     const double running = WorkAt(belief, aNow).requests;
     const double slots = std::max(1U, belief.backend.slots);
     const double cost = (DistanceSeconds(belief.backend) + 0.1 * running / slots +
                          std::max(0.0, running + 1.0 - slots) / slots +
-                         belief.breaker.FailureShare()) *
+                         kSecondsOfFailure * belief.breaker.FailureShare()) *
                         Uncertainty(mRandom);
     if (cost < lowest) {
       lowest = cost;
@@ -280,6 +303,7 @@
   if (Belief* belief = Find(aBackend)) {
     belief->load.OnSent(aId, aRead, aTokens, aNow);
     belief->breaker.OnSent(aNow);
+    belief->handover.OnSent(aNow);
   }
 }
 
@@ -291,10 +315,34 @@
     return;
   }
   belief->load.OnDone(aId, aNow);
-  if (aOutcome == Outcome::Answered) {
-    belief->breaker.OnSuccess();
+  switch (aOutcome) {
+    case Outcome::Answered:
+      belief->breaker.OnSuccess();
+      break;
+    case Outcome::Abandoned:
+      break;
+    case Outcome::Refused:
+      belief->breaker.OnRefusal(aNow);
+      break;
+    case Outcome::Failed:
+      belief->breaker.OnFailure(aNow);
+      break;
+    case Outcome::Unreachable:
+      belief->breaker.OnUnreachable(aNow);
+      break;
+  }
+}
+
+void Dispatcher::OnHandover(const BackendServerName& aReader, bool aDone, Time aNow)
+{
+  Belief* belief = Find(aReader);
+  if (belief == nullptr) {
+    return;
+  }
+  if (aDone) {
+    belief->handover.OnSuccess();
   } else {
-    belief->breaker.OnFailure(aNow);
+    belief->handover.OnFailure(aNow);
   }
 }
 
--- a/libs/dispatch/src/StagePlan.cpp
+++ b/libs/dispatch/src/StagePlan.cpp
@@ -32,7 +32,7 @@
 constexpr double kLeastShare = 0.25;
 constexpr double kLargestShare = 0.6;
 // Smaller differences win back less than a change costs.
-constexpr double kLeastDifference = 0.08;
+constexpr double kLeastDifference = 0.15;
 constexpr Duration kConfirmation = Seconds(4);
 constexpr Duration kChangeInterval = Seconds(8);
 constexpr double kExpectedAnswerSeconds = 1.3;
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr Duration kConnectTimeout = Milliseconds(700);
+// Several round trips between regions; a host without power does not answer at all.
+constexpr Duration kConnectTimeout = Milliseconds(250);
 constexpr std::size_t kMaximumAnswer = 16777216;
 constexpr unsigned kMisdirected = 421;
 
@@ -59,9 +60,15 @@
   }
   if (head->hasNotRun || head->status == kMisdirected) {
     // Takes the rest of the answer, so that the connection can be used again.
-    co_await ReadAll(aDeadline);
-    co_return Failure(ExchangeError{ Progress::NotRun, net::NetErrorKind::Closed,
-                                     "status " + std::to_string(head->status) });
+    const Result<std::string, net::NetError> body = co_await ReadAll(aDeadline);
+    ExchangeError error{ Progress::NotRun, net::NetErrorKind::Closed,
+                         "status " + std::to_string(head->status) };
+    if (head->load) {
+      error.detail += ", running " + std::to_string(head->load->running) + ", waiting " +
+                      std::to_string(head->load->waiting);
+    }
+    error.detail += body ? *body : "";
+    co_return Failure(std::move(error));
   }
   co_return *head;
 }
--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -92,10 +92,7 @@
 net::Task<PlainSession::Step> PlainSession::AfterFailure(const dispatch::Backend& aBackend,
                                                          ExchangeError aError)
 {
-  const bool isOurs = aError.kind == net::NetErrorKind::Cancelled;
-  const Outcome failed = aError.progress == Progress::NotRun ? Outcome::Refused : Outcome::Failed;
-  mParts->dispatcher.OnDone(aBackend.id, mIncoming.number, isOurs ? Outcome::Answered : failed,
-                            net::Now());
+  mParts->dispatcher.OnDone(aBackend.id, mIncoming.number, OutcomeOf(aError), net::Now());
   LogFailure(aBackend, aError);
   mExcluded.push_back(aBackend.id);
   if (aError.progress == Progress::Unknown) {
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -22,6 +22,7 @@
 // A stream that may be resumed is taken up elsewhere after this time without a byte.
 constexpr Duration kSilence = Milliseconds(1000);
 constexpr std::uint32_t kMaximumReads = 3;
+constexpr std::uint32_t kHandoversOfOneRead = 2;
 
 bool IsSuccess(unsigned aStatus)
 {
@@ -139,10 +140,7 @@
 net::Task<PromptSession::Step> PromptSession::AfterPromptFailure(const dispatch::Backend& aEngine,
                                                                  ExchangeError aError)
 {
-  const bool isOurs = aError.kind == net::NetErrorKind::Cancelled;
-  const Outcome failed = aError.progress == Progress::NotRun ? Outcome::Refused : Outcome::Failed;
-  mParts->dispatcher.OnDone(aEngine.id, mIncoming.number, isOurs ? Outcome::Answered : failed,
-                            net::Now());
+  mParts->dispatcher.OnDone(aEngine.id, mIncoming.number, OutcomeOf(aError), net::Now());
   LogFailure(aEngine, aError);
   mWork.excluded.push_back(aEngine.id);
   const bool mayGoOn = aError.progress == Progress::NotSent || TakeRepeat();
@@ -170,6 +168,9 @@
                             mayRepeat ? kIdleForRepeatable : kIdleForOnce);
   Step step = Step::Done;
   if (head) {
+    if (mSource) {
+      mParts->dispatcher.OnHandover(mReader->id, true, net::Now());
+    }
     mSource.reset();
     step = co_await Relay(aEngine, exchange, *head);
   } else {
@@ -280,15 +281,13 @@
   if (mExchange != nullptr) {
     mExchange->Close();
   }
-  const bool isOurs = aError.kind == net::NetErrorKind::Cancelled || IsGone() || IsLate();
-  const Outcome failed = aError.progress == Progress::NotRun ? Outcome::Refused : Outcome::Failed;
-  mParts->dispatcher.OnDone(aEngine.id, mIncoming.number, isOurs ? Outcome::Answered : failed,
-                            net::Now());
+  mParts->dispatcher.OnDone(aEngine.id, mIncoming.number, OutcomeOf(aError), net::Now());
   LogFailure(aEngine, aError);
   mWork.excluded.push_back(aEngine.id);
   bool mayGoOn = aError.progress == Progress::NotSent;
   if (aError.progress == Progress::NotRun) {
     mayGoOn = TakeRepeat();
+    OnHandoverRefused();
   } else if (aError.progress == Progress::Unknown) {
     ++mRuns;
     mMayHaveRun = true;
@@ -300,6 +299,20 @@
   co_return co_await BreakOff("answer_failed", "the engine failed: " + aError.detail);
 }
 
+void PromptSession::OnHandoverRefused()
+{
+  if (!mSource) {
+    return;
+  }
+  // The engine does not say whether it is full or cannot get the memory. After a second refusal
+  // another engine reads the prompt again.
+  mParts->dispatcher.OnHandover(mReader->id, false, net::Now());
+  if (++mRefusedHandovers % kHandoversOfOneRead == 0) {
+    mWork.excluded.push_back(mReader->id);
+    FreePrompt();
+  }
+}
+
 net::Task<PromptSession::Step> PromptSession::BreakOff(std::string aReason, std::string aMessage)
 {
   co_await GiveUp(std::move(aReason), std::move(aMessage));
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -33,6 +33,8 @@
   net::Task<bool> PassEvents(EventSplitter& aEvents, const Exchange& aExchange, AnswerHead aHead);
   net::Task<Step> AfterPromptFailure(const dispatch::Backend& aEngine, ExchangeError aError);
   net::Task<Step> AfterAnswerFailure(const dispatch::Backend& aEngine, ExchangeError aError);
+  // An engine did not take the memory of the prompt over.
+  void OnHandoverRefused();
   // Ends an answer that has begun without its end, or refuses one that has not.
   net::Task<Step> BreakOff(std::string aReason, std::string aMessage);
   // Frees memory that was read and that nobody will take.
@@ -43,6 +45,7 @@
   std::optional<dispatch::Backend> mReader; // engine of mSource
   std::optional<std::uint64_t> mLastEventId;
   std::uint32_t mReads = 0;
+  std::uint32_t mRefusedHandovers = 0;
   Time mSent; // when the engine was last asked for the answer
   std::optional<Time> mFirstEvent;
 };
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -81,6 +81,22 @@
   return mParts->retries.TryTake(mIncoming.service, net::Now());
 }
 
+dispatch::Outcome Session::OutcomeOf(const ExchangeError& aError) const
+{
+  if (aError.kind == net::NetErrorKind::Cancelled || IsGone() || IsLate()) {
+    return dispatch::Outcome::Abandoned;
+  }
+  switch (aError.progress) {
+    case Progress::NotSent:
+      return dispatch::Outcome::Unreachable;
+    case Progress::NotRun:
+      return dispatch::Outcome::Refused;
+    case Progress::Unknown:
+      return dispatch::Outcome::Failed;
+  }
+  return dispatch::Outcome::Failed;
+}
+
 SendOptions Session::OptionsFor(const dispatch::Backend& aBackend) const
 {
   SendOptions options;
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -39,6 +39,8 @@
               std::optional<Time> aFirstEvent = std::nullopt) const;
   SendOptions OptionsFor(const dispatch::Backend& aBackend) const;
   Duration RetryAfter() const;
+  // What a failed exchange says about its backend server.
+  dispatch::Outcome OutcomeOf(const ExchangeError& aError) const;
 
   const std::shared_ptr<RelayParts> mParts;
   const Incoming mIncoming;
