Let prompts wait in the daemon, what can be on time first

Cause: prompts queued at the engines, where a long one holds up all behind it, late ones took the time of those that could be on time, and hopeless ones waited until their callers left.

--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -66,6 +66,12 @@
 
   // Chooses the engine that reads a prompt: one for prompts, or if there is none one for answers.
   std::optional<PromptPlacement> PlacePrompt(const PromptWork& aWork, Time aNow);
+  // Time that an engine which holds nothing of the prompt would read it.
+  Duration ExpectedRead(const PromptWork& aWork) const;
+  // Engines of a service that read prompts.
+  std::size_t ReaderCount(const ServiceName& aService) const;
+  // Other daemons of the data centre that were heard lately.
+  std::size_t PeerCount(Time aNow) const { return mPeers.Count(aNow); }
   // Chooses the engine that writes the answer to a prompt. aSource holds the prompt's memory; the
   // engine reads the prompt itself if there is none.
   std::optional<Backend> PlaceAnswer(const PromptWork& aWork, const Backend* aSource, Time aNow);
@@ -124,6 +130,7 @@
   std::shared_ptr<const RouteTable> mTable;
   std::map<BackendServerName, Belief> mBeliefs;
   PeerWork mPeers;
+  double mReadSecondsPerToken; // of all engines
 };
 
 } // namespace masticstep::dispatch
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -16,6 +16,7 @@
 // ones faster.
 constexpr double kFasterStep = 0.2;
 constexpr double kSlowerStep = 0.01;
+constexpr double kMeanSpeedStep = 0.05;
 // Shorter prompts say more about the network than about the engine.
 constexpr double kShortestReadForSpeed = 0.01;
 // Engines for answers read prompts at half the speed.
@@ -73,6 +74,7 @@
 Dispatcher::Dispatcher(Place aPlace, std::uint64_t aSeed)
   : mPlace(std::move(aPlace))
   , mRandom(aSeed)
+  , mReadSecondsPerToken(kFirstReadSecondsPerToken)
 {
 }
 
@@ -229,6 +231,20 @@
   return placement ? placement : BestReader(aWork, WritesAnswers, aNow);
 }
 
+Duration Dispatcher::ExpectedRead(const PromptWork& aWork) const
+{
+  return FromSeconds(aWork.prompt.promptTokens * mReadSecondsPerToken);
+}
+
+std::size_t Dispatcher::ReaderCount(const ServiceName& aService) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mBeliefs.begin(), mBeliefs.end(), [&aService](const auto& aItem) {
+      const Backend& backend = aItem.second.backend;
+      return backend.service == aService && !backend.isDraining && ReadsPrompts(backend.stage);
+    }));
+}
+
 double Dispatcher::TransferSeconds(const Backend& aSource, const Backend& aTarget,
                                    const PromptWork& aWork) const
 {
@@ -366,6 +382,7 @@
     const double ratio = std::clamp(ToSeconds(aTook) / expected, 0.5, 2.0);
     const double step = ratio < 1.0 ? kFasterStep : kSlowerStep;
     belief->readSecondsPerToken *= 1.0 + step * (ratio - 1.0);
+    mReadSecondsPerToken += kMeanSpeedStep * (belief->readSecondsPerToken - mReadSecondsPerToken);
   }
 }
 
--- a/libs/relay/include/masticstep/relay/RelayParts.hpp
+++ b/libs/relay/include/masticstep/relay/RelayParts.hpp
@@ -13,12 +13,15 @@
 
 namespace masticstep::relay {
 
+class PromptGate;
+
 // State of one daemon that its requests share. Used on one thread only, since an entry host gives
 // the daemon less than a core; so it needs no locks.
 struct RelayParts
 {
   RelayParts(net::Executor aExecutor, std::shared_ptr<const Dialect> aDialect,
              dispatch::Place aPlace, std::uint64_t aSeed);
+  ~RelayParts();
 
   const net::Executor executor;
   const std::shared_ptr<const Dialect> dialect;
@@ -27,6 +30,7 @@
   std::shared_ptr<const dispatch::RouteTable> table; // null until a configuration is known
   dispatch::BackendDirectory directory;
   dispatch::Dispatcher dispatcher;
+  const std::unique_ptr<PromptGate> prompts;
   dispatch::RetryBudget retries;
   dispatch::StageDemand demand;
   std::uint64_t nextRequest = 1;
--- /dev/null
+++ b/libs/relay/src/PromptGate.cpp
@@ -0,0 +1,91 @@
+#include "PromptGate.hpp"
+
+#include "masticstep/net/Clock.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace masticstep::relay {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Room also comes from engines whose work only the reports of other daemons show.
+constexpr Duration kPumpInterval = Milliseconds(10);
+
+} // namespace
+
+PromptGate::Waiter::Waiter(const net::Executor& aExecutor)
+  : timer(aExecutor, asio::steady_timer::time_point::max())
+{
+}
+
+PromptGate::PromptGate(net::Executor aExecutor, dispatch::Dispatcher& aDispatcher)
+  : mExecutor(std::move(aExecutor))
+  , mQueue(aDispatcher)
+  , mTimer(mExecutor)
+{
+}
+
+net::Task<Result<dispatch::PromptPlacement, NoEngine>> PromptGate::Enter(
+  dispatch::WaitingPrompt aPrompt)
+{
+  const RequestId id = aPrompt.id;
+  const std::shared_ptr<Waiter> waiter = std::make_shared<Waiter>(mExecutor);
+  mWaiters[id] = waiter;
+  waiter->released = mQueue.Add(std::move(aPrompt), net::Now());
+  Pump();
+  if (!waiter->released) {
+    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  mWaiters.erase(id);
+  if (!waiter->released || !waiter->released->placement) {
+    co_return Failure(
+      NoEngine{ waiter->released ? waiter->released->retryAfter : Duration::zero() });
+  }
+  co_return *waiter->released->placement;
+}
+
+void PromptGate::Leave(RequestId aId)
+{
+  mQueue.Remove(aId);
+  const auto found = mWaiters.find(aId);
+  if (found != mWaiters.end()) {
+    found->second->timer.cancel();
+  }
+}
+
+void PromptGate::Pump()
+{
+  if (mQueue.IsEmpty()) {
+    return;
+  }
+  for (dispatch::ReleasedPrompt& released : mQueue.Release(net::Now())) {
+    const auto found = mWaiters.find(released.id);
+    if (found != mWaiters.end()) {
+      found->second->released = std::move(released);
+      found->second->timer.cancel();
+    }
+  }
+  ArmTimer();
+}
+
+void PromptGate::ArmTimer()
+{
+  if (mIsArmed || mQueue.IsEmpty()) {
+    return;
+  }
+  mIsArmed = true;
+  mTimer.expires_after(kPumpInterval);
+  mTimer.async_wait([this](boost::system::error_code aError) {
+    mIsArmed = false;
+    if (!aError) {
+      Pump();
+    }
+  });
+}
+
+} // namespace masticstep::relay
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -1,5 +1,6 @@
 #include "PromptSession.hpp"
 
+#include "PromptGate.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/HttpClient.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -21,6 +22,10 @@
 constexpr Duration kIdleForOnce = Milliseconds(1000);
 // A stream that may be resumed is taken up elsewhere after this time without a byte.
 constexpr Duration kSilence = Milliseconds(1000);
+// Callers leave a stream without its first event after the longest of this time, four times the
+// target and eight times the longest pause.
+constexpr Duration kShortestPatience = Seconds(2);
+constexpr Duration kPatienceReserve = Milliseconds(300);
 constexpr std::uint32_t kMaximumReads = 3;
 constexpr std::uint32_t kHandoversOfOneRead = 2;
 
@@ -75,14 +80,23 @@
     co_return co_await BreakOff("deadline", "the deadline has passed");
   }
   if (!mSource) {
-    const std::optional<dispatch::PromptPlacement> placement =
-      mParts->dispatcher.PlacePrompt(mWork, net::Now());
+    dispatch::WaitingPrompt waiting = Waiting();
+    const Result<dispatch::PromptPlacement, NoEngine> placement =
+      co_await mParts->prompts->Enter(std::move(waiting));
     if (!placement) {
-      co_return co_await BreakOff("no_engine", "no engine of the service is available");
+      mRetryAfter = placement.error().retryAfter;
+      co_return co_await BreakOff("no_engine", "no engine of the service can start in time");
     }
     if (placement->engine.stage != dispatch::Stage::Prefill) {
+      mParts->dispatcher.OnDone(placement->engine.id, mIncoming.number, Outcome::Abandoned,
+                                net::Now());
       co_return co_await WriteAnswer(placement->engine);
     }
+    if (IsGone()) {
+      mParts->dispatcher.OnDone(placement->engine.id, mIncoming.number, Outcome::Abandoned,
+                                net::Now());
+      co_return Step::Again;
+    }
     co_return co_await ReadPrompt(*placement);
   }
   const std::optional<dispatch::Backend> engine =
@@ -93,13 +107,33 @@
   co_return co_await WriteAnswer(*engine);
 }
 
+dispatch::WaitingPrompt PromptSession::Waiting() const
+{
+  const dispatch::Route& route = *mIncoming.route;
+  const Duration patience =
+    std::max({ kShortestPatience, route.target * 4, route.gapTarget * 8 }) - kPatienceReserve;
+  dispatch::WaitingPrompt waiting;
+  waiting.id = mIncoming.number;
+  waiting.work = mWork;
+  waiting.priority = route.priority;
+  waiting.arrived = mIncoming.arrived;
+  waiting.target = mIncoming.arrived + route.target;
+  waiting.giveUp = std::min(mIncoming.arrived + patience, mIncoming.deadline);
+  return waiting;
+}
+
+void PromptSession::OnGone()
+{
+  mParts->prompts->Leave(mIncoming.number);
+  Session::OnGone();
+}
+
 net::Task<PromptSession::Step> PromptSession::ReadPrompt(
   const dispatch::PromptPlacement& aPlacement)
 {
   const dispatch::Backend engine = aPlacement.engine;
   const Time sent = net::Now();
   ++mReads;
-  mParts->dispatcher.OnSent(engine.id, mIncoming.number, aPlacement.read, 0, sent);
   SendOptions options = OptionsFor(engine);
   options.readsPromptOnly = true;
   options.priority = mIncoming.route->priority;
@@ -123,6 +157,7 @@
   }
   const Time now = net::Now();
   mParts->dispatcher.OnDone(engine.id, mIncoming.number, Outcome::Answered, now);
+  mParts->prompts->Pump();
   mParts->demand.OnRead(mIncoming.service, aPlacement.read, now);
   mParts->dispatcher.OnPromptRead(engine.id, mWork, aPlacement, now - sent, now);
   telemetry::Log(telemetry::Level::Info, "prompt read",
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -2,6 +2,7 @@
 
 #include "EventSplitter.hpp"
 #include "Session.hpp"
+#include "masticstep/dispatch/PromptQueue.hpp"
 
 namespace masticstep::relay {
 
@@ -16,6 +17,9 @@
 
   net::Task<void> Run() override;
 
+protected:
+  void OnGone() override;
+
 private:
   enum class Step
   {
@@ -24,6 +28,7 @@
   };
 
   net::Task<Step> Attempt();
+  dispatch::WaitingPrompt Waiting() const;
   // Has the prompt read, unless its memory is held already.
   net::Task<Step> ReadPrompt(const dispatch::PromptPlacement& aPlacement);
   net::Task<Step> WriteAnswer(const dispatch::Backend& aEngine);
--- a/libs/relay/src/RelayParts.cpp
+++ b/libs/relay/src/RelayParts.cpp
@@ -1,5 +1,7 @@
 #include "masticstep/relay/RelayParts.hpp"
 
+#include "PromptGate.hpp"
+
 #include <utility>
 
 namespace masticstep::relay {
@@ -17,7 +19,10 @@
   , dialect(std::move(aDialect))
   , pool(net::ConnectionPool::Create(kPoolLimits))
   , dispatcher(std::move(aPlace), aSeed)
+  , prompts(std::make_unique<PromptGate>(executor, dispatcher))
 {
 }
 
+RelayParts::~RelayParts() = default;
+
 } // namespace masticstep::relay
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -50,6 +50,9 @@
 
 Duration Session::RetryAfter() const
 {
+  if (mRetryAfter) {
+    return *mRetryAfter;
+  }
   const Duration part = mIncoming.TimeLeft(net::Now()) / kRetryAfterPart;
   return std::clamp(part, kShortestRetryAfter, kLongestRetryAfter);
 }
