--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -71,7 +71,7 @@
   // Engines of a service that read prompts.
   std::size_t ReaderCount(const ServiceName& aService) const;
   // Other daemons of the data centre that were heard lately.
-  std::size_t PeerCount(Time aNow) const { return mPeers.Count(aNow); }
+  std::vector<HostName> Peers(Time aNow) const { return mPeers.Hosts(aNow); }
   // Chooses the engine that writes the answer to a prompt. aSource holds the prompt's memory; the
   // engine reads the prompt itself if there is none.
   std::optional<Backend> PlaceAnswer(const PromptWork& aWork, const Backend* aSource, Time aNow);
--- a/libs/dispatch/include/masticstep/dispatch/PeerWork.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/PeerWork.hpp
@@ -30,8 +30,8 @@
   void OnReport(const HostName& aHost, std::uint64_t aSequence, WorkByBackend aWork, Time aNow);
   // Returns the work of all others at a backend server. Reading goes on since each report.
   Work At(const BackendServerName& aBackend, Time aNow) const;
-  // Number of daemons that were heard lately.
-  std::size_t Count(Time aNow) const;
+  // Daemons that were heard lately.
+  std::vector<HostName> Hosts(Time aNow) const;
 
 private:
   struct Report
--- a/libs/dispatch/src/PeerWork.cpp
+++ b/libs/dispatch/src/PeerWork.cpp
@@ -39,12 +39,15 @@
   return sum;
 }
 
-std::size_t PeerWork::Count(Time aNow) const
+std::vector<HostName> PeerWork::Hosts(Time aNow) const
 {
-  return static_cast<std::size_t>(
-    std::count_if(mReports.begin(), mReports.end(), [aNow](const auto& aItem) {
-      return aItem.second.taken + kExpiry >= aNow;
-    }));
+  std::vector<HostName> hosts;
+  for (const auto& [host, report] : mReports) {
+    if (report.taken + kExpiry >= aNow) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
 }
 
 } // namespace masticstep::dispatch
--- a/libs/dispatch/src/PromptQueue.cpp
+++ b/libs/dispatch/src/PromptQueue.cpp
@@ -48,7 +48,7 @@
     return ReleasedPrompt{ aPrompt.id, std::nullopt, kShortestRetryAfter };
   }
   // Other daemons have prompts waiting too, so only a part of the engines works for this one.
-  const std::size_t daemons = 1 + mDispatcher.PeerCount(aNow);
+  const std::size_t daemons = 1 + mDispatcher.Peers(aNow).size();
   const Duration ahead = DelayBefore(RankOf(aPrompt, aNow), aNow);
   const Duration delay = ahead * static_cast<std::int64_t>(daemons) /
                          static_cast<std::int64_t>(readers);
--- a/libs/relay/include/masticstep/relay/PlatformFeed.hpp
+++ b/libs/relay/include/masticstep/relay/PlatformFeed.hpp
@@ -31,6 +31,7 @@
 {
   BackendServerName id;
   std::optional<dispatch::Backend> backend;
+  std::uint64_t revision = 0; // of the entry
 
   bool operator==(const BackendChange&) const = default;
 };
--- a/libs/relay/include/masticstep/relay/RelayParts.hpp
+++ b/libs/relay/include/masticstep/relay/RelayParts.hpp
@@ -7,6 +7,7 @@
 #include "masticstep/dispatch/StageDemand.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
 #include "masticstep/relay/Dialect.hpp"
+#include "masticstep/relay/PeerKnowledge.hpp"
 #include "masticstep/telemetry/Metrics.hpp"
 
 #include <memory>
@@ -33,6 +34,7 @@
   const std::unique_ptr<PromptGate> prompts;
   dispatch::RetryBudget retries;
   dispatch::StageDemand demand;
+  PeerKnowledge knowledge;
   std::uint64_t nextRequest = 1;
   std::size_t running = 0; // requests that were read and are not answered
 };
--- a/libs/relay/src/Followers.cpp
+++ b/libs/relay/src/Followers.cpp
@@ -5,6 +5,7 @@
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -15,14 +16,17 @@
 namespace {
 
 constexpr Duration kExpiryCheck = Milliseconds(100);
+constexpr Duration kGuardCheck = Milliseconds(250);
+// Another daemon may be a little ahead; it is not followed before this time has passed.
+constexpr Duration kHintDelay = Milliseconds(500);
 
 } // namespace
 
 Followers::Followers(std::shared_ptr<RelayParts> aParts, std::shared_ptr<PlatformFeed> aFeed,
-                     std::uint64_t aSeed)
+                     FollowOptions aOptions)
   : mParts(std::move(aParts))
   , mFeed(std::move(aFeed))
-  , mSeed(aSeed)
+  , mOptions(aOptions)
 {
 }
 
@@ -31,57 +35,130 @@
   mFeed = std::move(aFeed);
 }
 
-void Followers::OnFeedError(const char* aFeed, const FeedError& aError, bool aWasGood)
+void Followers::OnAnswer(Course& aCourse)
 {
-  if (aWasGood) {
+  if (!aCourse.isGood) {
+    telemetry::Log(Level::Info, "platform reached", { { "feed", aCourse.name } });
+  }
+  aCourse.isGood = true;
+  aCourse.answered = net::Now();
+}
+
+void Followers::OnError(Course& aCourse, const FeedError& aError)
+{
+  if (aCourse.isGood) {
     telemetry::Log(Level::Warning, "platform lost",
-                   { { "feed", aFeed }, { "problem", aError.detail } });
+                   { { "feed", aCourse.name }, { "problem", aError.detail } });
+  }
+  aCourse.isGood = false;
+}
+
+net::Task<bool> Followers::ListBackends()
+{
+  const std::shared_ptr<PlatformFeed> feed = mFeed;
+  const Result<BackendFeed, FeedError> reply = co_await feed->ListBackends();
+  if (!reply) {
+    OnError(mBackends, reply.error());
+    mParts->directory.OnStoreLost();
+    co_return false;
   }
+  OnAnswer(mBackends);
+  mParts->directory.OnStoreBack(net::Now());
+  Take(*reply, true);
+  co_return true;
 }
 
 net::Task<void> Followers::FollowBackends()
 {
   const std::shared_ptr<Followers> self = shared_from_this();
-  FeedPause pause(mSeed);
-  std::optional<std::uint64_t> revision;
-  bool isGood = false;
+  FeedPause pause(mOptions.seed);
   while (true) {
-    const std::shared_ptr<PlatformFeed> feed = mFeed;
-    const bool isList = !revision.has_value();
-    Result<BackendFeed, FeedError> reply;
-    // No conditional expression: g++ 12 destroys an awaited branch of it twice.
-    if (isList) {
-      reply = co_await feed->ListBackends();
-    } else {
-      reply = co_await feed->WatchBackends(*revision);
-    }
-    if (reply) {
-      if (!isGood) {
-        telemetry::Log(Level::Info, "platform reached", { { "feed", "backends" } });
+    if (!mBackends.isGood) {
+      const bool isListed = co_await ListBackends();
+      if (!isListed) {
+        co_await net::Sleep(pause.Next());
+        continue;
       }
-      mParts->directory.OnStoreBack(net::Now());
-      Take(*reply, isList);
-      revision = reply->revision;
       pause.OnSuccess();
-      isGood = true;
+    }
+    const std::shared_ptr<PlatformFeed> feed = mFeed;
+    const Result<BackendFeed, FeedError> reply = co_await feed->WatchBackends(mBackends.revision);
+    if (!reply) {
+      // A store that broke a watch off may have dropped changes that the watch never told of.
+      OnError(mBackends, reply.error());
+      if (reply.error().kind == FeedErrorKind::Unavailable) {
+        mParts->directory.OnStoreLost();
+      }
+      co_await net::Sleep(pause.Next());
       continue;
     }
-    OnFeedError("backends", reply.error(), isGood);
-    isGood = false;
-    // A store that broke a watch off may have dropped changes that the watch never told of.
-    revision.reset();
-    if (reply.error().kind == FeedErrorKind::Unavailable) {
-      mParts->directory.OnStoreLost();
+    OnAnswer(mBackends);
+    mParts->directory.OnStoreBack(net::Now());
+    // The state may have been read meanwhile.
+    if (reply->revision > mBackends.revision) {
+      Take(*reply, false);
+    }
+    if (!reply->changes.empty()) {
+      co_await net::Sleep(mOptions.pace);
+    }
+  }
+}
+
+bool Followers::MustRead(Course& aCourse, std::uint64_t aOwn, std::uint64_t aPeers)
+{
+  const Time now = net::Now();
+  if (!aCourse.isGood) {
+    return false; // the follower itself tries again
+  }
+  if (mParts->knowledge.isSentinel && now >= aCourse.answered + mOptions.contact) {
+    return true;
+  }
+  if (aPeers <= aOwn || aPeers == aCourse.hint) {
+    aCourse.hintSince = Time{};
+    return false;
+  }
+  if (aCourse.hintSince == Time{}) {
+    aCourse.hintSince = now;
+  }
+  if (now < aCourse.hintSince + mOptions.pace + kHintDelay) {
+    return false;
+  }
+  aCourse.hint = aPeers;
+  aCourse.hintSince = Time{};
+  return true;
+}
+
+net::Task<void> Followers::GuardBackends()
+{
+  const std::shared_ptr<Followers> self = shared_from_this();
+  while (true) {
+    co_await net::Sleep(kGuardCheck);
+    if (MustRead(mBackends, mParts->knowledge.newestEntry, mParts->knowledge.peersNewestEntry)) {
+      co_await ListBackends();
+    }
+  }
+}
+
+net::Task<void> Followers::GuardTable()
+{
+  const std::shared_ptr<Followers> self = shared_from_this();
+  while (true) {
+    co_await net::Sleep(kGuardCheck);
+    const std::uint64_t version = mParts->table ? mParts->table->Version() : 0;
+    if (MustRead(mTable, version, mParts->knowledge.peersConfiguration)) {
+      co_await ReadTable();
     }
-    co_await net::Sleep(pause.Next());
   }
 }
 
 void Followers::Take(const BackendFeed& aFeed, bool aIsList)
 {
   const Time now = net::Now();
+  mBackends.revision = std::max(mBackends.revision, aFeed.revision);
+  std::uint64_t& newest = mParts->knowledge.newestEntry;
   std::vector<dispatch::Backend> listed;
   for (const BackendChange& change : aFeed.changes) {
+    newest = std::max(newest, change.revision);
     if (aIsList) {
       if (change.backend) {
         listed.push_back(*change.backend);
@@ -122,36 +199,47 @@
   }
 }
 
+net::Task<bool> Followers::ReadTable()
+{
+  const std::shared_ptr<PlatformFeed> feed = mFeed;
+  const Result<TableFeed, FeedError> reply = co_await feed->ReadTable();
+  if (!reply) {
+    OnError(mTable, reply.error());
+    co_return false;
+  }
+  OnAnswer(mTable);
+  Take(*reply);
+  co_return true;
+}
+
 net::Task<void> Followers::FollowTable()
 {
   const std::shared_ptr<Followers> self = shared_from_this();
-  FeedPause pause(mSeed + 1);
-  std::optional<std::uint64_t> revision;
-  bool isGood = false;
+  FeedPause pause(mOptions.seed + 1);
   while (true) {
-    const std::shared_ptr<PlatformFeed> feed = mFeed;
-    Result<TableFeed, FeedError> reply;
-    if (revision) {
-      reply = co_await feed->WatchTable(*revision);
-    } else {
-      reply = co_await feed->ReadTable();
-    }
-    if (reply) {
-      Take(*reply);
-      revision = reply->revision;
+    if (!mTable.isGood) {
+      const bool isRead = co_await ReadTable();
+      if (!isRead) {
+        co_await net::Sleep(pause.Next());
+        continue;
+      }
       pause.OnSuccess();
-      isGood = true;
+    }
+    const std::shared_ptr<PlatformFeed> feed = mFeed;
+    const Result<TableFeed, FeedError> reply = co_await feed->WatchTable(mTable.revision);
+    if (!reply) {
+      OnError(mTable, reply.error());
+      co_await net::Sleep(pause.Next());
       continue;
     }
-    OnFeedError("configuration", reply.error(), isGood);
-    isGood = false;
-    revision.reset();
-    co_await net::Sleep(pause.Next());
+    OnAnswer(mTable);
+    Take(*reply);
   }
 }
 
 void Followers::Take(const TableFeed& aFeed)
 {
+  mTable.revision = std::max(mTable.revision, aFeed.revision);
   if (!aFeed.table) {
     return;
   }
--- a/libs/relay/src/Followers.hpp
+++ b/libs/relay/src/Followers.hpp
@@ -8,16 +8,29 @@
 
 namespace masticstep::relay {
 
+struct FollowOptions
+{
+  // The sentinel of a data centre hears from the store at least this often.
+  Duration contact = Seconds(3);
+  // Pause between two changes that are taken, so that a series of them costs few calls.
+  Duration pace = Seconds(1);
+  std::uint64_t seed = 0;
+};
+
 // Keeps RelayParts up to the platform's list of backend servers and its configuration. Each loop
 // runs until the process ends.
 class Followers : public std::enable_shared_from_this<Followers>
 {
 public:
   Followers(std::shared_ptr<RelayParts> aParts, std::shared_ptr<PlatformFeed> aFeed,
-            std::uint64_t aSeed);
+            FollowOptions aOptions);
 
   net::Task<void> FollowBackends();
   net::Task<void> FollowTable();
+  // Reads the whole state again when the daemon may have missed something: the sentinel after a
+  // while without an answer, the others when a daemon knows of something newer.
+  net::Task<void> GuardBackends();
+  net::Task<void> GuardTable();
   // Drops backend servers whose entries stay away after an outage of the store.
   net::Task<void> ExpireBackends();
   // Called after each new configuration.
@@ -26,14 +39,32 @@
   void SetFeed(std::shared_ptr<PlatformFeed> aFeed);
 
 private:
+  // State of one feed.
+  struct Course
+  {
+    const char* name;
+    bool isGood = false;
+    Time answered{};            // time of the last answer
+    std::uint64_t revision = 0; // of the newest state that was taken
+    std::uint64_t hint = 0;     // of another daemon that was followed last
+    Time hintSince{};
+  };
+
+  net::Task<bool> ListBackends();
+  net::Task<bool> ReadTable();
   void Take(const BackendFeed& aFeed, bool aIsList);
   void Take(const TableFeed& aFeed);
-  void OnFeedError(const char* aFeed, const FeedError& aError, bool aWasGood);
+  void OnAnswer(Course& aCourse);
+  void OnError(Course& aCourse, const FeedError& aError);
+  // Whether the state must be read now, although a watch waits.
+  bool MustRead(Course& aCourse, std::uint64_t aOwn, std::uint64_t aPeers);
 
   const std::shared_ptr<RelayParts> mParts;
   std::shared_ptr<PlatformFeed> mFeed;
+  const FollowOptions mOptions;
   std::function<void()> mOnTable;
-  std::uint64_t mSeed;
+  Course mBackends{ "backends" };
+  Course mTable{ "configuration" };
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -118,7 +118,8 @@
     mMetrics = std::move(*metrics);
   }
   PlatformAccess access = aAccess(mContext.get_executor());
-  mFollowers = std::make_shared<Followers>(mParts, access.feed, RandomSeed());
+  const FollowOptions follow{ mSettings.contact, mSettings.pace, RandomSeed() };
+  mFollowers = std::make_shared<Followers>(mParts, access.feed, follow);
   mFollowers->OnTable([this] { ApplyLimits(); });
   mSharing = WorkSharing::Create(mParts, access.store, mSettings.host, mSettings.place.dataCentre,
                                  mSettings.sharing);
@@ -154,6 +155,8 @@
   };
   spawn([followers = mFollowers] { return followers->FollowTable(); });
   spawn([followers = mFollowers] { return followers->FollowBackends(); });
+  spawn([followers = mFollowers] { return followers->GuardTable(); });
+  spawn([followers = mFollowers] { return followers->GuardBackends(); });
   spawn([followers = mFollowers] { return followers->ExpireBackends(); });
   spawn([stages = mStages] { return stages->Run(); });
   if (mSharing) {
--- a/libs/relay/src/StageControl.cpp
+++ b/libs/relay/src/StageControl.cpp
@@ -32,9 +32,14 @@
 net::Task<void> StageControl::Run()
 {
   const std::shared_ptr<StageControl> self = shared_from_this();
-  mAuthority->Start();
+  bool isStarted = false;
   while (!mIsStopped) {
     co_await net::Sleep(kPlanInterval);
+    // One candidate of each data centre is enough and spares the store.
+    if (!isStarted && mParts->knowledge.isSentinel && !mIsStopped) {
+      mAuthority->Start();
+      isStarted = true;
+    }
     if (!mIsStopped && mAuthority->IsHolder() && mParts->table) {
       Plan();
     }
--- a/libs/relay/src/WorkSharing.cpp
+++ b/libs/relay/src/WorkSharing.cpp
@@ -1,5 +1,6 @@
 #include "WorkSharing.hpp"
 
+#include "masticstep/base/Hash.hpp"
 #include "masticstep/base/ObjectReader.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
@@ -29,8 +30,11 @@
 constexpr Duration kReportInterval = Milliseconds(20);
 // A daemon without changes repeats its report before the others forget it.
 constexpr Duration kRepeatInterval = Milliseconds(300);
-constexpr Duration kDiscoverInterval = Seconds(5);
-constexpr Duration kRetryInterval = Milliseconds(700);
+// Daemons that come later are known by their reports.
+constexpr Duration kDiscoverInterval = Seconds(60);
+// All daemons may start together, so the first list may be short.
+constexpr Duration kSecondDiscovery = Seconds(3);
+constexpr Duration kRetryInterval = Milliseconds(1000);
 constexpr std::size_t kMaximumPeers = 64;
 constexpr IntegerRange kPorts{ 1, 65535 };
 
@@ -85,17 +89,38 @@
       co_await net::Sleep(kRetryInterval);
       continue;
     }
-    const Result<wire::WorkReport, wire::WireError> report =
-      wire::DecodeWorkReport(std::string_view(buf.data(), n));
-    if (!report || report->host == mHost) {
-      continue;
-    }
-    dispatch::WorkByBackend work;
-    for (const wire::BackendWork& item : report->backends) {
-      work[item.backend] = { item.read, item.requests, item.tokens };
-    }
-    mParts->dispatcher.OnPeerWork(report->host, report->sequence, std::move(work), net::Now());
+    Take(std::string_view(buf.data(), n), sender);
+  }
+}
+
+void WorkSharing::Take(std::string_view aDatagram, const Udp::endpoint& aSender)
+{
+  const Result<wire::WorkReport, wire::WireError> report = wire::DecodeWorkReport(aDatagram);
+  if (!report || report->host == mHost) {
+    return;
+  }
+  const bool isKnown = std::find(mPeers.begin(), mPeers.end(), aSender) != mPeers.end();
+  if (!isKnown && mPeers.size() < kMaximumPeers) {
+    mPeers.push_back(aSender);
   }
+  dispatch::WorkByBackend work;
+  for (const wire::BackendWork& item : report->backends) {
+    work[item.backend] = { item.read, item.requests, item.tokens };
+  }
+  PeerKnowledge& knowledge = mParts->knowledge;
+  knowledge.peersNewestEntry = std::max(knowledge.peersNewestEntry, report->newestEntry);
+  knowledge.peersConfiguration = std::max(knowledge.peersConfiguration, report->configuration);
+  mParts->dispatcher.OnPeerWork(report->host, report->sequence, std::move(work), net::Now());
+}
+
+void WorkSharing::ChooseSentinel(Time aNow)
+{
+  const std::uint64_t own = Hash64(mHost.Text());
+  bool isFirst = true;
+  for (const HostName& host : mParts->dispatcher.Peers(aNow)) {
+    isFirst = isFirst && own < Hash64(host.Text());
+  }
+  mParts->knowledge.isSentinel = isFirst;
 }
 
 net::Task<void> WorkSharing::Report()
@@ -106,12 +131,15 @@
   while (true) {
     co_await net::Sleep(kReportInterval);
     const Time now = net::Now();
+    ChooseSentinel(now);
     dispatch::WorkByBackend work = mParts->dispatcher.OwnWork(now);
     if (mPeers.empty() || (work == sent && now < sentAt + kRepeatInterval)) {
       continue;
     }
     wire::WorkReport report{ mHost, static_cast<std::uint64_t>(now.time_since_epoch().count()),
-                             {} };
+                             {},
+                             mParts->knowledge.newestEntry,
+                             mParts->table ? mParts->table->Version() : 0 };
     for (const auto& [id, item] : work) {
       report.backends.push_back({ id, item.read, item.requests, item.tokens });
     }
@@ -157,6 +185,7 @@
 net::Task<void> WorkSharing::Discover()
 {
   const std::shared_ptr<WorkSharing> self = shared_from_this();
+  bool isFirst = true;
   while (true) {
     if (!mIsEntered) {
       platform::PlatformCall write =
@@ -172,8 +201,13 @@
     if (listed.status == PlatformStatus::Done) {
       TakePeers(listed.items);
     }
-    const bool isDone = mIsEntered && listed.status == PlatformStatus::Done && !mPeers.empty();
-    co_await net::Sleep(isDone ? kDiscoverInterval : kRetryInterval);
+    const bool isDone = mIsEntered && listed.status == PlatformStatus::Done;
+    if (!isDone) {
+      co_await net::Sleep(kRetryInterval);
+      continue;
+    }
+    const Duration pause = std::exchange(isFirst, false) ? kSecondDiscovery : kDiscoverInterval;
+    co_await net::Sleep(pause);
   }
 }
 
--- a/libs/relay/src/WorkSharing.hpp
+++ b/libs/relay/src/WorkSharing.hpp
@@ -36,6 +36,10 @@
               Udp::socket aSocket);
   net::Task<platform::PlatformReply> Call(platform::PlatformCall aCall);
   void TakePeers(const std::vector<platform::ObjectChange>& aEntries);
+  // Takes a report of another daemon, which may not have been listed yet.
+  void Take(std::string_view aDatagram, const Udp::endpoint& aSender);
+  // Decides whether this daemon is the sentinel of its data centre.
+  void ChooseSentinel(Time aNow);
   void Send(const std::string& aDatagram);
   std::string OwnEntry() const;
 
--- a/libs/wire/include/masticstep/wire/WorkReport.hpp
+++ b/libs/wire/include/masticstep/wire/WorkReport.hpp
@@ -29,6 +29,8 @@
   HostName host;
   std::uint64_t sequence = 0; // grows with each report of one process
   std::vector<BackendWork> backends;
+  std::uint64_t newestEntry = 0;   // revision of the newest entry of a backend server that it knows
+  std::uint64_t configuration = 0; // version that is in force at the daemon
 
   bool operator==(const WorkReport&) const = default;
 };
--- a/libs/wire/src/WorkReport.cpp
+++ b/libs/wire/src/WorkReport.cpp
@@ -26,7 +26,8 @@
   }
   const flatbuffers::Offset<fb::WorkReport> report =
     fb::CreateWorkReport(builder, builder.CreateString(aReport.host.Text()), aReport.sequence,
-                         builder.CreateVector(backends));
+                         builder.CreateVector(backends), aReport.newestEntry,
+                         aReport.configuration);
   fb::FinishWorkReportBuffer(builder, report);
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -42,7 +43,8 @@
   if (table->host() == nullptr || table->backends() == nullptr) {
     return Failure(WireError{ WireErrorKind::BadBody, "work report lacks its host or its list" });
   }
-  WorkReport report{ HostName{ table->host()->str() }, table->sequence(), {} };
+  WorkReport report{ HostName{ table->host()->str() }, table->sequence(), {},
+                     table->newest_entry(), table->configuration() };
   for (const fb::BackendWork* item : *table->backends()) {
     if (item->backend() == nullptr) {
       return Failure(WireError{ WireErrorKind::BadBody, "work report names no backend server" });
--- a/libs/wire/tests/WorkReportTests.cpp
+++ b/libs/wire/tests/WorkReportTests.cpp
@@ -12,7 +12,9 @@
   return { HostName{ "front-1" },
            7,
            { { BackendServerName{ "i-1" }, Milliseconds(120), 3, 40000 },
-             { BackendServerName{ "i-2" }, Duration::zero(), 1, 0 } } };
+             { BackendServerName{ "i-2" }, Duration::zero(), 1, 0 } },
+           91,
+           4 };
 }
 
 } // namespace
