--- /dev/null
+++ b/libs/relay/tests/FollowersTests.cpp
@@ -0,0 +1,162 @@
+#include "Followers.hpp"
+#include "RelayBed.hpp"
+#include "masticstep/net/Sleep.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <boost/asio/detached.hpp>
+
+#include <deque>
+#include <future>
+
+using namespace masticstep;
+using namespace masticstep::relay;
+
+namespace {
+
+dispatch::Backend MakeBackend(const std::string& aId)
+{
+  dispatch::Backend backend;
+  backend.id = BackendServerName{ aId };
+  backend.service = ServiceName{ "plain" };
+  backend.address = { "10.0.0.1", static_cast<std::uint16_t>(aId.back()) };
+  return backend;
+}
+
+// Feed that answers by queues; an empty queue keeps the caller waiting.
+class QueuedFeed : public PlatformFeed
+{
+public:
+  std::deque<Result<BackendFeed, FeedError>> lists;
+  std::deque<Result<BackendFeed, FeedError>> watches;
+  std::deque<Result<TableFeed, FeedError>> reads;
+  std::vector<std::uint64_t> watched; // revisions
+
+  net::Task<Result<BackendFeed, FeedError>> ListBackends() override
+  {
+    co_return co_await Next(lists);
+  }
+  net::Task<Result<BackendFeed, FeedError>> WatchBackends(std::uint64_t aRevision) override
+  {
+    watched.push_back(aRevision);
+    co_return co_await Next(watches);
+  }
+  net::Task<Result<TableFeed, FeedError>> ReadTable() override { co_return co_await Next(reads); }
+  net::Task<Result<TableFeed, FeedError>> WatchTable(std::uint64_t) override
+  {
+    co_return co_await Next(mNoTables);
+  }
+
+private:
+  template <class Reply>
+  static net::Task<Reply> Next(std::deque<Reply>& aReplies)
+  {
+    while (aReplies.empty()) {
+      co_await net::Sleep(Milliseconds(1));
+    }
+    Reply reply = aReplies.front();
+    aReplies.pop_front();
+    co_return reply;
+  }
+
+  std::deque<Result<TableFeed, FeedError>> mNoTables;
+};
+
+std::shared_ptr<const dispatch::RouteTable> TableOf(std::uint64_t aVersion)
+{
+  dispatch::RouteTable::Parts parts;
+  parts.version = aVersion;
+  return *dispatch::RouteTable::Create(std::move(parts));
+}
+
+// Runs the followers on an event loop until a condition holds.
+struct Bed
+{
+  boost::asio::io_context context{ 1 };
+  std::shared_ptr<RelayParts> parts = std::make_shared<RelayParts>(
+    context.get_executor(), std::make_shared<TestDialect>(), dispatch::Place{}, 1);
+  std::shared_ptr<QueuedFeed> feed = std::make_shared<QueuedFeed>();
+  std::shared_ptr<Followers> followers =
+    std::make_shared<Followers>(parts, feed, FollowOptions{ Seconds(3600), Milliseconds(1), 1 });
+
+  void RunUntil(const std::function<bool()>& aHolds)
+  {
+    while (!aHolds()) {
+      context.run_one();
+    }
+  }
+  bool Has(const std::string& aId) const
+  {
+    return parts->directory.All().contains(BackendServerName{ aId });
+  }
+};
+
+} // namespace
+
+MASTICSTEP_TEST("the list and its changes reach the directory", "[relay][followers]")
+{
+  Bed bed;
+  bed.feed->lists.push_back(
+    BackendFeed{ { { BackendServerName{ "a" }, MakeBackend("a"), 3 } }, 5 });
+  bed.feed->watches.push_back(BackendFeed{ { { BackendServerName{ "b" }, MakeBackend("b"), 6 },
+                                             { BackendServerName{ "a" }, std::nullopt, 7 } },
+                                           7 });
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->FollowBackends(); }, boost::asio::detached);
+  bed.RunUntil([&bed] { return bed.feed->watched.size() == 2; });
+  CHECK_TRUE(bed.Has("b"));
+  CHECK_FALSE(bed.Has("a"));
+  CHECK_EQUAL(std::uint64_t{ 5 }, bed.feed->watched.at(0));
+  CHECK_EQUAL(std::uint64_t{ 7 }, bed.feed->watched.at(1));
+  CHECK_EQUAL(std::uint64_t{ 7 }, bed.parts->knowledge.newestEntry);
+}
+
+// Guards against a daemon that keeps an old state: a store that dropped its history told nothing on
+// a watch that was taken up again.
+MASTICSTEP_TEST("after a broken watch the whole list is read again", "[relay][followers][failure]")
+{
+  for (const FeedErrorKind kind : { FeedErrorKind::Unavailable, FeedErrorKind::HistoryGone }) {
+    Bed bed;
+    bed.feed->lists.push_back(BackendFeed{ {}, 5 });
+    bed.feed->watches.push_back(Failure(FeedError{ kind, {} }));
+    bed.feed->lists.push_back(
+      BackendFeed{ { { BackendServerName{ "a" }, MakeBackend("a"), 8 } }, 9 });
+    boost::asio::co_spawn(
+      bed.context, [&bed] { return bed.followers->FollowBackends(); }, boost::asio::detached);
+    bed.RunUntil([&bed] { return bed.feed->watched.size() == 2; });
+    CHECK_TRUE(bed.Has("a"));
+    CHECK_EQUAL(std::uint64_t{ 9 }, bed.feed->watched.at(1));
+  }
+}
+
+// Guards against a configuration that goes back.
+MASTICSTEP_TEST("an older configuration is not taken", "[relay][followers][config]")
+{
+  Bed bed;
+  bed.feed->reads.push_back(TableFeed{ TableOf(8), 10 });
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->FollowTable(); }, boost::asio::detached);
+  bed.RunUntil([&bed] { return bed.parts->table != nullptr; });
+  bed.feed->reads.push_back(TableFeed{ TableOf(7), 12 });
+  bed.parts->knowledge.peersConfiguration = 9;
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->GuardTable(); }, boost::asio::detached);
+  bed.RunUntil([&bed] { return bed.feed->reads.empty(); });
+  CHECK_EQUAL(std::uint64_t{ 8 }, bed.parts->table->Version());
+}
+
+// Guards against a watch that the store forgot without a word while another daemon knows more.
+MASTICSTEP_TEST("a daemon reads again when another one knows a newer configuration",
+                "[relay][followers][failure]")
+{
+  Bed bed;
+  bed.feed->reads.push_back(TableFeed{ TableOf(8), 10 });
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->FollowTable(); }, boost::asio::detached);
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->GuardTable(); }, boost::asio::detached);
+  bed.RunUntil([&bed] { return bed.parts->table != nullptr; });
+  bed.parts->knowledge.isSentinel = false;
+  bed.parts->knowledge.peersConfiguration = 11;
+  bed.feed->reads.push_back(TableFeed{ TableOf(11), 14 });
+  bed.RunUntil([&bed] { return bed.parts->table->Version() == 11; });
+}
--- /dev/null
+++ b/libs/relay/tests/PromptSessionTests.cpp
@@ -0,0 +1,156 @@
+#include "RelayBed.hpp"
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using namespace masticstep::relay;
+
+namespace {
+
+using dispatch::Stage;
+using Then = ScriptedAnswer::Then;
+
+const std::string kRefusal = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+bool Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+// Engine that reads prompts and hands out the handle "h1".
+ScriptedAnswer ReadPrompt(const std::string& /*aRequest*/)
+{
+  return { SignedAnswer(200, "h1"), Then::KeepOpen };
+}
+
+ScriptedAnswer WholeStream(const std::string& /*aRequest*/)
+{
+  return { StreamHead() + Events(1, 3) + StreamEnd(), Then::KeepOpen };
+}
+
+} // namespace
+
+MASTICSTEP_TEST("one engine reads the prompt and another one writes the answer", "[relay][prompt]")
+{
+  ScriptedBackend reader(ReadPrompt);
+  ScriptedBackend writer(WholeStream);
+  RelayBed bed;
+  bed.Add("r1", "llm", reader, Stage::Prefill);
+  bed.Add("w1", "llm", writer, Stage::Decode);
+  const std::string answer = bed.Ask("POST", "/stream/");
+  CHECK_TRUE(Contains(reader.Requests().at(0), "Read-Only: 1"));
+  CHECK_TRUE(Contains(writer.Requests().at(0), "Source: h1"));
+  CHECK_TRUE(Contains(answer, "data: t1") && Contains(answer, "data: t3"));
+  CHECK_TRUE(answer.ends_with("0\r\n\r\n"));
+}
+
+// Guards against a stream that looks complete although its engine broke off, and against half an
+// event.
+MASTICSTEP_TEST("a stream that may not be resumed ends without its end when its engine breaks off",
+                "[relay][prompt][failure]")
+{
+  ScriptedBackend reader(ReadPrompt);
+  ScriptedBackend writer([](const std::string&) {
+    return ScriptedAnswer{ StreamHead() + Events(1, 2) + "9\r\nid: 3\ndat\r\n", Then::Close };
+  });
+  ScriptedBackend other(WholeStream);
+  RelayBed bed;
+  bed.Add("r1", "llm", reader, Stage::Prefill);
+  bed.Add("w1", "llm", writer, Stage::Decode);
+  bed.Add("w2", "llm", other, Stage::Decode);
+  const std::string answer = bed.Ask("POST", "/stream/");
+  CHECK_TRUE(Contains(answer, "data: t2"));
+  CHECK_FALSE(Contains(answer, "id: 3"));
+  CHECK_FALSE(Contains(answer, "\r\n0\r\n"));
+  CHECK_TRUE(other.Requests().empty());
+}
+
+MASTICSTEP_TEST("a resumable stream goes on at another engine after the last whole event",
+                "[relay][prompt][failure]")
+{
+  ScriptedBackend reader(ReadPrompt);
+  ScriptedBackend writer([](const std::string&) {
+    return ScriptedAnswer{ StreamHead() + Events(1, 2) + "9\r\nid: 3\ndat\r\n", Then::Close };
+  });
+  ScriptedBackend other([](const std::string&) {
+    return ScriptedAnswer{ StreamHead() + Events(3, 4) + StreamEnd(), Then::KeepOpen };
+  });
+  RelayBed bed;
+  bed.Add("r1", "llm", reader, Stage::Prefill);
+  bed.Add("w1", "llm", writer, Stage::Decode);
+  bed.Add("w2", "llm", other, Stage::Decode);
+  const std::string answer = bed.Ask("POST", "/resume/");
+  CHECK_TRUE(Contains(other.Requests().at(0), "Resume-After: 2"));
+  for (int id = 1; id <= 4; ++id) {
+    const std::string event = "id: " + std::to_string(id) + "\n";
+    CHECK_TRUE(Contains(answer, event));
+    CHECK_EQUAL(answer.find(event), answer.rfind(event));
+  }
+  CHECK_TRUE(answer.ends_with("0\r\n\r\n"));
+}
+
+// Guards against running a prompt's answer twice: it may run after a reset.
+MASTICSTEP_TEST("a stream that may not be resumed is not sent again after a reset",
+                "[relay][prompt][failure]")
+{
+  ScriptedBackend reader(ReadPrompt);
+  ScriptedBackend writer([](const std::string&) { return ScriptedAnswer{ "", Then::Reset }; });
+  ScriptedBackend other(WholeStream);
+  RelayBed bed;
+  bed.Add("r1", "llm", reader, Stage::Prefill);
+  bed.Add("w1", "llm", writer, Stage::Decode);
+  bed.Add("w2", "llm", other, Stage::Decode);
+  CHECK_TRUE(bed.Ask("POST", "/stream/").starts_with("HTTP/1.1 502"));
+  CHECK_TRUE(other.Requests().empty());
+}
+
+// Answers memory that cannot be moved: the prompt has not run and is read elsewhere.
+MASTICSTEP_TEST("memory that two engines could not take over is read again elsewhere",
+                "[relay][prompt][failure]")
+{
+  ScriptedBackend reader(ReadPrompt);
+  ScriptedBackend otherReader([](const std::string&) {
+    return ScriptedAnswer{ SignedAnswer(200, "h2"), Then::KeepOpen };
+  });
+  const ScriptedBackend::Script onlySecond = [](const std::string& aRequest) {
+    return Contains(aRequest, "Source: h2")
+             ? ScriptedAnswer{ StreamHead() + Events(1, 3) + StreamEnd(), Then::KeepOpen }
+             : ScriptedAnswer{ kRefusal, Then::KeepOpen };
+  };
+  ScriptedBackend writer(onlySecond);
+  ScriptedBackend otherWriter(onlySecond);
+  ScriptedBackend thirdWriter(onlySecond);
+  RelayBed bed;
+  bed.Add("r1", "llm", reader, Stage::Prefill);
+  bed.Add("w1", "llm", writer, Stage::Decode);
+  bed.Add("w2", "llm", otherWriter, Stage::Decode);
+  bed.Add("r2", "llm", otherReader, Stage::Prefill);
+  bed.Add("w3", "llm", thirdWriter, Stage::Decode);
+  CHECK_TRUE(Contains(bed.Ask("POST", "/stream/"), "data: t3"));
+  CHECK_EQUAL(std::size_t{ 1 }, otherReader.Requests().size());
+}
+
+MASTICSTEP_TEST("a prompt that no engine can read is refused at once", "[relay][prompt][failure]")
+{
+  RelayBed bed;
+  const std::string answer = bed.Ask("POST", "/stream/");
+  CHECK_TRUE(answer.starts_with("HTTP/1.1 503"));
+  CHECK_TRUE(Contains(answer, "Retry-After: "));
+}
+
+// Guards against engines that work for callers who have left.
+MASTICSTEP_TEST("an engine's connection is closed when the caller leaves",
+                "[relay][prompt][cancel]")
+{
+  ScriptedBackend reader(ReadPrompt);
+  ScriptedBackend writer([](const std::string&) {
+    return ScriptedAnswer{ StreamHead() + Events(1, 1), Then::KeepOpen };
+  });
+  RelayBed bed;
+  bed.Add("r1", "llm", reader, Stage::Prefill);
+  bed.Add("w1", "llm", writer, Stage::Decode);
+  const std::unique_ptr<net::RawClient> client = bed.Connect();
+  client->Send(RelayBed::RequestText("POST", "/stream/"));
+  client->ReadUntil("data: t1");
+  client->Close();
+  writer.WaitForClose();
+}
--- /dev/null
+++ b/libs/relay/tests/RelayBed.cpp
@@ -0,0 +1,275 @@
+#include "RelayBed.hpp"
+
+#include "masticstep/relay/RelayHandler.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace masticstep::relay {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+std::string Chunk(const std::string& aText)
+{
+  std::array<char, 16> size{};
+  const std::to_chars_result end =
+    std::to_chars(size.data(), size.data() + size.size(), aText.size(), 16);
+  return std::string(size.data(), end.ptr) + "\r\n" + aText + "\r\n";
+}
+
+dispatch::Route MakeRoute(const std::string& aPrefix, dispatch::CallKind aKind,
+                          const std::string& aService)
+{
+  dispatch::Route route;
+  route.name = aPrefix;
+  route.host = "a.example";
+  route.pathPrefix = aPrefix;
+  route.kind = aKind;
+  route.timeout = Seconds(5);
+  route.target = Milliseconds(500);
+  route.shares = { { ServiceName{ aService }, 1 } };
+  return route;
+}
+
+std::shared_ptr<const dispatch::RouteTable> Table()
+{
+  dispatch::RouteTable::Parts parts;
+  parts.version = 3;
+  parts.routes = { MakeRoute("/once/", dispatch::CallKind::NonIdempotent, "plain"),
+                   MakeRoute("/again/", dispatch::CallKind::Idempotent, "plain"),
+                   MakeRoute("/stream/", dispatch::CallKind::Stream, "llm"),
+                   MakeRoute("/resume/", dispatch::CallKind::Stream, "llm") };
+  parts.routes[1].attempts = 2;
+  parts.routes[3].attempts = 2;
+  parts.routes[3].isResumable = true;
+  return *dispatch::RouteTable::Create(std::move(parts));
+}
+
+} // namespace
+
+Result<Call, BadCall> TestDialect::ReadCall(net::HttpRequest aRequest) const
+{
+  Call call;
+  call.id = std::string(net::FindHeader(aRequest.headers, "Id"));
+  if (call.id.empty()) {
+    return Failure(BadCall{ "no id" });
+  }
+  call.method = aRequest.method;
+  call.target = aRequest.target;
+  call.host = "a.example";
+  call.headers = { { "Id", call.id } };
+  call.body = aRequest.body;
+  call.prompt = dispatch::Prompt{ "m", 1000, 10, { { 1, 500 }, { 2, 500 } } };
+  return call;
+}
+
+net::HttpRequest TestDialect::ToBackend(const Call& aCall, const SendOptions& aOptions) const
+{
+  net::HttpRequest request{ aCall.method, aCall.target, aCall.headers, aCall.body, {} };
+  request.headers.push_back({ "For", aOptions.backend.Text() });
+  if (aOptions.readsPromptOnly) {
+    request.headers.push_back({ "Read-Only", "1" });
+  }
+  if (aOptions.source) {
+    request.headers.push_back({ "Source", aOptions.source->id });
+  }
+  if (aOptions.lastEventId) {
+    request.headers.push_back({ "Resume-After", std::to_string(*aOptions.lastEventId) });
+  }
+  return request;
+}
+
+AnswerHead TestDialect::ReadHead(const net::HttpResponseHead& aHead) const
+{
+  AnswerHead answer;
+  answer.status = aHead.status;
+  answer.callId = std::string(net::FindHeader(aHead.headers, "Id"));
+  answer.isSigned = !net::FindHeader(aHead.headers, "Signed").empty();
+  answer.hasNotRun = !net::FindHeader(aHead.headers, "Not-Run").empty();
+  return answer;
+}
+
+net::HttpHeaders TestDialect::ToCaller(const net::HttpHeaders& aHeaders) const
+{
+  net::HttpHeaders headers;
+  headers.push_back({ "Signed", std::string(net::FindHeader(aHeaders, "Signed")) });
+  return headers;
+}
+
+std::optional<std::string> TestDialect::ReadHandle(std::string_view aBody) const
+{
+  return aBody.empty() ? std::nullopt : std::optional<std::string>(aBody);
+}
+
+net::HttpRequest TestDialect::FreeHandle(const PromptHandle& aHandle) const
+{
+  return { "DELETE", "/handles/" + aHandle.id, {}, {}, {} };
+}
+
+ScriptedBackend::ScriptedBackend(Script aScript)
+  : mScript(std::move(aScript))
+  , mWorkers(1)
+  , mAcceptor(mWorkers.Context(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+{
+  asio::co_spawn(
+    mWorkers.Context(), [this] { return Accept(); }, asio::detached);
+}
+
+ScriptedBackend::~ScriptedBackend()
+{
+  mWorkers.Stop();
+}
+
+std::uint16_t ScriptedBackend::Port() const
+{
+  return mAcceptor.local_endpoint().port();
+}
+
+std::vector<std::string> ScriptedBackend::Requests() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mRequests;
+}
+
+void ScriptedBackend::WaitForClose()
+{
+  mClosed.get_future().wait();
+}
+
+net::Task<void> ScriptedBackend::Accept()
+{
+  while (true) {
+    tcp::socket socket = co_await mAcceptor.async_accept(asio::use_awaitable);
+    asio::co_spawn(
+      mWorkers.Context(),
+      [this, moved = std::move(socket)]() mutable { return Serve(std::move(moved)); },
+      asio::detached);
+  }
+}
+
+net::Task<void> ScriptedBackend::Serve(tcp::socket aSocket)
+{
+  std::array<char, 8192> buf{};
+  while (true) {
+    const auto [ec, n] =
+      co_await aSocket.async_read_some(asio::buffer(buf), asio::as_tuple(asio::use_awaitable));
+    if (ec) {
+      if (!mIsClosed.exchange(true)) {
+        mClosed.set_value();
+      }
+      co_return;
+    }
+    const std::string request(buf.data(), n);
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      mRequests.push_back(request);
+    }
+    const ScriptedAnswer answer = mScript(request);
+    co_await asio::async_write(aSocket, asio::buffer(answer.text),
+                               asio::as_tuple(asio::use_awaitable));
+    if (answer.then == ScriptedAnswer::Then::Reset) {
+      // Closed here, since the socket's destructor would take the option back.
+      aSocket.set_option(asio::socket_base::linger(true, 0));
+      aSocket.close();
+    }
+    if (answer.then != ScriptedAnswer::Then::KeepOpen) {
+      co_return;
+    }
+  }
+}
+
+RelayBed::RelayBed(bool aHasTable)
+  : mWorkers(1)
+  , mParts(std::make_shared<RelayParts>(
+      mWorkers.Context().get_executor(), std::make_shared<TestDialect>(),
+      dispatch::Place{ DataCentreName{ "d0" }, RegionName{ "r" } }, 1))
+{
+  // Tests of single requests have no earlier requests that would pay for their repeats.
+  mParts->retries.SetBounds(dispatch::RetryBounds{ 0.2, 640.0, Seconds(10) });
+  if (aHasTable) {
+    mParts->table = Table();
+    mParts->dispatcher.SetTable(mParts->table);
+  }
+  mServer = *net::HttpServer::Create(mWorkers.Context(), { "127.0.0.1", 0 }, net::ServerLimits{},
+                                     std::make_shared<RelayHandler>(mParts));
+}
+
+RelayBed::~RelayBed()
+{
+  mWorkers.Stop();
+  mParts->pool->Close();
+}
+
+void RelayBed::Add(const std::string& aId, const std::string& aService,
+                   const ScriptedBackend& aBackend, dispatch::Stage aStage)
+{
+  dispatch::Backend backend;
+  backend.id = BackendServerName{ aId };
+  backend.service = ServiceName{ aService };
+  backend.address = { "127.0.0.1", aBackend.Port() };
+  backend.dataCentre = DataCentreName{ "d" + std::to_string(mBackends.size()) };
+  backend.region = RegionName{ mBackends.size() < 2 ? "r" : "far" };
+  backend.slots = 8;
+  backend.stage = aStage;
+  mBackends.push_back(backend);
+  std::map<BackendServerName, dispatch::Backend> all;
+  for (const dispatch::Backend& item : mBackends) {
+    all[item.id] = item;
+  }
+  mParts->dispatcher.SetBackends(all);
+}
+
+std::string RelayBed::RequestText(const std::string& aMethod, const std::string& aPath)
+{
+  return aMethod + " " + aPath +
+         " HTTP/1.1\r\nHost: a.example\r\nId: c1\r\nContent-Length: 2\r\nConnection: "
+         "close\r\n\r\nhi";
+}
+
+std::unique_ptr<net::RawClient> RelayBed::Connect() const
+{
+  return std::make_unique<net::RawClient>(net::HostPort{ "127.0.0.1", mServer->Port() });
+}
+
+std::string RelayBed::Ask(const std::string& aMethod, const std::string& aPath)
+{
+  const std::unique_ptr<net::RawClient> client = Connect();
+  client->Send(RequestText(aMethod, aPath));
+  return client->ReadUntilClosed();
+}
+
+std::string SignedAnswer(unsigned aStatus, const std::string& aBody, const std::string& aId)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\nId: " + aId +
+         "\r\nSigned: s\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string StreamHead()
+{
+  return "HTTP/1.1 200 OK\r\nId: c1\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Events(int aFrom, int aTo)
+{
+  std::string text;
+  for (int id = aFrom; id <= aTo; ++id) {
+    text += Chunk("id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) + "\n\n");
+  }
+  return text;
+}
+
+std::string StreamEnd()
+{
+  return "0\r\n\r\n";
+}
+
+} // namespace masticstep::relay
--- /dev/null
+++ b/libs/relay/tests/RelayBed.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "LoopbackServer.hpp"
+#include "masticstep/dispatch/Backend.hpp"
+#include "masticstep/relay/Dialect.hpp"
+#include "masticstep/relay/RelayParts.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace masticstep::relay {
+
+// Plain words for the messages of tests: Id, Signed, Not-Run, Read-Only, Source, Resume-After.
+class TestDialect : public Dialect
+{
+public:
+  Result<Call, BadCall> ReadCall(net::HttpRequest aRequest) const override;
+  net::HttpRequest ToBackend(const Call& aCall, const SendOptions& aOptions) const override;
+  AnswerHead ReadHead(const net::HttpResponseHead& aHead) const override;
+  net::HttpHeaders ToCaller(const net::HttpHeaders& aHeaders) const override;
+  std::optional<std::string> ReadHandle(std::string_view aBody) const override;
+  net::HttpRequest FreeHandle(const PromptHandle& aHandle) const override;
+};
+
+// What a scripted backend server does with one request.
+struct ScriptedAnswer
+{
+  std::string text; // raw bytes
+  enum class Then
+  {
+    KeepOpen,
+    Close,
+    Reset
+  } then = Then::KeepOpen;
+};
+
+// Backend server on loopback that answers by a function and records what it got.
+class ScriptedBackend
+{
+public:
+  using Script = std::function<ScriptedAnswer(const std::string& aRequest)>;
+
+  explicit ScriptedBackend(Script aScript);
+  ~ScriptedBackend();
+  ScriptedBackend(const ScriptedBackend&) = delete;
+  ScriptedBackend& operator=(const ScriptedBackend&) = delete;
+
+  std::uint16_t Port() const;
+  std::vector<std::string> Requests() const;
+  // Waits until a connection was closed by the other side.
+  void WaitForClose();
+
+private:
+  net::Task<void> Accept();
+  net::Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
+
+  Script mScript;
+  mutable std::mutex mMutex;
+  std::vector<std::string> mRequests;
+  std::promise<void> mClosed;
+  std::atomic<bool> mIsClosed{ false };
+  net::WorkerPool mWorkers;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+};
+
+// Relay with callers on loopback.
+class RelayBed
+{
+public:
+  // Routes: /once/ (not repeatable), /again/ (idempotent, two attempts) to the service "plain", and
+  // /stream/, /resume/ (resumable, two attempts) to the service "llm".
+  explicit RelayBed(bool aHasTable = true);
+  ~RelayBed();
+  RelayBed(const RelayBed&) = delete;
+  RelayBed& operator=(const RelayBed&) = delete;
+
+  // Adds a backend server. The earlier ones are preferred, since later ones are further away.
+  void Add(const std::string& aId, const std::string& aService, const ScriptedBackend& aBackend,
+           dispatch::Stage aStage = dispatch::Stage::Whole);
+  // Sends one request on a new connection and returns what comes until the relay closes it.
+  std::string Ask(const std::string& aMethod, const std::string& aPath);
+  std::unique_ptr<net::RawClient> Connect() const;
+  static std::string RequestText(const std::string& aMethod, const std::string& aPath);
+
+private:
+  net::WorkerPool mWorkers;
+  std::shared_ptr<RelayParts> mParts;
+  std::unique_ptr<net::HttpServer> mServer;
+  std::vector<dispatch::Backend> mBackends;
+};
+
+// Whole answer of a backend server to the call "c1".
+std::string SignedAnswer(unsigned aStatus, const std::string& aBody, const std::string& aId = "c1");
+// Head of a chunked event stream, and events with the ids from aFrom to aTo.
+std::string StreamHead();
+std::string Events(int aFrom, int aTo);
+std::string StreamEnd();
+
+} // namespace masticstep::relay
