--- a/libs/telemetry/src/JsonLogSink.cpp
+++ b/libs/telemetry/src/JsonLogSink.cpp
@@ -1,7 +1,5 @@
 #include "JsonLogSink.hpp"
 
-#include <unistd.h>
-
 #include <array>
 #include <chrono>
 #include <cstdio>
@@ -37,8 +35,9 @@
   return std::string(text.data(), n) + fraction.data();
 }
 
-JsonLogSink::JsonLogSink(std::string aHost, bool aWraps)
-  : mHost(std::move(aHost))
+JsonLogSink::JsonLogSink(std::shared_ptr<LineWriter> aWriter, std::string aHost, bool aWraps)
+  : mWriter(std::move(aWriter))
+  , mHost(std::move(aHost))
   , mWraps(aWraps)
 {
 }
@@ -53,15 +52,10 @@
     line = FormatLine(IsoTime(), LevelOf(aSeverity), "library message", mHost,
                       { { "place", place }, { "message", line } });
   }
-  line += '\n';
-  std::size_t done = 0;
-  while (done < line.size()) {
-    const ssize_t n = ::write(STDERR_FILENO, line.data() + done, line.size() - done);
-    if (n <= 0) {
-      return;
-    }
-    done += static_cast<std::size_t>(n);
-  }
+  // Lines of Log carry their level; it is the second member.
+  const bool isFailure = LevelOf(aSeverity) >= Level::Warning ||
+                         line.find("\"level\":\"info\"") == std::string::npos;
+  mWriter->Write(line, isFailure);
 }
 
 } // namespace masticstep::telemetry
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -5,6 +5,8 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <memory>
 #include <mutex>
@@ -14,13 +16,18 @@
 
 namespace {
 
+// Bound of the log of one process.
+constexpr double kLinesPerSecond = 1000.0;
+
 // Sinks and host of the process. They are never destroyed, since threads may log until exit.
 struct State
 {
   std::atomic<Level> minimum{ Level::Warning };
   std::mutex mutex;
   std::string host;
-  std::unique_ptr<JsonLogSink> sink = std::make_unique<JsonLogSink>("", false);
+  std::shared_ptr<LineWriter> writer =
+    std::make_shared<LineWriter>(STDERR_FILENO, kLinesPerSecond);
+  std::unique_ptr<JsonLogSink> sink = std::make_unique<JsonLogSink>(writer, "", false);
   std::unique_ptr<JsonLogSink> wrapping;
 };
 
@@ -76,6 +83,7 @@
   if (state.wrapping) {
     return;
   }
+  state.writer->SetHandle(STDOUT_FILENO);
   // No log files: entry hosts have no disk.
   for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity) {
     google::SetLogDestination(severity, "");
@@ -83,7 +91,7 @@
   FLAGS_logtostderr = false;
   FLAGS_stderrthreshold = google::NUM_SEVERITIES;
   google::InitGoogleLogging("masticstep");
-  state.wrapping = std::make_unique<JsonLogSink>(state.host, true);
+  state.wrapping = std::make_unique<JsonLogSink>(state.writer, state.host, true);
   google::AddLogSink(state.wrapping.get());
 }
 
