--- a/libs/relay/src/OperatorPages.cpp
+++ b/libs/relay/src/OperatorPages.cpp
@@ -1,5 +1,7 @@
 #include "OperatorPages.hpp"
 
+#include "PromptGate.hpp"
+
 #include <utility>
 
 namespace masticstep::relay {
@@ -25,6 +27,14 @@
                       : net::JsonResponse(503, "{\"ready\":false}");
   }
   if (aPath == kMetricsPath) {
+    mParts->metrics.GetGauge({ "masticstep_relay_running_requests", "", "" })
+      ->Set(static_cast<std::int64_t>(mParts->running));
+    mParts->metrics.GetGauge({ "masticstep_relay_waiting_prompts", "", "" })
+      ->Set(static_cast<std::int64_t>(mParts->prompts->Waiting()));
+    mParts->metrics.GetGauge({ "masticstep_relay_configuration_version", "", "" })
+      ->Set(mParts->table ? static_cast<std::int64_t>(mParts->table->Version()) : 0);
+    mParts->metrics.GetGauge({ "masticstep_relay_backend_servers", "", "" })
+      ->Set(static_cast<std::int64_t>(mParts->directory.All().size()));
     net::HttpResponse response;
     response.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
     response.body = mParts->metrics.PrometheusText();
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -60,7 +60,9 @@
 net::Task<void> Session::Refuse(Refusal aRefusal)
 {
   mParts->metrics.GetCounter({ "masticstep_refusals_total", "reason", aRefusal.reason })->Add();
-  LogEnd(IsGone() ? "caller_gone" : aRefusal.reason, aRefusal.status);
+  // An answer that has begun keeps the status that its caller has seen.
+  LogEnd(IsGone() ? "caller_gone" : aRefusal.reason,
+         mResponder.HasStarted() ? 200 : aRefusal.status);
   if (IsGone() || mResponder.HasStarted()) {
     co_return;
   }
@@ -122,11 +124,17 @@
 {
   const Duration spent = net::Now() - mIncoming.arrived;
   const Duration first = aFirstEvent.value_or(net::Now()) - mIncoming.arrived;
+  const std::string outcome(aOutcome);
+  const std::string& route = mIncoming.route->name;
+  mParts->metrics.GetCounter({ "masticstep_relay_requests_total", "outcome", outcome })->Add();
+  mParts->metrics.GetLatency({ "masticstep_relay_request_seconds", "route", route })->Record(spent);
+  mParts->metrics.GetLatency({ "masticstep_relay_first_event_seconds", "route", route })
+    ->Record(first);
   telemetry::Log(Level::Info, "request finished",
                  { { "request_id", mIncoming.call.id },
-                   { "outcome", std::string(aOutcome) },
+                   { "outcome", outcome },
                    { "status", aStatus },
-                   { "route", mIncoming.route->name },
+                   { "route", route },
                    { "service", mIncoming.service.Text() },
                    { "configuration", mIncoming.table->Version() },
                    { "first_event_ms", ToSeconds(first) * 1000.0 },
--- a/libs/telemetry/include/masticstep/telemetry/Log.hpp
+++ b/libs/telemetry/include/masticstep/telemetry/Log.hpp
@@ -35,9 +35,9 @@
   bool operator==(const Field&) const = default;
 };
 
-// Directs the log to standard output as JSON lines. Lines below aMinimum are dropped, and so are lines
-// beyond a bound a second and those that their reader does not take at once; a line tells how many
-// were. Call it once at start; before, only warnings and errors are written, to stderr.
+// Directs the log to standard output as JSON lines. Lines below aMinimum are dropped, and so are
+// lines beyond a bound a second and those that their reader does not take at once; a line tells how
+// many were. Call it once at start; before, only warnings and errors are written, to stderr.
 void StartLog(Level aMinimum, std::string aHost);
 
 // Writes one line {"time", "level", "event", "host", fields...}. Safe to call from every thread.
--- a/libs/telemetry/src/JsonLogSink.cpp
+++ b/libs/telemetry/src/JsonLogSink.cpp
@@ -53,8 +53,8 @@
                       { { "place", place }, { "message", line } });
   }
   // Lines of Log carry their level; it is the second member.
-  const bool isFailure = LevelOf(aSeverity) >= Level::Warning ||
-                         line.find("\"level\":\"info\"") == std::string::npos;
+  const bool isFailure =
+    LevelOf(aSeverity) >= Level::Warning || line.find("\"level\":\"info\"") == std::string::npos;
   mWriter->Write(line, isFailure);
 }
 
--- a/libs/telemetry/src/LineBudget.hpp
+++ b/libs/telemetry/src/LineBudget.hpp
@@ -6,8 +6,8 @@
 
 namespace masticstep::telemetry {
 
-// Bounds the log lines of a process a second. Lines about failures have a reserve, so that many good
-// requests do not push them out. Not thread-safe.
+// Bounds the log lines of a process a second. Lines about failures have a reserve, so that many
+// good requests do not push them out. Not thread-safe.
 class LineBudget
 {
 public:
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -25,8 +25,7 @@
   std::atomic<Level> minimum{ Level::Warning };
   std::mutex mutex;
   std::string host;
-  std::shared_ptr<LineWriter> writer =
-    std::make_shared<LineWriter>(STDERR_FILENO, kLinesPerSecond);
+  std::shared_ptr<LineWriter> writer = std::make_shared<LineWriter>(STDERR_FILENO, kLinesPerSecond);
   std::unique_ptr<JsonLogSink> sink = std::make_unique<JsonLogSink>(writer, "", false);
   std::unique_ptr<JsonLogSink> wrapping;
 };
