--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -10,16 +10,8 @@
 
 namespace {
 
-constexpr unsigned kFirstServerError = 500;
 // A connection that was idle for longer may have been closed unseen, and what is sent on it is
 // lost.
-constexpr Duration kIdleForRepeatable = Seconds(5);
-constexpr Duration kIdleForOnce = Milliseconds(1000);
-
-bool IsSuccess(unsigned aStatus)
-{
-  return aStatus >= 200 && aStatus < 300;
-}
 
 } // namespace
 
@@ -47,9 +39,8 @@
   Exchange exchange(*mParts, *backend, mIncoming.call.id);
   mExchange = &exchange;
   net::HttpRequest request = mParts->dialect->ToBackend(mIncoming.call, OptionsFor(*backend));
-  const Duration idle = mIncoming.route->MayRepeat() ? kIdleForRepeatable : kIdleForOnce;
   const Result<AnswerHead, ExchangeError> head =
-    co_await exchange.Start(std::move(request), mIncoming.deadline, idle);
+    co_await exchange.Start(std::move(request), mIncoming.deadline, LongestIdle());
   Step step = Step::Done;
   if (head) {
     step = co_await Answer(*backend, exchange, *head);
@@ -73,7 +64,7 @@
                          "unsigned answer with status " + std::to_string(aHead.status) };
     co_return co_await AfterFailure(aBackend, std::move(error));
   }
-  const bool isError = aHead.status >= kFirstServerError;
+  const bool isError = IsServerError(aHead.status);
   mParts->dispatcher.OnDone(aBackend.id, mIncoming.number,
                             isError ? Outcome::Failed : Outcome::Answered, net::Now());
   ++mRuns;
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -17,9 +17,6 @@
 
 namespace {
 
-constexpr unsigned kFirstServerError = 500;
-constexpr Duration kIdleForRepeatable = Seconds(5);
-constexpr Duration kIdleForOnce = Milliseconds(1000);
 // A stream that may be resumed is taken up elsewhere after this time without a byte.
 constexpr Duration kSilence = Milliseconds(1000);
 // Callers leave a stream without its first event after the longest of this time, four times the
@@ -29,11 +26,6 @@
 constexpr std::uint32_t kMaximumReads = 3;
 constexpr std::uint32_t kHandoversOfOneRead = 2;
 
-bool IsSuccess(unsigned aStatus)
-{
-  return aStatus >= 200 && aStatus < 300;
-}
-
 ExchangeError Unusable(const AnswerHead& aHead)
 {
   return { Progress::Unknown, net::NetErrorKind::Malformed,
@@ -141,7 +133,7 @@
   mExchange = &exchange;
   net::HttpRequest request = mParts->dialect->ToBackend(mIncoming.call, options);
   Result<AnswerHead, ExchangeError> head =
-    co_await exchange.Start(std::move(request), mIncoming.deadline, kIdleForRepeatable);
+    co_await exchange.Start(std::move(request), mIncoming.deadline, kIdleOfRepeatable);
   Result<std::string, net::NetError> body;
   if (head) {
     body = co_await exchange.ReadAll(mIncoming.deadline);
@@ -197,9 +189,8 @@
   Exchange exchange(*mParts, aEngine, mIncoming.call.id);
   mExchange = &exchange;
   net::HttpRequest request = mParts->dialect->ToBackend(mIncoming.call, options);
-  const bool mayRepeat = mIncoming.route->MayRepeat();
-  const Result<AnswerHead, ExchangeError> head = co_await exchange.Start(
-    std::move(request), mIncoming.deadline, mayRepeat ? kIdleForRepeatable : kIdleForOnce);
+  const Result<AnswerHead, ExchangeError> head =
+    co_await exchange.Start(std::move(request), mIncoming.deadline, LongestIdle());
   Step step = Step::Done;
   if (head) {
     if (mSource) {
@@ -298,7 +289,7 @@
   if (!body || mResponder.HasStarted() || mayRepeat) {
     co_return co_await AfterAnswerFailure(aEngine, std::move(error));
   }
-  const bool isError = aHead.status >= kFirstServerError;
+  const bool isError = IsServerError(aHead.status);
   mParts->dispatcher.OnDone(aEngine.id, mIncoming.number,
                             isError ? Outcome::Failed : Outcome::Answered, net::Now());
   LogEnd("backend_error", aHead.status);
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -19,6 +19,16 @@
 
 } // namespace
 
+bool IsSuccess(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+bool IsServerError(unsigned aStatus)
+{
+  return aStatus >= 500;
+}
+
 Session::Session(std::shared_ptr<RelayParts> aParts, Incoming aIncoming,
                  net::HttpResponder& aResponder)
   : mParts(std::move(aParts))
@@ -57,6 +67,11 @@
   return std::clamp(part, kShortestRetryAfter, kLongestRetryAfter);
 }
 
+Duration Session::LongestIdle() const
+{
+  return mIncoming.route->MayRepeat() ? kIdleOfRepeatable : kIdleOfOnce;
+}
+
 net::Task<void> Session::Refuse(Refusal aRefusal)
 {
   mParts->metrics.GetCounter({ "masticstep_refusals_total", "reason", aRefusal.reason })->Add();
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -8,6 +8,14 @@
 
 namespace masticstep::relay {
 
+// A connection that was idle for longer may have been closed unseen, and what is sent on it is
+// lost.
+constexpr Duration kIdleOfRepeatable = Seconds(5);
+constexpr Duration kIdleOfOnce = Milliseconds(1000);
+
+bool IsSuccess(unsigned aStatus);
+bool IsServerError(unsigned aStatus);
+
 // What the ways to answer a request have in common: the caller's connection, the exchange that runs
 // now, the budget for repeats, and the log.
 class Session
@@ -39,6 +47,8 @@
               std::optional<Time> aFirstEvent = std::nullopt) const;
   SendOptions OptionsFor(const dispatch::Backend& aBackend) const;
   Duration RetryAfter() const;
+  // Longest idle time of a connection that the request may use.
+  Duration LongestIdle() const;
   // What a failed exchange says about its backend server.
   dispatch::Outcome OutcomeOf(const ExchangeError& aError) const;
 
--- a/libs/relay/tests/PlainSessionTests.cpp
+++ b/libs/relay/tests/PlainSessionTests.cpp
@@ -163,6 +163,15 @@
   CHECK_EQUAL(std::string("HTTP/1.1 404"), Status(bed.Ask("GET", "/unknown/")));
 }
 
+// Guards against callers that wait on after the time that their route allows.
+MASTICSTEP_TEST("a call is answered at its route's timeout", "[relay][plain][failure]")
+{
+  ScriptedBackend silent(Always({ "", Then::KeepOpen }));
+  RelayBed bed;
+  bed.Add("b1", "plain", silent);
+  CHECK_EQUAL(std::string("HTTP/1.1 504"), Status(bed.Ask("POST", "/soon/")));
+}
+
 // Guards against a second request that hides in the body of the first.
 MASTICSTEP_TEST("requests of ambiguous length are refused", "[relay][bounds]")
 {
--- a/libs/relay/tests/RelayBed.cpp
+++ b/libs/relay/tests/RelayBed.cpp
@@ -48,6 +48,8 @@
                    MakeRoute("/again/", dispatch::CallKind::Idempotent, "plain"),
                    MakeRoute("/stream/", dispatch::CallKind::Stream, "llm"),
                    MakeRoute("/resume/", dispatch::CallKind::Stream, "llm") };
+  parts.routes.push_back(MakeRoute("/soon/", dispatch::CallKind::NonIdempotent, "plain"));
+  parts.routes[4].timeout = Milliseconds(50);
   parts.routes[1].attempts = 2;
   parts.routes[3].attempts = 2;
   parts.routes[3].isResumable = true;
--- a/libs/relay/tests/RelayBed.hpp
+++ b/libs/relay/tests/RelayBed.hpp
@@ -72,7 +72,8 @@
 {
 public:
   // Routes: /once/ (not repeatable), /again/ (idempotent, two attempts) to the service "plain", and
-  // /stream/, /resume/ (resumable, two attempts) to the service "llm".
+  // /stream/, /resume/ (resumable, two attempts) to the service "llm", and /soon/ with a timeout of
+  // 50 ms to "plain".
   explicit RelayBed(bool aHasTable = true);
   ~RelayBed();
   RelayBed(const RelayBed&) = delete;
--- a/libs/routing/src/EngineBelief.hpp
+++ b/libs/routing/src/EngineBelief.hpp
@@ -23,7 +23,7 @@
   // The announced state if it is not ready, else the reported one.
   EngineState State() const { return announced == EngineState::Ready ? reported : announced; }
   EngineSummary Summary() const;
-  // Takes the zone's round trip and charge from the options.
+  // Takes the data centre's round trip and charge from the options.
   void SetZone(const RouterOptions& aOptions);
 
   EngineDescription description;
