Go on reading while a watch waits at a store that forgot it

Change: the guard reads again every 500 ms while a watch waits. Work reports are rarer with more daemons in a data centre.

--- a/libs/relay/src/Followers.cpp
+++ b/libs/relay/src/Followers.cpp
@@ -17,6 +17,7 @@
 
 constexpr Duration kExpiryCheck = Milliseconds(100);
 constexpr Duration kGuardCheck = Milliseconds(250);
+constexpr Duration kRetryInterval = Milliseconds(500);
 // Another daemon may be a little ahead; it is not followed before this time has passed.
 constexpr Duration kHintDelay = Milliseconds(500);
 
@@ -51,6 +52,7 @@
                    { { "feed", aCourse.name }, { "problem", aError.detail } });
   }
   aCourse.isGood = false;
+  aCourse.failed = net::Now();
 }
 
 net::Task<bool> Followers::ListBackends()
@@ -82,7 +84,9 @@
       pause.OnSuccess();
     }
     const std::shared_ptr<PlatformFeed> feed = mFeed;
+    mBackends.isWatching = true;
     const Result<BackendFeed, FeedError> reply = co_await feed->WatchBackends(mBackends.revision);
+    mBackends.isWatching = false;
     if (!reply) {
       // A store that broke a watch off may have dropped changes that the watch never told of.
       OnError(mBackends, reply.error());
@@ -108,7 +112,9 @@
 {
   const Time now = net::Now();
   if (!aCourse.isGood) {
-    return false; // the follower itself tries again
+    // The follower itself tries again, unless it waits for a watch that the store may have
+    // forgotten.
+    return aCourse.isWatching && now >= aCourse.failed + kRetryInterval;
   }
   if (mParts->knowledge.isSentinel && now >= aCourse.answered + mOptions.contact) {
     return true;
@@ -226,7 +232,9 @@
       pause.OnSuccess();
     }
     const std::shared_ptr<PlatformFeed> feed = mFeed;
+    mTable.isWatching = true;
     const Result<TableFeed, FeedError> reply = co_await feed->WatchTable(mTable.revision);
+    mTable.isWatching = false;
     if (!reply) {
       OnError(mTable, reply.error());
       co_await net::Sleep(pause.Next());
--- a/libs/relay/src/Followers.hpp
+++ b/libs/relay/src/Followers.hpp
@@ -44,7 +44,9 @@
   {
     const char* name;
     bool isGood = false;
+    bool isWatching = false;    // a watch waits for its answer
     Time answered{};            // time of the last answer
+    Time failed{};              // time of the last failure
     std::uint64_t revision = 0; // of the newest state that was taken
     std::uint64_t hint = 0;     // of another daemon that was followed last
     Time hintSince{};
--- a/libs/relay/src/WorkSharing.cpp
+++ b/libs/relay/src/WorkSharing.cpp
@@ -28,6 +28,8 @@
 const std::string kPrefix = "masticstep-daemons/";
 // Work of a prompt lasts some tens of milliseconds, so older reports are of little use.
 constexpr Duration kReportInterval = Milliseconds(20);
+// With more others than this, reports are rarer, so that their number a second stays the same.
+constexpr std::int64_t kPeersAtInterval = 3;
 // A daemon without changes repeats its report before the others forget it.
 constexpr Duration kRepeatInterval = Milliseconds(300);
 // Daemons that come later are known by their reports.
@@ -35,7 +37,7 @@
 // All daemons may start together, so the first list may be short.
 constexpr Duration kSecondDiscovery = Seconds(3);
 constexpr Duration kRetryInterval = Milliseconds(1000);
-constexpr std::size_t kMaximumPeers = 64;
+constexpr std::size_t kMaximumPeers = 128;
 constexpr IntegerRange kPorts{ 1, 65535 };
 
 } // namespace
@@ -133,7 +135,9 @@
     const Time now = net::Now();
     ChooseSentinel(now);
     dispatch::WorkByBackend work = mParts->dispatcher.OwnWork(now);
-    if (mPeers.empty() || (work == sent && now < sentAt + kRepeatInterval)) {
+    const std::int64_t share = static_cast<std::int64_t>(mPeers.size()) / kPeersAtInterval;
+    const bool isEarly = now < sentAt + kReportInterval * share;
+    if (mPeers.empty() || isEarly || (work == sent && now < sentAt + kRepeatInterval)) {
       continue;
     }
     wire::WorkReport report{ mHost,
--- a/libs/relay/tests/FollowersTests.cpp
+++ b/libs/relay/tests/FollowersTests.cpp
@@ -1,5 +1,6 @@
 #include "Followers.hpp"
 #include "RelayBed.hpp"
+#include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/testing/Test.hpp"
 
@@ -81,7 +82,7 @@
   void RunUntil(const std::function<bool()>& aHolds)
   {
     while (!aHolds()) {
-      context.run_one();
+      context.run_one_for(std::chrono::milliseconds(100));
     }
   }
   bool Has(const std::string& aId) const
@@ -160,3 +161,24 @@
   bed.feed->reads.push_back(TableFeed{ TableOf(11), 14 });
   bed.RunUntil([&bed] { return bed.parts->table->Version() == 11; });
 }
+
+// Guards against a daemon that gives up asking while its watch waits at a store that forgot it: the
+// first read fell into the outage too.
+MASTICSTEP_TEST("a daemon whose watch was forgotten reads until the store answers",
+                "[relay][followers][failure]")
+{
+  Bed bed;
+  bed.feed->reads.push_back(TableFeed{ TableOf(8), 10 });
+  bed.feed->reads.push_back(Failure(FeedError{ FeedErrorKind::Unavailable, {} }));
+  bed.feed->reads.push_back(TableFeed{ TableOf(11), 14 });
+  bed.followers = std::make_shared<Followers>(bed.parts, bed.feed,
+                                              FollowOptions{ Milliseconds(1), Milliseconds(1), 1 });
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->FollowTable(); }, boost::asio::detached);
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->GuardTable(); }, boost::asio::detached);
+  const Time end = net::Now() + Seconds(5);
+  bed.RunUntil(
+    [&] { return net::Now() > end || (bed.parts->table && bed.parts->table->Version() == 11); });
+  CHECK_TRUE(bed.parts->table && bed.parts->table->Version() == 11);
+}
