Let a caller's patience begin anew with each event

Cause: a resumable stream whose engine broke off more than two seconds after its arrival was refused by the queue, since its first event counted as late.

--- a/libs/dispatch/include/masticstep/dispatch/Route.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Route.hpp
@@ -48,6 +48,10 @@
   bool operator==(const Route&) const = default;
 };
 
+// Returns when the caller of a stream leaves if it has got nothing since this time: its arrival, or
+// its last event.
+Time LeavesAt(const Route& aRoute, Time aSince);
+
 // Returns the service of a request. The same request always gets the same one.
 const ServiceName& ChooseService(const Route& aRoute, std::string_view aRequestId);
 
--- a/libs/dispatch/src/Route.cpp
+++ b/libs/dispatch/src/Route.cpp
@@ -2,8 +2,19 @@
 
 #include "masticstep/base/Hash.hpp"
 
+#include <algorithm>
+
 namespace masticstep::dispatch {
 
+Time LeavesAt(const Route& aRoute, Time aSince)
+{
+  constexpr Duration kShortestPatience = Seconds(2);
+  constexpr std::int64_t kPatienceInTargets = 4;
+  constexpr std::int64_t kPatienceInPauses = 8;
+  return aSince + std::max({ kShortestPatience, aRoute.target * kPatienceInTargets,
+                             aRoute.gapTarget * kPatienceInPauses });
+}
+
 const ServiceName& ChooseService(const Route& aRoute, std::string_view aRequestId)
 {
   std::uint64_t total = 0;
--- a/libs/dispatch/tests/RouteTableTests.cpp
+++ b/libs/dispatch/tests/RouteTableTests.cpp
@@ -62,3 +62,18 @@
   CHECK_TRUE(counts[ServiceName{ "most" }] > 1700);
   CHECK_TRUE(counts[ServiceName{ "few" }] > 100);
 }
+
+// Guards against refusing to resume a stream because its first event would be late by now.
+MASTICSTEP_TEST("a caller's patience begins anew with each event", "[dispatch][routes]")
+{
+  Route route = MakeRoute("r", "/a/");
+  route.target = Milliseconds(400);
+  route.gapTarget = Milliseconds(150);
+  const Time arrived{ Seconds(100) };
+  CHECK_TRUE(LeavesAt(route, arrived) == arrived + Seconds(2));
+  CHECK_TRUE(LeavesAt(route, arrived + Seconds(4)) == arrived + Seconds(6));
+  route.target = Milliseconds(800);
+  CHECK_TRUE(LeavesAt(route, arrived) == arrived + Milliseconds(3200));
+  route.gapTarget = Milliseconds(500);
+  CHECK_TRUE(LeavesAt(route, arrived) == arrived + Milliseconds(4000));
+}
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -19,9 +19,7 @@
 
 // A stream that may be resumed is taken up elsewhere after this time without a byte.
 constexpr Duration kSilence = Milliseconds(1000);
-// Callers leave a stream without its first event after the longest of this time, four times the
-// target and eight times the longest pause.
-constexpr Duration kShortestPatience = Seconds(2);
+// The first event must be on its way before the caller leaves.
 constexpr Duration kPatienceReserve = Milliseconds(300);
 constexpr std::uint32_t kMaximumReads = 3;
 constexpr std::uint32_t kHandoversOfOneRead = 2;
@@ -102,15 +100,14 @@
 dispatch::WaitingPrompt PromptSession::Waiting() const
 {
   const dispatch::Route& route = *mIncoming.route;
-  const Duration patience =
-    std::max({ kShortestPatience, route.target * 4, route.gapTarget * 8 }) - kPatienceReserve;
+  const Time leaves = dispatch::LeavesAt(route, mLastEvent.value_or(mIncoming.arrived));
   dispatch::WaitingPrompt waiting;
   waiting.id = mIncoming.number;
   waiting.work = mWork;
   waiting.priority = route.priority;
   waiting.arrived = mIncoming.arrived;
   waiting.target = mIncoming.arrived + route.target;
-  waiting.giveUp = std::min(mIncoming.arrived + patience, mIncoming.deadline);
+  waiting.giveUp = std::min(leaves - kPatienceReserve, mIncoming.deadline);
   return waiting;
 }
 
@@ -275,6 +272,7 @@
     net::HttpResponseHead head{ aHead.status, mParts->dialect->ToCaller(aExchange.Headers()) };
     mResponder.StartStream(std::move(head));
   }
+  mLastEvent = net::Now();
   const Result<void, net::NetError> written = co_await mResponder.WriteChunk(whole);
   co_return written.has_value() && !IsGone();
 }
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -53,6 +53,7 @@
   std::uint32_t mRefusedHandovers = 0;
   Time mSent; // when the engine was last asked for the answer
   std::optional<Time> mFirstEvent;
+  std::optional<Time> mLastEvent;
 };
 
 } // namespace masticstep::relay
