--- a/libs/relay/tests/PlainSessionTests.cpp
+++ b/libs/relay/tests/PlainSessionTests.cpp
@@ -8,7 +8,7 @@
 
 using Then = ScriptedAnswer::Then;
 
-ScriptedBackend::Script Always(ScriptedAnswer aAnswer)
+ScriptedBackend::Script Always(const ScriptedAnswer& aAnswer)
 {
   return [aAnswer](const std::string&) { return aAnswer; };
 }
