--- a/tests/integration/TlsTests.cpp
+++ b/tests/integration/TlsTests.cpp
@@ -71,7 +71,7 @@
   DaemonProcess stranger(fleet.SettingsOfAnother("stranger", strangers), fleet.Folder());
   stranger.Start();
   const auto hasRefused = [&] {
-    return fleet.Daemon(0).Child().ErrorText().find("handshake: ") != std::string::npos;
+    return fleet.Daemon(0).Child().OutputText().find("handshake: ") != std::string::npos;
   };
   CHECK_TRUE(WaitUntil(kLimit, hasRefused));
   DaemonProcess late(fleet.SettingsOfAnother("late", fleet.Authority()), fleet.Folder());
--- a/tests/integration/support/Process.cpp
+++ b/tests/integration/support/Process.cpp
@@ -21,6 +21,14 @@
 
 namespace {
 
+std::string TextOf(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 constexpr Duration kPollInterval = Milliseconds(10);
 constexpr std::size_t kMaximumChildren = 256;
 // Below the time limit of CTest, which would kill the test and leave its children running.
@@ -141,12 +149,14 @@
   return line;
 }
 
+std::string Process::OutputText() const
+{
+  return TextOf(mFile + ".out");
+}
+
 std::string Process::ErrorText() const
 {
-  std::ifstream file(mFile + ".err");
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
+  return TextOf(mFile + ".err");
 }
 
 void PollPause()
--- a/tests/integration/support/Process.hpp
+++ b/tests/integration/support/Process.hpp
@@ -30,6 +30,8 @@
   bool IsRunning();
   // Returns the first line of its standard output, or an empty text if none comes in time.
   std::string FirstLine(Duration aLimit);
+  // Returns all of its standard output, to which daemons write their logs.
+  std::string OutputText() const;
   std::string ErrorText() const;
 
 private:
