Answer a request that arrives as the server stops

Cause: when a stopping server closed its idle connections, the event loop might already have taken a request from the socket without the connection having seen it. The connection counted as idle, was closed, and the request was then handled all the same: it ran at an engine and its caller got a closed connection. The same could happen at the end of the idle time.

Change: a stopping server cancels the read that waits instead of closing the connection; a read that has taken input goes on, and its request is answered with "Connection: close". A read whose stream was closed meanwhile fails.

Conclusion: a planned stop no longer cuts these requests.

--- a/libs/net/include/masticstep/net/ByteStream.hpp
+++ b/libs/net/include/masticstep/net/ByteStream.hpp
@@ -30,6 +30,8 @@
   // used during ReadSome.
   virtual void WatchForClose(std::function<void()> aCallback) = 0;
   virtual void StopWatch() = 0;
+  // Fails a read that waits for input with Cancelled. A read that has taken input is not affected.
+  virtual void CancelRead() = 0;
   // Fails operations that wait with Cancelled.
   virtual void Close() = 0;
   virtual bool IsOpen() const = 0;
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -201,8 +201,9 @@
 
 void ServerConnection::CloseIfIdle()
 {
+  // Input may have been taken from the socket already; then the request is answered.
   if (mIsIdle && mStream->IsOpen() && !mStream->HasInput()) {
-    mStream->Close();
+    mStream->CancelRead();
   }
 }
 
--- a/libs/net/src/SocketStream.cpp
+++ b/libs/net/src/SocketStream.cpp
@@ -116,6 +116,10 @@
   const auto [ec, n] =
     co_await mNext.async_read_some(asio::buffer(aBuffer.data(), aBuffer.size()), kAsResult);
   mDeadline->Stop();
+  if (!ec && !IsOpen()) {
+    // Closed after the input was taken from the socket; nothing can be answered any more.
+    co_return Failure(ErrorOf(asio::error::operation_aborted));
+  }
   if (ec) {
     const NetError error = ErrorOf(ec);
     Close();
@@ -199,6 +203,13 @@
   }
 }
 
+template <class Next>
+void SocketStream<Next>::CancelRead()
+{
+  boost::system::error_code ec;
+  Lowest().cancel(ec);
+}
+
 template <class Next>
 void SocketStream<Next>::Close()
 {
--- a/libs/net/src/SocketStream.hpp
+++ b/libs/net/src/SocketStream.hpp
@@ -27,6 +27,7 @@
   Task<Result<void, NetError>> WriteAll(std::string_view aBytes, Duration aTimeout) override;
   void WatchForClose(std::function<void()> aCallback) override;
   void StopWatch() override;
+  void CancelRead() override;
   void Close() override;
   bool IsOpen() const override;
   bool HasInput() override;
