Follow a changed store address with leases and orders too

Cause: a change of the store's address in the settings made a second client for the list and the configuration, while leases, orders and the entry of the daemon stayed with the old one until a restart.

Change: there is one client, whose address changes; its backoff begins anew. Followers read the whole state from the new address at once.

Measured: tests "calls after a change of the address go to the new one" and "a new feed is read at once while the old one stays silent"; the second needs what it tests to end within 5 s.

--- a/libs/platform_client/include/masticstep/platform_client/HttpObjectStore.hpp
+++ b/libs/platform_client/include/masticstep/platform_client/HttpObjectStore.hpp
@@ -49,6 +49,8 @@
   // Same for coroutines.
   net::Task<platform::PlatformReply> Call(platform::PlatformRequest aRequest);
   StoreCounters Counters() const;
+  // Later calls go to this address. Calls under way stay where they are.
+  void SetAddress(net::HostPort aAddress);
 
 private:
   struct Shared;
--- a/libs/platform_client/src/HttpObjectStore.cpp
+++ b/libs/platform_client/src/HttpObjectStore.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace masticstep::platform_client {
@@ -34,27 +35,30 @@
     : options(std::move(aOptions))
     , pool(net::ConnectionPool::Create())
     , form(options.form ? options.form : std::make_shared<const HttpForm>(options.path))
+    , address(options.address)
     , gate(options.gate, options.seed)
   {
   }
 
-  bool Admit();
+  // Returns where the call goes; nothing if it is held back.
+  std::optional<net::HostPort> Admit();
   void Note(const PlatformReply& aReply);
 
   const StoreOptions options;
   const std::shared_ptr<net::ConnectionPool> pool;
   const std::shared_ptr<const ObjectForm> form;
   std::mutex mutex; // guards the members below
+  net::HostPort address;
   CallGate gate;
   StoreCounters counters;
 };
 
-bool HttpObjectStore::Shared::Admit()
+std::optional<net::HostPort> HttpObjectStore::Shared::Admit()
 {
   const std::lock_guard<std::mutex> lock(mutex);
   const bool admitted = gate.Admit(net::Now());
   (admitted ? counters.calls : counters.heldBack) += 1;
-  return admitted;
+  return admitted ? std::optional<net::HostPort>(address) : std::nullopt;
 }
 
 void HttpObjectStore::Shared::Note(const PlatformReply& aReply)
@@ -105,14 +109,15 @@
 net::Task<PlatformReply> HttpObjectStore::Call(PlatformRequest aRequest)
 {
   const std::shared_ptr<Shared> shared = mShared;
-  if (!shared->Admit()) {
+  const std::optional<net::HostPort> address = shared->Admit();
+  if (!address) {
     co_return PlatformReply{ aRequest.number, PlatformStatus::NotSent, {}, {}, 0, {}, false };
   }
   const StoreOptions& options = shared->options;
   const net::FetchLimits limits{ options.connect, TimeLimit(aRequest, options.call),
                                  platform::kMaximumObjectBytes * 4 };
   PlatformReply reply =
-    co_await Exchange(shared->pool, shared->form, options.address, std::move(aRequest), limits);
+    co_await Exchange(shared->pool, shared->form, *address, std::move(aRequest), limits);
   shared->Note(reply);
   co_return reply;
 }
@@ -134,4 +139,12 @@
   return mShared->counters;
 }
 
+void HttpObjectStore::SetAddress(net::HostPort aAddress)
+{
+  const std::lock_guard<std::mutex> lock(mShared->mutex);
+  mShared->address = std::move(aAddress);
+  // What was wrong with the old address says nothing about the new one.
+  mShared->gate.OnAnswer();
+}
+
 } // namespace masticstep::platform_client
--- a/libs/platform_client/tests/HttpObjectStoreTests.cpp
+++ b/libs/platform_client/tests/HttpObjectStoreTests.cpp
@@ -125,6 +125,21 @@
              PlatformStatus::Conflict);
 }
 
+// Guards against leases and orders that stay with the old store after a change of the settings.
+MASTICSTEP_TEST("calls after a change of the address go to the new one", "[platform_client]")
+{
+  Fixture before;
+  Fixture after;
+  before.handler->mStatus = 503;
+  while (before.Call(ReadRequest{ kKey }).status != PlatformStatus::NotSent) {
+    // Until the failures hold calls back.
+  }
+  before.store.SetAddress({ "127.0.0.1", after.server->Port() });
+  CHECK_TRUE(before.Call(ConditionalWrite{ kKey, std::nullopt, "x" }).status ==
+             PlatformStatus::Done);
+  CHECK_EQUAL(std::string("x"), after.Call(ReadRequest{ kKey }).body);
+}
+
 // Guards I5: only a call of which no byte was sent may be reported as not sent.
 MASTICSTEP_TEST("lost answers are unknown and refused connections not sent",
                 "[platform_client][failure]")
--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -71,8 +71,8 @@
   void Drain();
   // Called when the settings may have changed: on SIGHUP, and from time to time.
   void OnReload(std::function<void()> aReload);
-  // Follows the platform at another address.
-  void SetFeed(const AccessFactory& aAccess);
+  // Follows the platform by another feed, or by the same one at a new address.
+  void SetFeed(std::shared_ptr<PlatformFeed> aFeed);
   void SetRetryBounds(dispatch::RetryBounds aBounds);
 
   std::uint16_t CallerPort() const { return mCallers->Port(); }
--- a/libs/relay/src/Followers.cpp
+++ b/libs/relay/src/Followers.cpp
@@ -34,6 +34,8 @@
 void Followers::SetFeed(std::shared_ptr<PlatformFeed> aFeed)
 {
   mFeed = std::move(aFeed);
+  mBackends.hasNewFeed = true;
+  mTable.hasNewFeed = true;
 }
 
 void Followers::OnAnswer(Course& aCourse)
@@ -111,6 +113,9 @@
 bool Followers::MustRead(Course& aCourse, std::uint64_t aOwn, std::uint64_t aPeers)
 {
   const Time now = net::Now();
+  if (std::exchange(aCourse.hasNewFeed, false)) {
+    return true;
+  }
   if (!aCourse.isGood) {
     // The follower itself tries again, unless it waits for a watch that the store may have
     // forgotten.
--- a/libs/relay/src/Followers.hpp
+++ b/libs/relay/src/Followers.hpp
@@ -35,7 +35,8 @@
   net::Task<void> ExpireBackends();
   // Called after each new configuration.
   void OnTable(std::function<void()> aCallback) { mOnTable = std::move(aCallback); }
-  // Replaces the feed, for example after a change of its address.
+  // Replaces the feed and reads the whole state from the new one, for example after a change of the
+  // platform's address: the watches that wait at the old one may never be answered.
   void SetFeed(std::shared_ptr<PlatformFeed> aFeed);
 
 private:
@@ -45,6 +46,7 @@
     const char* name;
     bool isGood = false;
     bool isWatching = false;    // a watch waits for its answer
+    bool hasNewFeed = false;    // and its state has not been read yet
     Time answered{};            // time of the last answer
     Time failed{};              // time of the last failure
     std::uint64_t revision = 0; // of the newest state that was taken
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -188,9 +188,9 @@
   mReload = std::move(aReload);
 }
 
-void RelayDaemon::SetFeed(const AccessFactory& aAccess)
+void RelayDaemon::SetFeed(std::shared_ptr<PlatformFeed> aFeed)
 {
-  mFollowers->SetFeed(aAccess(mContext.get_executor()).feed);
+  mFollowers->SetFeed(std::move(aFeed));
 }
 
 void RelayDaemon::SetRetryBounds(dispatch::RetryBounds aBounds)
--- a/libs/relay/tests/FollowersTests.cpp
+++ b/libs/relay/tests/FollowersTests.cpp
@@ -182,3 +182,22 @@
     [&] { return net::Now() > end || (bed.parts->table && bed.parts->table->Version() == 11); });
   CHECK_TRUE(bed.parts->table && bed.parts->table->Version() == 11);
 }
+
+// Guards against a daemon that waits at the platform's old address after a change of its settings.
+MASTICSTEP_TEST("a new feed is read at once while the old one stays silent",
+                "[relay][followers][config]")
+{
+  Bed bed;
+  bed.feed->lists.push_back(BackendFeed{ {}, 5 });
+  const std::shared_ptr<QueuedFeed> next = std::make_shared<QueuedFeed>();
+  next->lists.push_back(BackendFeed{ { { BackendServerName{ "a" }, MakeBackend("a"), 8 } }, 9 });
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->FollowBackends(); }, boost::asio::detached);
+  boost::asio::co_spawn(
+    bed.context, [&bed] { return bed.followers->GuardBackends(); }, boost::asio::detached);
+  bed.RunUntil([&bed] { return bed.feed->watched.size() == 1; });
+  bed.followers->SetFeed(next);
+  const Time end = net::Now() + Seconds(5);
+  bed.RunUntil([&] { return net::Now() > end || bed.Has("a"); });
+  CHECK_TRUE(bed.Has("a"));
+}
