Replace the entry of an earlier process at another address

Cause: a daemon took a refused creation of its entry for its own entry. If a daemon of the same name had run at another address, the others went on sending their work reports there.

Change: the daemon lists first, and writes its entry if it is missing or says something else.

Measured: test "a daemon replaces the entry of an earlier process at another address" (before, such a daemon made one write and kept the old address).

Conclusion: a host that comes back at a new address is found by the others.

--- a/libs/relay/src/WorkSharing.cpp
+++ b/libs/relay/src/WorkSharing.cpp
@@ -192,20 +192,11 @@
   const std::shared_ptr<WorkSharing> self = shared_from_this();
   bool isFirst = true;
   while (true) {
-    if (!mIsEntered) {
-      platform::PlatformCall write =
-        platform::ConditionalWrite{ platform::ObjectKey{ kPrefix + mHost.Text() }, std::nullopt,
-                                    OwnEntry() };
-      const PlatformReply written = co_await Call(std::move(write));
-      // An entry that is there already is of an earlier process on this host, with the same
-      // content.
-      mIsEntered =
-        written.status == PlatformStatus::Done || written.status == PlatformStatus::Conflict;
-    }
     platform::PlatformCall list = platform::ListRequest{ kPrefix, {} };
     const PlatformReply listed = co_await Call(std::move(list));
     if (listed.status == PlatformStatus::Done) {
       TakePeers(listed.items);
+      mIsEntered = co_await Enter(listed.items);
     }
     const bool isDone = mIsEntered && listed.status == PlatformStatus::Done;
     if (!isDone) {
@@ -217,6 +208,25 @@
   }
 }
 
+net::Task<bool> WorkSharing::Enter(const std::vector<platform::ObjectChange>& aEntries)
+{
+  const platform::ObjectKey key{ kPrefix + mHost.Text() };
+  std::optional<platform::Version> found;
+  for (const platform::ObjectChange& entry : aEntries) {
+    if (entry.key != key) {
+      continue;
+    }
+    if (entry.body == OwnEntry()) {
+      co_return true;
+    }
+    // Of an earlier process of this name, at another address.
+    found = entry.version;
+  }
+  platform::PlatformCall write = platform::ConditionalWrite{ key, found, OwnEntry() };
+  const PlatformReply written = co_await Call(std::move(write));
+  co_return written.status == PlatformStatus::Done;
+}
+
 void WorkSharing::TakePeers(const std::vector<platform::ObjectChange>& aEntries)
 {
   std::vector<Udp::endpoint> peers;
--- a/libs/relay/src/WorkSharing.hpp
+++ b/libs/relay/src/WorkSharing.hpp
@@ -35,6 +35,8 @@
               HostName aHost, DataCentreName aDataCentre, net::HostPort aAddress,
               Udp::socket aSocket);
   net::Task<platform::PlatformReply> Call(platform::PlatformCall aCall);
+  // Writes this daemon's entry unless it is there; returns whether it is there now.
+  net::Task<bool> Enter(const std::vector<platform::ObjectChange>& aEntries);
   void TakePeers(const std::vector<platform::ObjectChange>& aEntries);
   // Takes a report of another daemon, which may not have been listed yet.
   void Take(std::string_view aDatagram, const Udp::endpoint& aSender);
--- /dev/null
+++ b/libs/relay/tests/WorkSharingTests.cpp
@@ -0,0 +1,76 @@
+#include "WorkSharing.hpp"
+
+#include "RelayBed.hpp"
+#include "masticstep/platform/InMemoryPlatform.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+using namespace masticstep;
+using namespace masticstep::relay;
+
+namespace {
+
+const platform::ObjectKey kOwn{ "masticstep-daemons/host-1" };
+
+// Store in memory that answers at once.
+class DirectStore : public platform::ObjectStore
+{
+public:
+  void Submit(platform::PlatformRequest aRequest, Callback aCallback) override
+  {
+    writes += std::holds_alternative<platform::ConditionalWrite>(aRequest.call) ? 1 : 0;
+    platform::PlatformReply reply = mPlatform.Apply(aRequest);
+    for (platform::ObjectChange& item : reply.items) {
+      item.body = mPlatform.Apply({ 0, platform::ReadRequest{ item.key } }).body;
+    }
+    aCallback(std::move(reply));
+  }
+  std::string Read(const platform::ObjectKey& aKey)
+  {
+    return mPlatform.Apply({ 0, platform::ReadRequest{ aKey } }).body;
+  }
+
+  int writes = 0;
+
+private:
+  platform::InMemoryPlatform mPlatform;
+};
+
+// Lets a daemon of the name enter itself into the store.
+void Enter(const std::shared_ptr<DirectStore>& aStore)
+{
+  boost::asio::io_context context(1);
+  const std::shared_ptr<RelayParts> parts = std::make_shared<RelayParts>(
+    context.get_executor(), std::make_shared<TestDialect>(), dispatch::Place{}, 1);
+  const std::shared_ptr<WorkSharing> sharing = WorkSharing::Create(
+    parts, aStore, HostName{ "host-1" }, DataCentreName{ "east" }, { "127.0.0.1", 0 });
+  boost::asio::co_spawn(
+    context, [&sharing] { return sharing->Discover(); }, boost::asio::detached);
+  context.poll();
+}
+
+} // namespace
+
+// Guards against a daemon that the others look for at the address of its predecessor.
+MASTICSTEP_TEST("a daemon replaces the entry of an earlier process at another address",
+                "[relay][sharing]")
+{
+  const std::shared_ptr<DirectStore> store = std::make_shared<DirectStore>();
+  store->Submit(
+    { 1, platform::ConditionalWrite{ kOwn, std::nullopt,
+                                     R"({"ip":"127.0.0.9","port":1,"data_centre":"x"})" } },
+    [](const platform::PlatformReply&) {});
+  Enter(store);
+  CHECK_EQUAL(2, store->writes);
+  CHECK_TRUE(store->Read(kOwn).find("127.0.0.1") != std::string::npos);
+}
+
+MASTICSTEP_TEST("a daemon enters itself once", "[relay][sharing]")
+{
+  const std::shared_ptr<DirectStore> store = std::make_shared<DirectStore>();
+  Enter(store);
+  CHECK_EQUAL(1, store->writes);
+  CHECK_TRUE(store->Read(kOwn).find("east") != std::string::npos);
+}
