Play the real daemons under random faults

The stand-ins' Exchange takes headers for streams and raw bytes, and ProxyServer's faults can be set in the process.

Conclusion: each check has a test that it finds its fault. Jumping clocks are not covered.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 CASE ?=
 
-.PHONY: all install build test run bench check format fuzz
+.PHONY: all install build test run bench check format fuzz soak
 all: build
 
 install:
@@ -42,5 +42,11 @@
 	mkdir -p $(BUILD)-fuzz/found_$(FUZZ)
 	$(BUILD)-fuzz/fuzz/fuzz_$(FUZZ) -max_total_time=60 -seed=1 $(BUILD)-fuzz/found_$(FUZZ) fuzz/corpus/$(FUZZ)
 
+# Plays soak runs (docs/SOAK.md) from a seed on, for some minutes; folders of failed runs stay in soak-runs.
+SEED ?= 1
+MINUTES ?= 3
+soak: build
+	tools/soak.py --build $(BUILD) --seed $(SEED) --minutes $(MINUTES) --jobs $(JOBS) --regressions
+
 format:
 	git ls-files -co --exclude-standard -- '*.cpp' '*.hpp' ':!:*generated*' | xargs clang-format -i
--- a/standins/common/Exchange.cpp
+++ b/standins/common/Exchange.cpp
@@ -113,11 +113,14 @@
   co_await ReplyJson(aStatus, std::move(body));
 }
 
-Awaitable<bool> Exchange::BeginEvents()
+Awaitable<bool> Exchange::BeginEvents(std::vector<Header> aHeaders)
 {
   http::response<http::empty_body> response(http::status::ok, mRequest.version());
   response.keep_alive(mRequest.keep_alive());
   response.set(http::field::content_type, "text/event-stream");
+  for (const Header& header : aHeaders) {
+    response.set(header.name, header.value);
+  }
   response.chunked(true);
   http::response_serializer<http::empty_body> serializer(response);
   ErrorCode ec;
@@ -141,6 +144,13 @@
                              asio::redirect_error(asio::use_awaitable, ec));
 }
 
+Awaitable<void> Exchange::SendRaw(std::string aBytes)
+{
+  ErrorCode ec;
+  co_await asio::async_write(*mSocket, asio::buffer(aBytes),
+                             asio::redirect_error(asio::use_awaitable, ec));
+}
+
 void Exchange::Drop()
 {
   ErrorCode ec;
--- a/standins/common/Exchange.hpp
+++ b/standins/common/Exchange.hpp
@@ -47,10 +47,12 @@
   Awaitable<void> ReplyError(unsigned aStatus, std::string aType, std::string aMessage);
 
   // Server-sent events; the functions return false when the peer has gone.
-  Awaitable<bool> BeginEvents();
+  Awaitable<bool> BeginEvents(std::vector<Header> aHeaders = {});
   Awaitable<bool> SendEvents(std::string aText);
   Awaitable<void> EndEvents();
 
+  // Sends bytes as they are, also such that are no answer.
+  Awaitable<void> SendRaw(std::string aBytes);
   // Closes the connection without sending anything more.
   void Drop();
   bool IsOpen() const { return mSocket->is_open(); }
--- a/standins/fault_proxy/ProxyServer.hpp
+++ b/standins/fault_proxy/ProxyServer.hpp
@@ -20,6 +20,8 @@
   Address BoundAddress() const;
   // Handles POST /standin/faults and GET /standin/counters.
   Awaitable<void> Handle(Exchange& aExchange) override;
+  // Sets the faults of the members that the object has, as POST /standin/faults does.
+  void ApplyFaults(const boost::json::object& aBody);
 
 private:
   struct Link
@@ -36,7 +38,6 @@
   Awaitable<void> Pump(LinkPointer aLink, bool aToTarget);
   Awaitable<void> WaitWhileSilent(LinkPointer aLink, bool aToTarget);
   void Close(Link& aLink);
-  void ApplyFaults(const boost::json::object& aBody);
 
   asio::io_context* mContext;
   Tcp::acceptor mAcceptor;
--- /dev/null
+++ b/tests/soak/Checks.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "History.hpp"
+
+namespace masticstep::soak {
+
+// Bounds that the daemons are told in their settings and that the checks hold them to.
+struct Bounds
+{
+  Duration contact = Seconds(4);
+  Duration drain = Milliseconds(2500);
+  Duration configuration = Milliseconds(2500);
+  Duration lease = Seconds(3);
+  Duration recovery = Seconds(12);
+  Duration lossSlack = Milliseconds(200);
+  Duration grace = Seconds(8);
+  double retryRatio = 0.2;
+  double retrySlack = 20;
+  Duration retryWindow = Seconds(10);
+  std::uint32_t attempts = 3; // servers on which one repeatable call may run
+};
+
+struct Finding
+{
+  std::string rule;
+  std::string text;
+
+  bool operator==(const Finding&) const = default;
+};
+
+using Findings = std::vector<Finding>;
+
+// Each check adds what it finds. A rule names the promise that was broken.
+void CheckRunsOnce(const History& aHistory, Findings& aFindings);
+void CheckRefusals(const History& aHistory, Findings& aFindings);
+void CheckAnswers(const History& aHistory, Findings& aFindings);
+void CheckStreams(const History& aHistory, Findings& aFindings);
+void CheckMessages(const History& aHistory, Findings& aFindings);
+void CheckAttempts(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+void CheckRetryBudget(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+void CheckConfiguration(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+void CheckDrain(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+void CheckPlannedStops(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+void CheckTimeouts(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+void CheckDepartures(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+void CheckOrders(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+// Calls sent from the given time on find no fault any more.
+void CheckRecovery(const History& aHistory, Time aCalmSince, Findings& aFindings);
+
+// What a run amounted to.
+struct Summary
+{
+  std::uint64_t calls = 0;
+  std::uint64_t served = 0;
+  std::uint64_t runs = 0;
+  std::uint64_t orders = 0;
+};
+
+Summary Summarize(const History& aHistory);
+
+Findings CheckAll(const History& aHistory, const Bounds& aBounds, Time aCalmSince);
+
+} // namespace masticstep::soak
--- /dev/null
+++ b/tests/soak/Engine.cpp
@@ -0,0 +1,410 @@
+#include "Engine.hpp"
+
+#include "common/JsonFields.hpp"
+#include "common/TokenBucket.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace masticstep::soak {
+
+using standins::Exchange;
+using standins::Header;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kReadTime = Milliseconds(12);
+constexpr Duration kRunTime = Milliseconds(10);
+constexpr Duration kStepTime = Milliseconds(8);
+constexpr Duration kStageChange = Milliseconds(800);
+constexpr Duration kRegisterPause = Milliseconds(200);
+constexpr Duration kDarkest = Seconds(20);
+constexpr Duration kDeadlineSlack = Milliseconds(500);
+constexpr std::uint32_t kSlots = 16;
+
+constexpr const char* kId = "Masticstep-Request-Attempt-Id";
+
+std::uint64_t NumberOf(const std::string& aText)
+{
+  std::uint64_t number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
+std::string EventText(const std::string& aCallId, std::uint64_t aNumber)
+{
+  const std::string number = std::to_string(aNumber);
+  return "id: " + number + "\ndata: " + aCallId + "/" + number + "\n\n";
+}
+
+} // namespace
+
+Engine::Engine(EngineRoom& aRoom, EngineOptions aOptions)
+  : mRoom(aRoom)
+  , mOptions(std::move(aOptions))
+  , mStage(mOptions.stage)
+{
+}
+
+boost::json::value Engine::Entry() const
+{
+  boost::json::object entry{ { "service", mOptions.service },
+                             { "address", mAddress },
+                             { "zone", mOptions.dataCentre },
+                             { "version", 1 },
+                             { "slots", kSlots },
+                             { "state", mIsLeaving ? "draining" : "ready" },
+                             { "coldRemainingMs", 0 },
+                             { "sequence", 1 },
+                             { "born", 1700000000000 + static_cast<std::int64_t>(mLife) } };
+  if (!mStage.empty()) {
+    entry["stage"] = mStage;
+    entry["models"] = boost::json::array();
+  }
+  return entry;
+}
+
+void Engine::WriteEntry()
+{
+  mRoom.store->Put("servers", mId, Entry());
+}
+
+Awaitable<void> Engine::Start()
+{
+  ++mLife;
+  mId = mOptions.name + "-" + std::to_string(mLife);
+  mStage = mOptions.stage;
+  mIsUp = true;
+  mIsLeaving = false;
+  mIsChanging = false;
+  mHighestFencing = 0;
+  const std::uint64_t life = mLife;
+  while (!mRoom.store->IsReachable()) {
+    co_await standins::Pause(kRegisterPause);
+  }
+  if (IsLiving(life)) {
+    WriteEntry();
+  }
+}
+
+void Engine::Crash()
+{
+  mIsUp = false;
+  std::erase_if(mRoom.prompts, [this](const auto& aItem) { return aItem.second.engine == mId; });
+  mChanged.NotifyAll();
+}
+
+void Engine::Forget()
+{
+  mRoom.store->Remove("servers", mId);
+}
+
+Awaitable<void> Engine::Leave()
+{
+  const std::uint64_t life = mLife;
+  while (!mRoom.store->IsReachable()) {
+    co_await standins::Pause(kRegisterPause);
+  }
+  if (IsLiving(life) && !mIsLeaving) {
+    mIsLeaving = true;
+    WriteEntry();
+    mRoom.history->AddLeave({ mId, standins::Now() });
+  }
+}
+
+Awaitable<void> Engine::EnterAgain(Duration aPause)
+{
+  const std::uint64_t life = mLife;
+  Forget();
+  co_await standins::Pause(aPause);
+  if (IsLiving(life)) {
+    WriteEntry();
+  }
+}
+
+bool Engine::Happens(double aShare)
+{
+  constexpr std::uint64_t kParts = 1000;
+  return aShare > 0.0 && static_cast<double>(mRoom.random() % kParts) < aShare * kParts;
+}
+
+bool Engine::IsAsSent(const Exchange& aExchange) const
+{
+  const CallRecord* call = mRoom.history->FindCall(aExchange.HeaderValue(kId));
+  if (call == nullptr) {
+    return false;
+  }
+  const std::string prompt = aExchange.HeaderValue("Masticstep-Model") + "|" +
+                             aExchange.HeaderValue("Masticstep-Token-Counts") + "|" +
+                             aExchange.HeaderValue("Masticstep-Prompt-Prefix");
+  const bool hasForeignHeader = !aExchange.HeaderValue("Masticstep-Kv-Hold").empty() ||
+                                !aExchange.HeaderValue("Masticstep-Pin-Milliseconds").empty() ||
+                                !aExchange.HeaderValue("Masticstep-Kv-Backup").empty();
+  const std::uint64_t left = NumberOf(aExchange.HeaderValue("Masticstep-Deadline-Milliseconds"));
+  const bool hasTime =
+    left > 0 && Milliseconds(static_cast<std::int64_t>(left)) <= call->timeout + kDeadlineSlack;
+  return aExchange.Method() == "POST" && aExchange.Path() == call->target &&
+         aExchange.Body() == call->sentBody && prompt == call->promptHeaders && !hasForeignHeader &&
+         hasTime;
+}
+
+Awaitable<void> Engine::Handle(Exchange& aExchange)
+{
+  if (!mIsUp) {
+    aExchange.Drop();
+    co_return;
+  }
+  if (aExchange.Path().starts_with("/masticstep/")) {
+    co_await Control(aExchange);
+    co_return;
+  }
+  const bool readsOnly = aExchange.HeaderValue("Masticstep-Serving-Stage") == "prefill";
+  Request request;
+  request.callId = aExchange.HeaderValue(kId);
+  request.life = mLife;
+  request.arrival =
+    mRoom.history->AddArrival({ request.callId, mId, mOptions.service, standins::Now(), readsOnly,
+                                false, false, IsAsSent(aExchange) });
+  co_await WaitWhileDark(request.life);
+  if (!IsLiving(request.life)) {
+    aExchange.Drop();
+    co_return;
+  }
+  const std::string expected = aExchange.HeaderValue("Masticstep-Expected-Instance");
+  const bool hasWrongStage = !mStage.empty() && readsOnly != (mStage == "prefill");
+  if ((!expected.empty() && expected != mId) || hasWrongStage) {
+    co_await Refuse(aExchange, std::move(request), 421);
+  } else if (mIsChanging || Happens(mFaults.refuses)) {
+    co_await Refuse(aExchange, std::move(request), 503);
+  } else if (readsOnly) {
+    co_await ReadPrompt(aExchange, std::move(request));
+  } else if (mStage.empty()) {
+    co_await Answer(aExchange, std::move(request));
+  } else {
+    co_await Stream(aExchange, std::move(request));
+  }
+}
+
+Awaitable<void> Engine::WaitWhileDark(std::uint64_t aLife)
+{
+  const Time end = standins::Now() + kDarkest;
+  while (mFaults.isDark && IsLiving(aLife) && standins::Now() < end) {
+    co_await mChanged.WaitFor(end - standins::Now());
+  }
+}
+
+std::vector<Header> Engine::Headers(const Request& aRequest, const std::string& aStamp) const
+{
+  std::vector<Header> headers;
+  headers.push_back({ kId, aRequest.callId });
+  headers.push_back({ "Masticstep-Instance-Load", "1,0," + std::to_string(kSlots) });
+  if (!aStamp.empty()) {
+    headers.push_back({ "Masticstep-Response-Stamp", aStamp });
+  }
+  return headers;
+}
+
+Awaitable<void> Engine::Refuse(Exchange& aExchange, Request aRequest, unsigned aStatus)
+{
+  ArrivalRecord& arrival = mRoom.history->Arrival(aRequest.arrival);
+  arrival.isRefused = true;
+  arrival.isMisdirected = aStatus == 421;
+  std::vector<Header> headers = Headers(aRequest, {});
+  headers.push_back({ "Masticstep-Not-Executed", "1" });
+  co_await aExchange.Reply(aStatus, "{}", std::move(headers));
+}
+
+Awaitable<void> Engine::ReadPrompt(Exchange& aExchange, Request aRequest)
+{
+  co_await standins::Pause(kReadTime);
+  if (!IsLiving(aRequest.life) || Happens(mFaults.losesAnswers)) {
+    aExchange.Drop();
+    co_return;
+  }
+  const std::string handle = "h" + std::to_string(++mHandles);
+  mRoom.prompts[mAddress + "/" + handle] = { aRequest.callId, mId };
+  boost::json::object body{ { "handle", handle }, { "tokens", 100 }, { "version", 1 } };
+  std::string text = boost::json::serialize(body);
+  std::vector<Header> headers = Headers(aRequest, {});
+  co_await aExchange.Reply(200, std::move(text), std::move(headers));
+}
+
+std::size_t Engine::BeginRun(const Request& aRequest, unsigned aStatus)
+{
+  RunRecord run;
+  run.callId = aRequest.callId;
+  run.engine = mId;
+  run.service = mOptions.service;
+  run.begunAt = standins::Now();
+  run.status = aStatus;
+  run.stamp = mId + "." + std::to_string(++mRuns) + "." + aRequest.callId;
+  run.body = "{\"engine\":\"" + mId + "\",\"call\":\"" + aRequest.callId + "\"}";
+  return mRoom.history->AddRun(std::move(run));
+}
+
+void Engine::EndRun(std::size_t aRun, bool aHasCrashed)
+{
+  RunRecord& run = mRoom.history->Run(aRun);
+  run.endedAt = standins::Now();
+  run.hasCrashed = aHasCrashed;
+}
+
+Awaitable<void> Engine::Answer(Exchange& aExchange, Request aRequest)
+{
+  const bool isFailure = Happens(mFaults.fails);
+  const std::size_t run = BeginRun(aRequest, isFailure ? 500 : 200);
+  co_await standins::Pause(kRunTime);
+  co_await WaitWhileDark(aRequest.life);
+  EndRun(run, !IsLiving(aRequest.life));
+  if (!IsLiving(aRequest.life) || Happens(mFaults.losesAnswers)) {
+    aExchange.Drop();
+    co_return;
+  }
+  if (Happens(mFaults.sendsGarbage)) {
+    co_await SendBadAnswer(aExchange, std::move(aRequest));
+    co_return;
+  }
+  const RunRecord record = mRoom.history->Run(run);
+  std::vector<Header> headers = Headers(aRequest, record.stamp);
+  co_await aExchange.Reply(record.status, record.body, headers);
+  if (Happens(mFaults.repeatsAnswers) && aExchange.IsOpen()) {
+    co_await aExchange.Reply(record.status, record.body, headers);
+  }
+}
+
+Awaitable<void> Engine::SendBadAnswer(Exchange& aExchange, Request aRequest)
+{
+  if (mRoom.random() % 2 == 0) {
+    co_await aExchange.SendRaw("\x16\x03 this is no answer\r\n\r\n");
+    aExchange.Drop();
+    co_return;
+  }
+  std::vector<Header> headers = Headers(aRequest, {});
+  co_await aExchange.Reply(200, "not signed", std::move(headers));
+}
+
+Awaitable<void> Engine::Stream(Exchange& aExchange, Request aRequest)
+{
+  const std::string source = aExchange.HeaderValue("Masticstep-Kv-Source");
+  const std::map<std::string, KeptPrompt>::iterator kept = mRoom.prompts.find(source);
+  if (!source.empty() && kept == mRoom.prompts.end()) {
+    co_await Refuse(aExchange, std::move(aRequest), 503);
+    co_return;
+  }
+  const bool isForeign = !source.empty() && kept->second.callId != aRequest.callId;
+  if (!source.empty()) {
+    mRoom.prompts.erase(kept);
+  }
+  if (Happens(mFaults.fails)) {
+    const std::size_t run = BeginRun(aRequest, 500);
+    EndRun(run, false);
+    const RunRecord record = mRoom.history->Run(run);
+    std::vector<Header> headers = Headers(aRequest, record.stamp);
+    co_await aExchange.Reply(500, record.body, std::move(headers));
+    co_return;
+  }
+  const std::size_t run = BeginRun(aRequest, 200);
+  mRoom.history->Run(run).isFromForeignMemory = isForeign;
+  co_await SendStream(aExchange, std::move(aRequest), run);
+}
+
+Awaitable<void> Engine::SendStream(Exchange& aExchange, Request aRequest, std::size_t aRun)
+{
+  const std::uint64_t first = NumberOf(aExchange.HeaderValue("Last-Event-Id")) + 1;
+  const std::string counts = aExchange.HeaderValue("Masticstep-Token-Counts");
+  const std::uint64_t last = NumberOf(counts.substr(counts.find(',') + 1));
+  const std::uint64_t cutAt =
+    Happens(mFaults.cutsStreams) ? first + mRoom.random() % last : last + 1;
+  mRoom.history->Run(aRun).firstEvent = first;
+  const std::string stamp = mRoom.history->Run(aRun).stamp;
+  std::vector<Header> headers = Headers(aRequest, stamp);
+  bool isThere = co_await aExchange.BeginEvents(std::move(headers));
+  for (std::uint64_t n = first; n <= last && isThere; ++n) {
+    co_await standins::Pause(kStepTime);
+    co_await WaitWhileDark(aRequest.life);
+    std::string event = EventText(aRequest.callId, n);
+    if (n == cutAt) {
+      std::string half = event.substr(0, event.size() / 2);
+      co_await aExchange.SendEvents(std::move(half));
+    }
+    if (n == cutAt || !IsLiving(aRequest.life)) {
+      aExchange.Drop();
+      EndRun(aRun, !IsLiving(aRequest.life));
+      co_return;
+    }
+    isThere = co_await aExchange.SendEvents(std::move(event));
+  }
+  EndRun(aRun, false);
+  if (isThere) {
+    co_await aExchange.EndEvents();
+  } else {
+    aExchange.Drop();
+  }
+}
+
+Awaitable<void> Engine::Control(Exchange& aExchange)
+{
+  constexpr std::string_view kHandle = "/masticstep/kv-handle/";
+  const std::string& path = aExchange.Path();
+  if (path == "/masticstep/order") {
+    co_await Order(aExchange);
+    co_return;
+  }
+  if (path.starts_with(kHandle)) {
+    mRoom.prompts.erase(mAddress + "/" + path.substr(kHandle.size()));
+  }
+  co_await aExchange.Reply(200, "{}");
+}
+
+Awaitable<void> Engine::Order(Exchange& aExchange)
+{
+  const boost::json::object body = aExchange.JsonBody().value_or(boost::json::object{});
+  const std::uint64_t fencing =
+    static_cast<std::uint64_t>(standins::IntegerField(body, "fence", 0));
+  const std::string stage = standins::TextField(body, "stage");
+  const bool isForUs = aExchange.HeaderValue("Masticstep-Expected-Instance") == mId;
+  unsigned status = 202;
+  if (!isForUs) {
+    status = 421;
+  } else if (fencing < mHighestFencing) {
+    status = 412;
+  } else if (mIsChanging) {
+    status = 409;
+  } else if (stage == mStage) {
+    status = 200;
+  }
+  const bool isAccepted = status == 200 || status == 202;
+  mRoom.history->AddOrder(
+    { mId, standins::TextField(body, "holder"), fencing, standins::Now(), isAccepted });
+  mHighestFencing = isForUs ? std::max(mHighestFencing, fencing) : mHighestFencing;
+  if (status == 202) {
+    asio::co_spawn(co_await asio::this_coro::executor, ChangeStage(stage), asio::detached);
+  }
+  co_await aExchange.Reply(status, "{}");
+}
+
+Awaitable<void> Engine::ChangeStage(std::string aStage)
+{
+  const std::uint64_t life = mLife;
+  mIsChanging = true;
+  co_await standins::Pause(kStageChange);
+  if (!IsLiving(life)) {
+    co_return;
+  }
+  mIsChanging = false;
+  mStage = aStage;
+  while (!mRoom.store->IsReachable()) {
+    co_await standins::Pause(kRegisterPause);
+  }
+  if (IsLiving(life)) {
+    WriteEntry();
+  }
+}
+
+} // namespace masticstep::soak
--- /dev/null
+++ b/tests/soak/MetadataStore.cpp
@@ -0,0 +1,276 @@
+#include "MetadataStore.hpp"
+
+#include "common/JsonFields.hpp"
+#include "common/TokenBucket.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::soak {
+
+using standins::Exchange;
+
+namespace {
+
+constexpr std::string_view kPath = "/masticstep/objects/";
+constexpr std::size_t kPageSize = 500;
+constexpr std::size_t kHistoryLength = 2000;
+constexpr std::int64_t kLongestWaitMs = 30000;
+constexpr Duration kSilentCall = Seconds(20);
+
+boost::json::value Problem(const std::string& aText)
+{
+  return { { "error", aText } };
+}
+
+// Revision that a change is bound to; nothing if it holds for any.
+std::optional<std::uint64_t> BoundRevision(const Exchange& aExchange)
+{
+  if (aExchange.HasParameter("revision")) {
+    return static_cast<std::uint64_t>(aExchange.IntegerParameter("revision", 0));
+  }
+  const std::optional<boost::json::object> body = aExchange.JsonBody();
+  const boost::json::value* meta = body ? body->if_contains("metadata") : nullptr;
+  if (meta == nullptr || !meta->is_object() || !meta->get_object().contains("revision")) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(standins::IntegerField(meta->get_object(), "revision", 0));
+}
+
+boost::json::value ContentOf(const Exchange& aExchange)
+{
+  const std::optional<boost::json::object> body = aExchange.JsonBody();
+  return body && body->contains("specification") ? body->at("specification") : boost::json::value();
+}
+
+} // namespace
+
+boost::json::value MetadataStore::Describe(const std::string& aKind, const std::string& aName) const
+{
+  const Object& object = mObjects.at(aKind).at(aName);
+  return { { "metadata",
+             { { "name", aName },
+               { "revision", object.revision },
+               { "created", object.created },
+               { "finalizers", boost::json::array() } } },
+           { "specification", object.content },
+           { "status", boost::json::object() } };
+}
+
+void MetadataStore::Record(const std::string& aKind, boost::json::value aObject, bool aIsDeleted)
+{
+  mHistory.push_back(
+    { mRevision, aKind, { { "object", std::move(aObject) }, { "deleted", aIsDeleted } } });
+  if (mHistory.size() > kHistoryLength) {
+    mOldest = mHistory.front().revision;
+    mHistory.pop_front();
+  }
+  mChanged.NotifyAll();
+}
+
+void MetadataStore::Put(const std::string& aKind, const std::string& aName,
+                        boost::json::value aContent)
+{
+  Object& object = mObjects[aKind][aName];
+  if (object.revision != 0 && object.content == aContent) {
+    return;
+  }
+  object.revision = ++mRevision;
+  object.created = object.created == 0 ? mRevision : object.created;
+  object.content = std::move(aContent);
+  Record(aKind, Describe(aKind, aName), false);
+}
+
+void MetadataStore::Remove(const std::string& aKind, const std::string& aName)
+{
+  if (!mObjects[aKind].contains(aName)) {
+    return;
+  }
+  ++mRevision;
+  boost::json::value last = Describe(aKind, aName);
+  last.as_object()["metadata"].as_object()["revision"] = mRevision;
+  mObjects[aKind].erase(aName);
+  Record(aKind, std::move(last), true);
+}
+
+void MetadataStore::ForgetHistory()
+{
+  mHistory.clear();
+  mOldest = mRevision;
+}
+
+boost::json::array MetadataStore::EventsAfter(const std::string& aKind,
+                                              std::uint64_t aRevision) const
+{
+  boost::json::array events;
+  for (const Change& change : mHistory) {
+    if (change.kind == aKind && change.revision > aRevision) {
+      events.push_back(change.event);
+    }
+  }
+  return events;
+}
+
+Awaitable<void> MetadataStore::Answer(Exchange& aExchange, unsigned aStatus,
+                                      boost::json::value aBody)
+{
+  co_await standins::Pause(mFaults.latency / 2);
+  co_await aExchange.ReplyJson(aStatus, std::move(aBody));
+}
+
+Awaitable<void> MetadataStore::Handle(Exchange& aExchange)
+{
+  if (mFaults.isSilent) {
+    const Time end = standins::Now() + kSilentCall;
+    while (mFaults.isSilent && standins::Now() < end) {
+      co_await mChanged.WaitFor(end - standins::Now());
+    }
+    aExchange.Drop();
+    co_return;
+  }
+  co_await standins::Pause(mFaults.latency / 2);
+  if (mFaults.isDown) {
+    boost::json::value problem = Problem("down");
+    co_await Answer(aExchange, 503, std::move(problem));
+    co_return;
+  }
+  const std::string& path = aExchange.Path();
+  Target target;
+  if (path.starts_with(kPath)) {
+    const std::size_t slash = path.find('/', kPath.size());
+    target.kind = path.substr(kPath.size(), slash - kPath.size());
+    target.name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  }
+  const std::string& method = aExchange.Method();
+  if (target.kind.empty()) {
+    boost::json::value problem = Problem("no such path");
+    co_await Answer(aExchange, 404, std::move(problem));
+  } else if (method == "POST") {
+    co_await Create(aExchange, std::move(target));
+  } else if (method == "PUT") {
+    co_await Replace(aExchange, std::move(target));
+  } else if (method == "DELETE") {
+    co_await Delete(aExchange, std::move(target));
+  } else if (!target.name.empty()) {
+    co_await Read(aExchange, std::move(target));
+  } else if (aExchange.HasParameter("watch")) {
+    co_await Watch(aExchange, std::move(target.kind));
+  } else {
+    co_await List(aExchange, std::move(target.kind));
+  }
+}
+
+Awaitable<void> MetadataStore::Read(Exchange& aExchange, Target aTarget)
+{
+  const bool exists = mObjects[aTarget.kind].contains(aTarget.name);
+  boost::json::value body = exists ? Describe(aTarget.kind, aTarget.name) : Problem("no object");
+  co_await Answer(aExchange, exists ? 200 : 404, std::move(body));
+}
+
+Awaitable<void> MetadataStore::List(Exchange& aExchange, std::string aKind)
+{
+  const std::map<std::string, Object>& objects = mObjects[aKind];
+  boost::json::array items;
+  std::map<std::string, Object>::const_iterator it =
+    objects.upper_bound(aExchange.Parameter("after"));
+  for (; it != objects.end() && items.size() < kPageSize; ++it) {
+    items.push_back(Describe(aKind, it->first));
+  }
+  boost::json::value body{ { "items", std::move(items) },
+                           { "more", it != objects.end() },
+                           { "asOf", mRevision } };
+  co_await Answer(aExchange, 200, std::move(body));
+}
+
+Awaitable<void> MetadataStore::Watch(Exchange& aExchange, std::string aKind)
+{
+  const std::uint64_t after = static_cast<std::uint64_t>(aExchange.IntegerParameter("watch", 0));
+  const std::int64_t wait =
+    std::clamp<std::int64_t>(aExchange.IntegerParameter("waitMs", 0), 0, kLongestWaitMs);
+  const Time deadline = standins::Now() + Milliseconds(wait);
+  boost::json::array events;
+  while (IsReachable() && after >= mOldest && events.empty()) {
+    events = EventsAfter(aKind, after);
+    const Duration left = deadline - standins::Now();
+    if (!events.empty() || left <= Duration::zero()) {
+      break;
+    }
+    co_await mChanged.WaitFor(left);
+  }
+  if (mFaults.isSilent) {
+    // A silent store forgets the calls that wait; nothing more comes on their connections.
+    co_await standins::Pause(kSilentCall);
+    aExchange.Drop();
+    co_return;
+  }
+  const unsigned status = mFaults.isDown ? 503 : after < mOldest ? 410 : 200;
+  boost::json::value body =
+    status == 200 ? boost::json::value{ { "events", std::move(events) }, { "asOf", mRevision } }
+                  : Problem("no watch");
+  co_await Answer(aExchange, status, std::move(body));
+}
+
+Awaitable<void> MetadataStore::EndChange(Exchange& aExchange, unsigned aStatus,
+                                         boost::json::value aBody)
+{
+  if (mFaults.lostAnswers > 0) {
+    --mFaults.lostAnswers;
+    aExchange.Drop();
+    co_return;
+  }
+  co_await Answer(aExchange, aStatus, std::move(aBody));
+}
+
+Awaitable<void> MetadataStore::Create(Exchange& aExchange, Target aTarget)
+{
+  const std::optional<boost::json::object> body = aExchange.JsonBody();
+  const boost::json::value* meta = body ? body->if_contains("metadata") : nullptr;
+  aTarget.name = meta != nullptr && meta->is_object()
+                   ? standins::TextField(meta->get_object(), "name")
+                   : std::string();
+  if (aTarget.name.empty()) {
+    boost::json::value problem = Problem("no name");
+    co_await Answer(aExchange, 400, std::move(problem));
+    co_return;
+  }
+  const bool exists = mObjects[aTarget.kind].contains(aTarget.name);
+  if (!exists) {
+    Put(aTarget.kind, aTarget.name, ContentOf(aExchange));
+  }
+  boost::json::value object = Describe(aTarget.kind, aTarget.name);
+  co_await EndChange(aExchange, exists ? 409 : 201, std::move(object));
+}
+
+Awaitable<void> MetadataStore::Replace(Exchange& aExchange, Target aTarget)
+{
+  if (!mObjects[aTarget.kind].contains(aTarget.name)) {
+    boost::json::value problem = Problem("no object");
+    co_await Answer(aExchange, 404, std::move(problem));
+    co_return;
+  }
+  const std::optional<std::uint64_t> bound = BoundRevision(aExchange);
+  const bool holds = !bound || *bound == mObjects[aTarget.kind][aTarget.name].revision;
+  if (holds) {
+    Put(aTarget.kind, aTarget.name, ContentOf(aExchange));
+  }
+  boost::json::value object = Describe(aTarget.kind, aTarget.name);
+  co_await EndChange(aExchange, holds ? 200 : 409, std::move(object));
+}
+
+Awaitable<void> MetadataStore::Delete(Exchange& aExchange, Target aTarget)
+{
+  if (!mObjects[aTarget.kind].contains(aTarget.name)) {
+    boost::json::value problem = Problem("no object");
+    co_await Answer(aExchange, 404, std::move(problem));
+    co_return;
+  }
+  const std::optional<std::uint64_t> bound = BoundRevision(aExchange);
+  const bool holds = !bound || *bound == mObjects[aTarget.kind][aTarget.name].revision;
+  boost::json::value object = Describe(aTarget.kind, aTarget.name);
+  if (holds) {
+    Remove(aTarget.kind, aTarget.name);
+  }
+  co_await EndChange(aExchange, holds ? 200 : 409, std::move(object));
+}
+
+} // namespace masticstep::soak
--- /dev/null
+++ b/tests/soak/Routes.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Records.hpp"
+
+namespace masticstep::soak {
+
+constexpr const char* kHost = "soak.example";
+constexpr const char* kModels = "models"; // service of the engines that write streams
+constexpr const char* kOrders = "orders";
+constexpr const char* kArchive = "archive"; // second service for plain calls
+// Callers say that they wait a little longer than the route's timeout.
+constexpr Duration kBeyondTimeout = Milliseconds(500);
+
+constexpr const char* PrefixOf(CallKind aKind)
+{
+  switch (aKind) {
+    case CallKind::Order:
+      return "/once/";
+    case CallKind::Lookup:
+      return "/look/";
+    case CallKind::Draft:
+      return "/draft/";
+    case CallKind::Review:
+      return "/review/";
+  }
+  return "/";
+}
+
+constexpr Duration TimeoutOf(CallKind aKind)
+{
+  return IsStream(aKind) ? Milliseconds(4000) : Milliseconds(1500);
+}
+
+} // namespace masticstep::soak
--- /dev/null
+++ b/tests/soak/tests/ChecksTests.cpp
@@ -0,0 +1,294 @@
+// Each check must report the fault that it is there for, and stay silent without it.
+#include "Checks.hpp"
+
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using namespace masticstep::soak;
+
+namespace {
+
+const Bounds kBounds;
+constexpr Time kStart{ Seconds(100) };
+
+CallRecord Call(const std::string& aId, CallKind aKind)
+{
+  CallRecord call;
+  call.id = aId;
+  call.kind = aKind;
+  call.prefix = "/p/";
+  call.sentAt = kStart;
+  call.endedAt = kStart + Milliseconds(100);
+  call.ending = Ending::Answered;
+  call.status = 200;
+  call.stamp = "e-1." + aId;
+  call.body = "body";
+  call.timeout = Seconds(1);
+  return call;
+}
+
+RunRecord Run(const std::string& aId, const std::string& aEngine)
+{
+  RunRecord run;
+  run.callId = aId;
+  run.engine = aEngine;
+  run.service = "s";
+  run.status = 200;
+  run.stamp = aEngine + "." + aId;
+  run.body = "body";
+  return run;
+}
+
+ArrivalRecord Arrival(const std::string& aId, const std::string& aEngine, Time aAt)
+{
+  ArrivalRecord arrival;
+  arrival.callId = aId;
+  arrival.engine = aEngine;
+  arrival.service = "s";
+  arrival.at = aAt;
+  arrival.isAsSent = true;
+  return arrival;
+}
+
+ConfigurationRecord Configuration(std::uint64_t aVersion, Time aAt, const std::string& aService)
+{
+  return { aVersion, aAt, aAt, { { "/p/", aService } } };
+}
+
+// A call that was served as it should be.
+History Good()
+{
+  History history;
+  history.AddConfiguration(Configuration(1, Time{}, "s"));
+  history.AddCall(Call("a", CallKind::Order));
+  history.AddArrival(Arrival("a", "e-1", kStart + Milliseconds(10)));
+  history.AddRun(Run("a", "e-1"));
+  return history;
+}
+
+CallRecord Stream(const std::string& aBody, std::uint32_t aEvents)
+{
+  CallRecord call = Call("a", CallKind::Draft);
+  call.body = aBody;
+  call.events = aEvents;
+  return call;
+}
+
+using Check = std::function<void(const History&, Findings&)>;
+
+std::size_t Count(const History& aHistory, const Check& aCheck)
+{
+  Findings findings;
+  aCheck(aHistory, findings);
+  return findings.size();
+}
+
+Check WithBounds(void (*aCheck)(const History&, const Bounds&, Findings&))
+{
+  return [aCheck](const History& aHistory, Findings& aFindings) {
+    aCheck(aHistory, kBounds, aFindings);
+  };
+}
+
+} // namespace
+
+MASTICSTEP_TEST("a call that was served once breaks no promise", "[soak][checks]")
+{
+  const History history = Good();
+  // Too few calls to tell whether the fleet recovered.
+  const Findings findings = CheckAll(history, kBounds, Time::max());
+  CHECK_EQUAL(std::size_t{ 1 }, findings.size());
+  CHECK_EQUAL(std::string("recovery"), findings[0].rule);
+}
+
+MASTICSTEP_TEST("a second run is found only for calls that may not be repeated", "[soak][checks]")
+{
+  History history = Good();
+  history.AddRun(Run("a", "e-2"));
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, CheckRunsOnce));
+  History other;
+  other.AddCall(Call("a", CallKind::Lookup));
+  other.AddRun(Run("a", "e-1"));
+  other.AddRun(Run("a", "e-2"));
+  CHECK_EQUAL(std::size_t{ 0 }, Count(other, CheckRunsOnce));
+}
+
+MASTICSTEP_TEST("a refusal of a call that ran is found", "[soak][checks]")
+{
+  History history = Good();
+  history.Call(0).status = 503;
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, CheckRefusals));
+  history.Call(0).status = 502;
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, CheckRefusals));
+}
+
+MASTICSTEP_TEST("answers that are not the engine's are found", "[soak][checks]")
+{
+  CHECK_EQUAL(std::size_t{ 0 }, Count(Good(), CheckAnswers));
+  const std::vector<std::function<void(CallRecord&)>> faults = {
+    [](CallRecord& aCall) { aCall.stamp.clear(); },
+    [](CallRecord& aCall) { aCall.stamp = "e-1.b"; },
+    [](CallRecord& aCall) { aCall.body = "bod"; },
+    [](CallRecord& aCall) { aCall.status = 500; },
+    [](CallRecord& aCall) { aCall.hasExtraBytes = true; },
+  };
+  for (const std::function<void(CallRecord&)>& fault : faults) {
+    History history = Good();
+    fault(history.Call(0));
+    CHECK_EQUAL(std::size_t{ 1 }, Count(history, CheckAnswers));
+  }
+}
+
+MASTICSTEP_TEST("events that are missing, repeated or of another call are found", "[soak][checks]")
+{
+  const std::string first = "id: 1\ndata: a/1\n\n";
+  const std::string second = "id: 2\ndata: a/2\n\n";
+  const auto count = [](CallRecord aCall) {
+    History history;
+    history.AddCall(std::move(aCall));
+    return Count(history, CheckStreams);
+  };
+  CHECK_EQUAL(std::size_t{ 0 }, count(Stream(first + second, 2)));
+  CHECK_EQUAL(std::size_t{ 1 }, count(Stream(second, 2)));
+  CHECK_EQUAL(std::size_t{ 1 }, count(Stream(first + first, 2)));
+  CHECK_EQUAL(std::size_t{ 1 }, count(Stream("id: 1\ndata: b/1\n\n", 1)));
+  CHECK_EQUAL(std::size_t{ 1 }, count(Stream(first, 2)));
+  CallRecord cut = Stream(first + "id: 2\nda", 2);
+  cut.ending = Ending::Cut;
+  CHECK_EQUAL(std::size_t{ 0 }, count(cut));
+}
+
+MASTICSTEP_TEST("messages that no caller sent and foreign memory are found", "[soak][checks]")
+{
+  History history = Good();
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, CheckMessages));
+  history.Arrival(0).isAsSent = false;
+  history.Run(0).isFromForeignMemory = true;
+  CHECK_EQUAL(std::size_t{ 2 }, Count(history, CheckMessages));
+}
+
+MASTICSTEP_TEST("runs on more servers than a route allows are found", "[soak][checks]")
+{
+  History history;
+  for (const char* engine : { "e-1", "e-2", "e-3", "e-4" }) {
+    history.AddRun(Run("a", engine));
+  }
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, WithBounds(CheckAttempts)));
+  history.Run(0).hasCrashed = true;
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckAttempts)));
+}
+
+MASTICSTEP_TEST("repeats beyond the budget are found", "[soak][checks]")
+{
+  History history = Good();
+  const auto allowed = static_cast<std::size_t>(kBounds.retrySlack + kBounds.retryRatio);
+  for (std::size_t i = 0; i < allowed; ++i) {
+    history.AddArrival(Arrival("a", "e-1", kStart + Milliseconds(20)));
+  }
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckRetryBudget)));
+  history.AddArrival(Arrival("a", "e-1", kStart + Milliseconds(20)));
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, WithBounds(CheckRetryBudget)));
+}
+
+MASTICSTEP_TEST("old configurations are found after their bound", "[soak][checks]")
+{
+  History history = Good();
+  history.AddConfiguration(Configuration(2, kStart - Seconds(2), "other"));
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckConfiguration)));
+  History late = Good();
+  late.AddConfiguration(Configuration(2, kStart - Seconds(3), "other"));
+  CHECK_EQUAL(std::size_t{ 1 }, Count(late, WithBounds(CheckConfiguration)));
+  late.Disturb(Scope::Store, 0, kStart - Seconds(1));
+  CHECK_EQUAL(std::size_t{ 0 }, Count(late, WithBounds(CheckConfiguration)));
+  History unknown = Good();
+  unknown.Call(0).status = 404;
+  CHECK_EQUAL(std::size_t{ 1 }, Count(unknown, WithBounds(CheckConfiguration)));
+}
+
+MASTICSTEP_TEST("work for an engine that left is found", "[soak][checks]")
+{
+  History history = Good();
+  history.AddLeave({ "e-1", kStart - Seconds(2) });
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckDrain)));
+  history.AddLeave({ "e-1", kStart - Seconds(3) });
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, WithBounds(CheckDrain)));
+  history.Arrival(0).isMisdirected = true;
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckDrain)));
+}
+
+MASTICSTEP_TEST("calls that a planned stop cuts are found", "[soak][checks]")
+{
+  History history = Good();
+  history.AddStop({ 0, kStart, std::nullopt });
+  history.Disturb(Scope::Stop, 0, kStart);
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckPlannedStops)));
+  history.Call(0).ending = Ending::Cut;
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, WithBounds(CheckPlannedStops)));
+  history.Disturb(Scope::Engine, 0, kStart);
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckPlannedStops)));
+}
+
+MASTICSTEP_TEST("calls that are not answered at their timeout are found", "[soak][checks]")
+{
+  History history;
+  for (const char* id : { "a", "b", "c", "d" }) {
+    CallRecord call = Call(id, CallKind::Lookup);
+    call.endedAt = kStart + call.timeout + Milliseconds(600);
+    history.AddCall(call);
+  }
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, WithBounds(CheckTimeouts)));
+  history.Call(0).endedAt = kStart;
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckTimeouts)));
+}
+
+MASTICSTEP_TEST("work for callers that left is found", "[soak][checks]")
+{
+  History history = Good();
+  history.Call(0).ending = Ending::Left;
+  for (int i = 0; i < 4; ++i) {
+    history.AddArrival(Arrival("a", "e-1", kStart + Milliseconds(700)));
+  }
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, WithBounds(CheckDepartures)));
+  history.Disturb(Scope::Daemon, 0, kStart);
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, WithBounds(CheckDepartures)));
+}
+
+MASTICSTEP_TEST("two holders of orders are found", "[soak][checks]")
+{
+  const auto count = [](std::vector<OrderRecord> aOrders) {
+    History history;
+    for (OrderRecord& order : aOrders) {
+      history.AddOrder(std::move(order));
+    }
+    return Count(history, WithBounds(CheckOrders));
+  };
+  const Time later = kStart + kBounds.lease;
+  CHECK_EQUAL(std::size_t{ 0 },
+              count({ { "e", "x", 1, kStart, true }, { "e", "y", 2, later, true } }));
+  CHECK_EQUAL(std::size_t{ 1 },
+              count({ { "e", "x", 1, kStart, true }, { "e", "y", 1, later, true } }));
+  CHECK_EQUAL(std::size_t{ 1 },
+              count({ { "e", "x", 2, kStart, true }, { "e", "x", 1, later, true } }));
+  CHECK_EQUAL(std::size_t{ 1 },
+              count({ { "e", "x", 1, kStart, true }, { "e", "y", 2, kStart, true } }));
+  CHECK_EQUAL(std::size_t{ 0 },
+              count({ { "e", "x", 2, kStart, true }, { "e", "x", 1, later, false } }));
+}
+
+MASTICSTEP_TEST("a fleet that does not serve again is found", "[soak][checks]")
+{
+  const auto check = [](const History& aHistory, Findings& aFindings) {
+    CheckRecovery(aHistory, kStart, aFindings);
+  };
+  History history;
+  history.AddConfiguration(Configuration(1, Time{}, "s"));
+  for (int i = 0; i < 20; ++i) {
+    history.AddCall(Call("a" + std::to_string(i), CallKind::Lookup));
+  }
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, check));
+  history.Call(0).status = 503;
+  history.Call(1).ending = Ending::Cut;
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, check));
+  history.Call(2).status = 504;
+  CHECK_EQUAL(std::size_t{ 1 }, Count(history, check));
+}
