Count prompts that are sent and not answered as work of their engine

Cause: a daemon took its own prompts for read after the time that reading them alone takes, and the reports of other daemons for read as time went on. A queue rebuilt from all logs explained the delays to 10 ms, so reading speeds were not the cause.

Change: a prompt lies at its engine until the time that its placement gave (wait and reading), and again when that has passed without an answer. Reports of other daemons hold until the next one.

--- a/libs/dispatch/include/masticstep/dispatch/BackendLoad.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/BackendLoad.hpp
@@ -24,10 +24,10 @@
 class BackendLoad
 {
 public:
-  // A request was sent that the server needs aRead to read, or whose answer keeps aTokens of a
-  // prompt in its memory.
-  void OnSent(RequestId aId, Duration aRead, std::uint32_t aTokens, Time aNow);
-  void OnDone(RequestId aId, Time aNow);
+  // A request was sent that the server begins to read after aWait and reads for aRead, or whose
+  // answer keeps aTokens of a prompt in its memory.
+  void OnSent(RequestId aId, Duration aWait, Duration aRead, std::uint32_t aTokens, Time aNow);
+  void OnDone(RequestId aId);
   // The sample came with an answer; the request that it answers counts as done already.
   void OnSample(const LoadSample& aSample, Time aNow);
 
@@ -41,13 +41,17 @@
 private:
   struct Sent
   {
+    // Reading that is left. What should have ended long ago waits behind work that is not known, so
+    // it still lies at the server.
+    Duration ReadLeft(Time aNow) const;
+
     Duration read{ 0 };
     std::uint32_t tokens = 0;
+    Time readUntil{}; // as expected when it was sent
   };
 
   std::unordered_map<RequestId, Sent> mOwn;
   std::uint64_t mTokens = 0; // of mOwn
-  Time mBusyUntil{};         // by own reading
   double mOthers = 0.0;
   Time mSampled{};
   double mMeanReadSeconds = 0.0;
--- a/libs/dispatch/include/masticstep/dispatch/PeerWork.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/PeerWork.hpp
@@ -28,7 +28,8 @@
 public:
   // Takes a report over unless a newer one of the same daemon is known.
   void OnReport(const HostName& aHost, std::uint64_t aSequence, WorkByBackend aWork, Time aNow);
-  // Returns the work of all others at a backend server. Reading goes on since each report.
+  // Returns the work of all others at a backend server, as they reported it: which of them a server
+  // works on since then is not known.
   Work At(const BackendServerName& aBackend, Time aNow) const;
   // Daemons that were heard lately.
   std::vector<HostName> Hosts(Time aNow) const;
--- a/libs/dispatch/src/BackendLoad.cpp
+++ b/libs/dispatch/src/BackendLoad.cpp
@@ -10,18 +10,28 @@
 // The work of other daemons is forgotten at this rate after a sample, down to an even share.
 constexpr Duration kOthersFade = Milliseconds(300);
 constexpr double kMeanStep = 0.1;
+// Time from the end of reading to its notice, between regions.
+constexpr Duration kNoticeTime = Milliseconds(50);
 
 } // namespace
 
-void BackendLoad::OnSent(RequestId aId, Duration aRead, std::uint32_t aTokens, Time aNow)
+Duration BackendLoad::Sent::ReadLeft(Time aNow) const
 {
-  mOwn[aId] = { aRead, aTokens };
+  if (aNow > readUntil + kNoticeTime) {
+    return read;
+  }
+  return std::clamp(readUntil - aNow, Duration::zero(), read);
+}
+
+void BackendLoad::OnSent(RequestId aId, Duration aWait, Duration aRead, std::uint32_t aTokens,
+                         Time aNow)
+{
+  mOwn[aId] = { aRead, aTokens, aNow + aWait + aRead };
   mTokens += aTokens;
-  mBusyUntil = std::max(mBusyUntil, aNow) + aRead;
   mMeanReadSeconds += kMeanStep * (ToSeconds(aRead) - mMeanReadSeconds);
 }
 
-void BackendLoad::OnDone(RequestId aId, Time aNow)
+void BackendLoad::OnDone(RequestId aId)
 {
   const auto found = mOwn.find(aId);
   if (found == mOwn.end()) {
@@ -29,11 +39,6 @@
   }
   mTokens -= found->second.tokens;
   mOwn.erase(found);
-  Duration left{ 0 };
-  for (const auto& [id, sent] : mOwn) {
-    left += sent.read;
-  }
-  mBusyUntil = std::min(mBusyUntil, aNow + left);
 }
 
 void BackendLoad::OnSample(const LoadSample& aSample, Time aNow)
@@ -51,8 +56,11 @@
 
 Work BackendLoad::Own(Time aNow) const
 {
-  return { std::max(Duration::zero(), mBusyUntil - aNow), static_cast<std::uint32_t>(mOwn.size()),
-           mTokens };
+  Duration read{ 0 };
+  for (const auto& [id, sent] : mOwn) {
+    read += sent.ReadLeft(aNow);
+  }
+  return { read, static_cast<std::uint32_t>(mOwn.size()), mTokens };
 }
 
 } // namespace masticstep::dispatch
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -314,7 +314,8 @@
                         std::uint32_t aTokens, Time aNow)
 {
   if (Belief* belief = Find(aBackend)) {
-    belief->load.OnSent(aId, aRead, aTokens, aNow);
+    const Duration wait = WorkAt(*belief, aNow).read;
+    belief->load.OnSent(aId, wait, aRead, aTokens, aNow);
     belief->breaker.OnSent(aNow);
     belief->handover.OnSent(aNow);
   }
@@ -327,7 +328,7 @@
   if (belief == nullptr) {
     return;
   }
-  belief->load.OnDone(aId, aNow);
+  belief->load.OnDone(aId);
   switch (aOutcome) {
     case Outcome::Answered:
       belief->breaker.OnSuccess();
--- a/libs/dispatch/src/PeerWork.cpp
+++ b/libs/dispatch/src/PeerWork.cpp
@@ -32,7 +32,7 @@
     if (found == report.work.end() || report.taken + kExpiry < aNow) {
       continue;
     }
-    sum.read += std::max(Duration::zero(), found->second.read - (aNow - report.taken));
+    sum.read += found->second.read;
     sum.requests += found->second.requests;
     sum.tokens += found->second.tokens;
   }
--- a/libs/dispatch/tests/PromptQueueTests.cpp
+++ b/libs/dispatch/tests/PromptQueueTests.cpp
@@ -3,7 +3,9 @@
 #include "masticstep/testing/Test.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
+#include <memory>
 
 using namespace masticstep;
 using namespace masticstep::dispatch;
@@ -113,6 +115,86 @@
   return onTime;
 }
 
+// Short and long prompts at random times, at a share of what the engines read.
+std::vector<Arrival> SteadyMix(int aEngines, double aUse)
+{
+  constexpr double kMeanTokens = 0.8 * 1200 + 0.2 * 9000;
+  const double gap = kMeanTokens / (aUse * aEngines * kTokensPerSecond);
+  Random random(5);
+  std::vector<Arrival> load;
+  Time at = kStart;
+  while (at < kStart + Seconds(10)) {
+    at += FromSeconds(-gap * std::log(1.0 - random.Uniform()));
+    const bool isLong = random.Uniform() < 0.2;
+    load.push_back({ at, isLong ? 9000U : 1200U, 0, Milliseconds(isLong ? 1000 : 400) });
+  }
+  return load;
+}
+
+// Runs a load that is spread over daemons of several data centres against engines that read one
+// prompt after another. Daemons of one data centre report their work to each other. Returns the
+// share that was read before its target.
+double ReplayOfDaemons(const std::vector<Arrival>& aLoad, int aEngines, std::size_t aDaemons,
+                       std::size_t aDataCentres)
+{
+  constexpr Duration kReportInterval = Milliseconds(20);
+  struct Daemon
+  {
+    explicit Daemon(int aEngines)
+      : dispatcher(MakeDispatcher(aEngines))
+      , queue(dispatcher)
+    {
+    }
+    Dispatcher dispatcher;
+    PromptQueue queue;
+  };
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  for (std::size_t i = 0; i < aDaemons; ++i) {
+    daemons.push_back(std::make_unique<Daemon>(aEngines));
+  }
+  std::map<BackendServerName, Time> busyUntil;
+  std::multimap<Time, std::pair<BackendServerName, RequestId>> ends;
+  std::size_t next = 0;
+  std::uint64_t sequence = 0;
+  int onTime = 0;
+  for (Time now = kStart; now < kStart + Seconds(14); now += Milliseconds(2)) {
+    while (!ends.empty() && ends.begin()->first <= now) {
+      const auto [engine, id] = ends.begin()->second;
+      daemons[id.value % aDaemons]->dispatcher.OnDone(engine, id, Outcome::Answered, now);
+      ends.erase(ends.begin());
+    }
+    if ((now - kStart) % kReportInterval == Duration::zero()) {
+      ++sequence;
+      for (std::size_t i = 0; i < aDaemons; ++i) {
+        for (std::size_t k = 0; k < aDaemons; ++k) {
+          if (i != k && i % aDataCentres == k % aDataCentres) {
+            daemons[k]->dispatcher.OnPeerWork(HostName{ std::to_string(i) }, sequence,
+                                              daemons[i]->dispatcher.OwnWork(now), now);
+          }
+        }
+      }
+    }
+    for (; next < aLoad.size() && aLoad[next].at <= now; ++next) {
+      const Arrival& arrival = aLoad[next];
+      daemons[next % aDaemons]->queue.Add(
+        MakePrompt(next, arrival.tokens, 0, arrival.at, arrival.target), now);
+    }
+    for (const std::unique_ptr<Daemon>& daemon : daemons) {
+      for (const ReleasedPrompt& released : daemon->queue.Release(now)) {
+        if (!released.placement) {
+          continue;
+        }
+        const Arrival& arrival = aLoad[released.id.value];
+        Time& busy = busyUntil[released.placement->engine.id];
+        busy = std::max(busy, now) + FromSeconds(arrival.tokens / kTokensPerSecond);
+        ends.emplace(busy, std::make_pair(released.placement->engine.id, released.id));
+        onTime += busy <= arrival.at + arrival.target ? 1 : 0;
+      }
+    }
+  }
+  return onTime / static_cast<double>(aLoad.size());
+}
+
 } // namespace
 
 MASTICSTEP_TEST("a prompt starts at once while engines are free", "[dispatch][queue]")
@@ -191,3 +273,14 @@
   CHECK_TRUE(after.at(0) > before.at(0));
   CHECK_TRUE(after.at(2) > before.at(2));
 }
+
+// Answers a steady mix through the daemons of three data centres. Guards against a daemon that
+// believes its prompts read while they wait behind those of other daemons: each then sends more to
+// engines that are behind.
+MASTICSTEP_TEST("daemons that share engines keep a steady mix on time", "[dispatch][queue][replay]")
+{
+  constexpr double kOnTime = 0.95; // of the project's target for first tokens
+  constexpr double kUse = 0.8;     // of what the engines read
+  const double onTime = ReplayOfDaemons(SteadyMix(14, kUse), 14, 12, 3);
+  CHECK_TRUE(onTime >= kOnTime);
+}
