Weigh reading 4.5 times against waiting

Cause: with true knowledge of waiting work, prompts left the engines that hold their shared parts for small waits, and reading these parts again cost others the time.

Change: kReadWeight 3 to 4.5.

--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -32,7 +32,7 @@
 // Steps of an engine take longer the more tokens its running requests keep in memory.
 constexpr double kSecondsOfFullMemory = 0.2;
 // Weight of reading against waiting: what is read here takes the engine's time from others.
-constexpr double kReadWeight = 3.0;
+constexpr double kReadWeight = 4.5;
 // Part of the shared tokens that the engine picked by hashing is believed to hold from other
 // daemons.
 constexpr double kAffinityShare = 0.8;
