Tell the story of one request from the logs

Cause: from a failed request's id an engineer had to search the logs of all daemons by hand, and put their lines in order.

--- a/libs/cli/include/masticstep/cli/CommandLine.hpp
+++ b/libs/cli/include/masticstep/cli/CommandLine.hpp
@@ -17,6 +17,7 @@
   Publish,
   Status,
   Drain,
+  Explain,  // tells the story of one request from logs
   PrintText // help or version
 };
 
@@ -26,6 +27,9 @@
   CommandKind kind = CommandKind::PrintText;
   std::string settingsFile;
   std::vector<std::string> folders;
+  std::string requestId;
+  std::vector<std::string> logFiles; // none: standard input
+  Duration around{ 0 };              // how long before and after a request other events are shown
   HttpUrl platformUrl;
   SocketAddress adminAddress;
   bool wait = false;
--- a/libs/cli/src/CommandLine.cpp
+++ b/libs/cli/src/CommandLine.cpp
@@ -19,6 +19,7 @@
   masticstep publish DIR... --platform URL [--wait] [--timeout SECONDS]
   masticstep status [--json] [--admin ADDRESS]
   masticstep drain [--admin ADDRESS]
+  masticstep explain [--around SECONDS] ID [FILE...]
   masticstep --help
   masticstep --version
 
@@ -29,6 +30,8 @@
   --wait             Wait until the configuration is in force in every data centre.
   --timeout SECONDS  Longest wait [default: 30].
   --admin ADDRESS    Admin address of a daemon [default: 127.0.0.1:9080].
+  --around SECONDS   Also print what else the request's daemon logged that long before and after
+                     it, but not of other requests [default: 0].
   --json             Print JSON.
   -h --help          Print this text.
   --version          Print the version.
@@ -56,9 +59,10 @@
 CommandKind KindOf(const Options& aOptions)
 {
   const std::map<std::string, CommandKind> kinds = {
-    { "serve", CommandKind::Serve },   { "relay", CommandKind::Relay },
-    { "check", CommandKind::Check },   { "publish", CommandKind::Publish },
-    { "status", CommandKind::Status }, { "drain", CommandKind::Drain }
+    { "serve", CommandKind::Serve },    { "relay", CommandKind::Relay },
+    { "check", CommandKind::Check },    { "publish", CommandKind::Publish },
+    { "status", CommandKind::Status },  { "drain", CommandKind::Drain },
+    { "explain", CommandKind::Explain }
   };
   for (const std::pair<const std::string, CommandKind>& kind : kinds) {
     if (IsSet(aOptions, kind.first)) {
@@ -68,13 +72,15 @@
   return CommandKind::PrintText;
 }
 
-std::optional<int> ParseTimeout(const std::string& aText)
+// Reads whole seconds within the bounds.
+std::optional<int> ParseSeconds(const std::string& aText, int aLeast)
 {
   int n = 0;
   const std::from_chars_result parsed =
     std::from_chars(aText.data(), aText.data() + aText.size(), n);
   const bool isWhole = parsed.ec == std::errc{} && parsed.ptr == aText.data() + aText.size();
-  return isWhole && n > 0 && n <= kMaximumTimeoutSeconds ? std::optional<int>(n) : std::nullopt;
+  return isWhole && n >= aLeast && n <= kMaximumTimeoutSeconds ? std::optional<int>(n)
+                                                               : std::nullopt;
 }
 
 Result<Command, UsageError> ReadOptions(const Options& aOptions)
@@ -102,12 +108,23 @@
                                "' is not an address (allowed: IP:PORT)" });
   }
   command.adminAddress = *admin;
-  const std::optional<int> timeout = ParseTimeout(Text(aOptions, "--timeout"));
+  const std::optional<int> timeout = ParseSeconds(Text(aOptions, "--timeout"), 1);
   if (!timeout.has_value()) {
     return Failure(UsageError{ "--timeout: '" + Text(aOptions, "--timeout") +
                                "' is not a time (allowed: 1 to 3600 seconds)" });
   }
   command.timeout = Seconds(*timeout);
+  const std::optional<int> around = ParseSeconds(Text(aOptions, "--around"), 0);
+  if (!around.has_value()) {
+    return Failure(UsageError{ "--around: '" + Text(aOptions, "--around") +
+                               "' is not a time (allowed: 0 to 3600 seconds)" });
+  }
+  command.around = Seconds(*around);
+  command.requestId = Text(aOptions, "ID");
+  const Options::const_iterator files = aOptions.find("FILE");
+  if (files != aOptions.end() && files->second.isStringList()) {
+    command.logFiles = files->second.asStringList();
+  }
   return command;
 }
 
--- a/libs/cli/src/Run.cpp
+++ b/libs/cli/src/Run.cpp
@@ -4,6 +4,7 @@
 #include "masticstep/cli/AdminCommands.hpp"
 #include "masticstep/cli/CheckCommand.hpp"
 #include "masticstep/cli/CommandLine.hpp"
+#include "masticstep/cli/ExplainCommand.hpp"
 #include "masticstep/cli/PublishCommand.hpp"
 #include "masticstep/gateway/Serve.hpp"
 
@@ -29,6 +30,8 @@
       return RunStatus(*command, std::cout, std::cerr);
     case CommandKind::Drain:
       return RunDrain(*command, std::cout, std::cerr);
+    case CommandKind::Explain:
+      return RunExplain(*command, std::cin, std::cout, std::cerr);
     case CommandKind::Publish:
       return RunPublishCommand(*command, std::cout, std::cerr);
     case CommandKind::PrintText:
--- a/libs/cli/tests/CommandLineTests.cpp
+++ b/libs/cli/tests/CommandLineTests.cpp
@@ -16,6 +16,12 @@
   const Result<Command, UsageError> status =
     ParseCommandLine({ "status", "--json", "--admin", "127.0.0.1:5" });
   CHECK_TRUE(status.has_value() && status->json && status->adminAddress.port == 5);
+  const Result<Command, UsageError> explain =
+    ParseCommandLine({ "explain", "--around", "2", "abc", "x.log", "y.log" });
+  CHECK_TRUE(explain.has_value() && explain->kind == CommandKind::Explain);
+  CHECK_EQUAL(std::string("abc"), explain->requestId);
+  CHECK_EQUAL(2U, explain->logFiles.size());
+  CHECK_TRUE(explain->around == Seconds(2));
   CHECK_TRUE(ParseCommandLine({ "--version" })->text.starts_with("masticstep "));
   CHECK_TRUE(ParseCommandLine({ "--help" })->text.find("Usage:") != std::string::npos);
 }
