Count only prompts that reached an engine as tries

Cause: a prompt was given up after three tries to have it read, and engines that took no connection counted.

Change: a try counts once the request has been sent, and a prompt that is read goes on to other engines for its answer whatever was tried before.

Conclusion: refusals of this kind end; each dark engine still costs up to the 250 ms of a connection.

--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -122,7 +122,6 @@
 {
   const dispatch::Backend engine = aPlacement.engine;
   const Time sent = net::Now();
-  ++mReads;
   SendOptions options = OptionsFor(engine);
   options.readsPromptOnly = true;
   options.priority = mIncoming.route->priority;
@@ -136,6 +135,8 @@
     body = co_await exchange.ReadAll(mIncoming.deadline);
   }
   mExchange = nullptr;
+  const bool wasSent = head || head.error().progress != Progress::NotSent;
+  mReads += wasSent ? 1 : 0;
   if (!head) {
     co_return co_await AfterPromptFailure(engine, head.error());
   }
@@ -315,7 +316,8 @@
     mMayHaveRun = true;
     mayGoOn = mIncoming.route->MayRepeat() && mRuns < mIncoming.route->attempts && TakeRepeat();
   }
-  if (mayGoOn && mReads < kMaximumReads && !IsGone() && !IsLate()) {
+  const bool mayRead = mSource || mReads < kMaximumReads;
+  if (mayGoOn && mayRead && !IsGone() && !IsLate()) {
     co_return Step::Again;
   }
   co_return co_await BreakOff("answer_failed", "the engine failed: " + aError.detail);
--- a/libs/relay/tests/PromptSessionTests.cpp
+++ b/libs/relay/tests/PromptSessionTests.cpp
@@ -154,3 +154,40 @@
   client->Close();
   writer.WaitForClose();
 }
+
+// Guards against a refusal although engines are free: engines that went dark at the same time used
+// up the tries of a prompt without having seen it.
+MASTICSTEP_TEST("engines that take no connection do not use up the tries of a prompt",
+                "[relay][prompt][failure]")
+{
+  ScriptedBackend reader(ReadPrompt);
+  ScriptedBackend writer(WholeStream);
+  RelayBed bed;
+  for (const char* id : { "dark-1", "dark-2", "dark-3" }) {
+    bed.AddUnreachable(id, "llm", Stage::Prefill);
+  }
+  bed.AddUnreachable("dark-4", "llm", Stage::Decode);
+  bed.Add("r1", "llm", reader, Stage::Prefill);
+  bed.Add("w1", "llm", writer, Stage::Decode);
+  const std::string answer = bed.Ask("POST", "/stream/");
+  CHECK_TRUE(Contains(answer, "data: t3") && answer.ends_with("0\r\n\r\n"));
+}
+
+// Guards against the same when the prompt is read and only its answer finds no engine at once.
+MASTICSTEP_TEST("a prompt that was read goes on to another engine that can answer",
+                "[relay][prompt][failure]")
+{
+  ScriptedBackend refusing([](const std::string&) {
+    return ScriptedAnswer{ kRefusal, Then::KeepOpen };
+  });
+  ScriptedBackend reader(ReadPrompt);
+  ScriptedBackend writer(WholeStream);
+  RelayBed bed;
+  bed.Add("full-1", "llm", refusing, Stage::Prefill);
+  bed.Add("full-2", "llm", refusing, Stage::Prefill);
+  bed.AddUnreachable("dark", "llm", Stage::Decode);
+  bed.Add("r1", "llm", reader, Stage::Prefill);
+  bed.Add("w1", "llm", writer, Stage::Decode);
+  const std::string answer = bed.Ask("POST", "/stream/");
+  CHECK_TRUE(Contains(answer, "data: t3") && answer.ends_with("0\r\n\r\n"));
+}
--- a/libs/relay/tests/RelayBed.cpp
+++ b/libs/relay/tests/RelayBed.cpp
@@ -213,11 +213,24 @@
 
 void RelayBed::Add(const std::string& aId, const std::string& aService,
                    const ScriptedBackend& aBackend, dispatch::Stage aStage)
+{
+  AddAt(aId, aService, aBackend.Port(), aStage);
+}
+
+void RelayBed::AddUnreachable(const std::string& aId, const std::string& aService,
+                              dispatch::Stage aStage)
+{
+  constexpr std::uint16_t kNobodyListens = 1;
+  AddAt(aId, aService, kNobodyListens, aStage);
+}
+
+void RelayBed::AddAt(const std::string& aId, const std::string& aService, std::uint16_t aPort,
+                     dispatch::Stage aStage)
 {
   dispatch::Backend backend;
   backend.id = BackendServerName{ aId };
   backend.service = ServiceName{ aService };
-  backend.address = { "127.0.0.1", aBackend.Port() };
+  backend.address = { "127.0.0.1", aPort };
   backend.dataCentre = DataCentreName{ "d" + std::to_string(mBackends.size()) };
   backend.region = RegionName{ mBackends.size() < 2 ? "r" : "far" };
   backend.slots = 8;
--- a/libs/relay/tests/RelayBed.hpp
+++ b/libs/relay/tests/RelayBed.hpp
@@ -82,12 +82,17 @@
   // Adds a backend server. The earlier ones are preferred, since later ones are further away.
   void Add(const std::string& aId, const std::string& aService, const ScriptedBackend& aBackend,
            dispatch::Stage aStage = dispatch::Stage::Whole);
+  // Adds a backend server that takes no connections.
+  void AddUnreachable(const std::string& aId, const std::string& aService, dispatch::Stage aStage);
   // Sends one request on a new connection and returns what comes until the relay closes it.
   std::string Ask(const std::string& aMethod, const std::string& aPath);
   std::unique_ptr<net::RawClient> Connect() const;
   static std::string RequestText(const std::string& aMethod, const std::string& aPath);
 
 private:
+  void AddAt(const std::string& aId, const std::string& aService, std::uint16_t aPort,
+             dispatch::Stage aStage);
+
   net::WorkerPool mWorkers;
   std::shared_ptr<RelayParts> mParts;
   std::unique_ptr<net::HttpServer> mServer;
