Log the prompt parts and the progress of failed attempts

Cause not known yet: the logs could not tell whether the content of requests, overload or repeated attempts ended the engines. Change: 'attempt failed' names the shared parts of the prompt and whether the answer had begun.

--- a/libs/dispatch/include/masticstep/dispatch/Prompt.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Prompt.hpp
@@ -27,4 +27,7 @@
   bool operator==(const Prompt&) const = default;
 };
 
+// Returns the ids of the parts that other requests may share: all but the last one.
+std::vector<std::uint64_t> SharedParts(const Prompt& aPrompt);
+
 } // namespace masticstep::dispatch
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -4,6 +4,7 @@
 #include "masticstep/telemetry/Log.hpp"
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 namespace masticstep::relay {
@@ -17,6 +18,22 @@
 constexpr std::int64_t kRetryAfterDivisor = 4;
 constexpr Duration kMaximumRetryAfter = Milliseconds(1000);
 
+// Ids of the parts that other requests may share, in hexadecimal.
+std::string PartsText(const std::optional<dispatch::Prompt>& aPrompt)
+{
+  std::string text;
+  if (!aPrompt) {
+    return text;
+  }
+  for (const std::uint64_t id : dispatch::SharedParts(*aPrompt)) {
+    char hex[18];
+    std::snprintf(hex, sizeof(hex), "%s%llx", text.empty() ? "" : ",",
+                  static_cast<unsigned long long>(id));
+    text += hex;
+  }
+  return text;
+}
+
 } // namespace
 
 bool IsSuccess(unsigned aStatus)
@@ -132,6 +149,8 @@
                  { { "request_id", mRequest.call.id },
                    { "backend", aBackend.id.Text() },
                    { "problem", aError.detail },
+                   { "prompt_parts", PartsText(mRequest.call.prompt) },
+                   { "answer_begun", mResponder.HasStarted() },
                    { "not_run", aError.progress != Progress::Unknown } });
 }
 
