Show that a prompt part that crashes engines is sent to one after the other

What callers saw: requests with one prompt part ended engine after engine, and with each engine all that it was answering. Change: the stand-in engines of the soak crash on a prompt part, callers send it, and a check holds the bounds. No logic changed.

--- a/libs/relay/tests/PromptSessionTests.cpp
+++ b/libs/relay/tests/PromptSessionTests.cpp
@@ -1,6 +1,9 @@
 #include "RelayFixture.hpp"
 #include "masticstep/testing/Test.hpp"
 
+#include <atomic>
+#include <thread>
+
 using namespace masticstep;
 using namespace masticstep::relay;
 
@@ -238,3 +241,36 @@
   CHECK_TRUE(Contains(answer, "id: 4\n"));
   CHECK_FALSE(Contains(answer, "xx"));
 }
+
+// Guards against requests with a prompt part that crashes engines, sent to one engine after the
+// other.
+MASTICSTEP_TEST("a prompt part under which engines crashed is not sent to more engines",
+                "[relay][prompt][failure]")
+{
+  constexpr std::size_t kEngines = 10;
+  constexpr std::size_t kMaximumCrashes = 5;
+  std::atomic<std::size_t> crashes = 0;
+  const ScriptedBackend::Script crashOnPart = [&crashes](const std::string& aRequest) {
+    if (!Contains(aRequest, "/stream/crash")) {
+      return ScriptedResponse{ StreamHead() + Events(1, 3) + StreamEnd(), Then::KeepOpen };
+    }
+    ++crashes;
+    return ScriptedResponse{ StreamHead(), Then::Crash };
+  };
+  RelayFixture fixture;
+  std::vector<std::unique_ptr<ScriptedBackend>> engines;
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    engines.push_back(std::make_unique<ScriptedBackend>(crashOnPart));
+    fixture.Add("e" + std::to_string(i), "llm", *engines.back());
+  }
+  std::string last;
+  for (std::size_t i = 0; i + 1 < kEngines; ++i) {
+    const std::string parts = "Parts: 1,7," + std::to_string(100 + i) + "\r\n";
+    last = fixture.SendRequest("POST", "/stream/crash", parts);
+    std::this_thread::sleep_for(Milliseconds(120));
+  }
+  CHECK_TRUE(crashes <= kMaximumCrashes);
+  CHECK_TRUE(last.starts_with("HTTP/1.1 503"));
+  const std::string sound = fixture.SendRequest("POST", "/stream/1", "Parts: 1,8,200\r\n");
+  CHECK_TRUE(Contains(sound, "data: t3"));
+}
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <charconv>
+#include <sstream>
 #include <utility>
 
 namespace masticstep::relay {
@@ -43,6 +44,16 @@
   return route;
 }
 
+std::vector<dispatch::PromptPart> ParseParts(std::string_view aIds)
+{
+  std::vector<dispatch::PromptPart> parts;
+  std::istringstream text{ std::string(aIds.empty() ? "1,2" : aIds) };
+  for (std::string id; std::getline(text, id, ',');) {
+    parts.push_back({ std::stoull(id), 500 });
+  }
+  return parts;
+}
+
 std::shared_ptr<const dispatch::RouteTable> Table()
 {
   dispatch::RouteTable::Parts parts;
@@ -73,7 +84,8 @@
   call.host = "a.example";
   call.headers = { { "Id", call.id } };
   call.body = aRequest.body;
-  call.prompt = dispatch::Prompt{ "m", 1000, 10, { { 1, 500 }, { 2, 500 } } };
+  call.prompt =
+    dispatch::Prompt{ "m", 1000, 10, ParseParts(net::FindHeader(aRequest.headers, "Parts")) };
   return call;
 }
 
@@ -154,10 +166,13 @@
 net::Task<void> ScriptedBackend::Accept()
 {
   while (true) {
-    tcp::socket socket = co_await mAcceptor.async_accept(asio::use_awaitable);
+    auto [ec, socket] = co_await mAcceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+    if (ec) {
+      co_return;
+    }
     asio::co_spawn(
       mWorkers.Context(),
-      [this, moved = std::move(socket)]() mutable { return Serve(std::move(moved)); },
+      [this, moved = tcp::socket(std::move(socket))]() mutable { return Serve(std::move(moved)); },
       asio::detached);
   }
 }
@@ -190,6 +205,9 @@
         co_return;
       }
     }
+    if (answer.then == ScriptedResponse::Then::Crash) {
+      mAcceptor.close();
+    }
     if (answer.then == ScriptedResponse::Then::Reset) {
       // Closed here, since the socket's destructor would reset the linger option.
       aSocket.set_option(asio::socket_base::linger(true, 0));
@@ -255,11 +273,11 @@
   mState->dispatcher.SetBackends(all);
 }
 
-std::string RelayFixture::RequestText(const std::string& aMethod, const std::string& aPath)
+std::string RelayFixture::RequestText(const std::string& aMethod, const std::string& aPath,
+                                      const std::string& aExtraHeaders)
 {
-  return aMethod + " " + aPath +
-         " HTTP/1.1\r\nHost: a.example\r\nId: c1\r\nContent-Length: 2\r\nConnection: "
-         "close\r\n\r\nhi";
+  return aMethod + " " + aPath + " HTTP/1.1\r\nHost: a.example\r\nId: c1\r\n" + aExtraHeaders +
+         "Content-Length: 2\r\nConnection: close\r\n\r\nhi";
 }
 
 void RelayFixture::SetBufferedResponseBytes(std::size_t aBytes)
@@ -282,10 +300,11 @@
   return std::make_unique<net::RawClient>(net::HostPort{ "127.0.0.1", mServer->Port() });
 }
 
-std::string RelayFixture::SendRequest(const std::string& aMethod, const std::string& aPath)
+std::string RelayFixture::SendRequest(const std::string& aMethod, const std::string& aPath,
+                                      const std::string& aExtraHeaders)
 {
   const std::unique_ptr<net::RawClient> client = Connect();
-  client->Send(RequestText(aMethod, aPath));
+  client->Send(RequestText(aMethod, aPath, aExtraHeaders));
   return client->ReadUntilClosed();
 }
 
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -14,7 +14,8 @@
 
 namespace masticstep::relay {
 
-// Dialect with simple header names: Id, Signed, Not-Run, Read-Only, Source, Resume-After.
+// Dialect with simple header names: Id, Signed, Not-Run, Read-Only, Source, Resume-After, Parts
+// (ids of the prompt parts, by default "1,2").
 class TestDialect : public Dialect
 {
 public:
@@ -35,7 +36,8 @@
   {
     KeepOpen,
     Close,
-    Reset
+    Reset,
+    Crash // closes the connection and refuses all new ones
   } then = Then::KeepOpen;
   std::string repeated{}; // sent again and again afterwards, until the client closes
 };
@@ -87,12 +89,14 @@
   // Adds a backend server that refuses connections.
   void AddUnreachable(const std::string& aId, const std::string& aService, dispatch::Stage aStage);
   // Sends one request on a new connection and returns all bytes until the relay closes it.
-  std::string SendRequest(const std::string& aMethod, const std::string& aPath);
+  std::string SendRequest(const std::string& aMethod, const std::string& aPath,
+                          const std::string& aExtraHeaders = {});
   std::unique_ptr<net::RawClient> Connect() const;
   // Sets and returns the size of the responses that the relay holds in memory.
   void SetBufferedResponseBytes(std::size_t aBytes);
   std::size_t BufferedResponseBytes();
-  static std::string RequestText(const std::string& aMethod, const std::string& aPath);
+  static std::string RequestText(const std::string& aMethod, const std::string& aPath,
+                                 const std::string& aExtraHeaders = {});
 
 private:
   void AddAt(const std::string& aId, const std::string& aService, std::uint16_t aPort,
--- a/tests/soak/Caller.cpp
+++ b/tests/soak/Caller.cpp
@@ -126,6 +126,12 @@
     call.promptHeaders = "m|900," + std::to_string(call.events) + "|a" +
                          std::to_string(Between(1, 9)) + ":600," + call.id + ":300";
   }
+  call.crashesEngines = IsStream(call.kind) && !mShared.crashingPart.empty() &&
+                        Between(1, kPercent) <= mShared.crashingPartPercent;
+  if (call.crashesEngines) {
+    const std::size_t last = call.promptHeaders.rfind(',');
+    call.promptHeaders.insert(last, "," + mShared.crashingPart + ":40");
+  }
   call.sentAt = standins::Now();
   call.daemon = mConnection->daemon;
   call.isOnKeptConnection = mConnection->isUsed;
--- a/tests/soak/Caller.hpp
+++ b/tests/soak/Caller.hpp
@@ -18,6 +18,8 @@
 // State shared by all callers of a run.
 struct CallerSharedState
 {
+  std::string crashingPart;             // id of a prompt part that crashes engines; empty if none
+  std::int64_t crashingPartPercent = 0; // share of streams that have it
   History* history = nullptr;
   bool isOver = false;
   // Returns the daemon for a new connection, chosen as the platform's load balancer would.
--- a/tests/soak/Checks.cpp
+++ b/tests/soak/Checks.cpp
@@ -458,7 +458,7 @@
   std::map<std::string, std::size_t> others;
   for (const CallRecord& call : aHistory.Calls()) {
     const bool isExpected = call.outcome != CallOutcome::Abandoned &&
-                            call.outcome != CallOutcome::Waiting &&
+                            call.outcome != CallOutcome::Waiting && !call.crashesEngines &&
                             IsAlwaysRouted(aHistory, call.prefix);
     if (call.sentAt < aFaultFreeSince || !isExpected) {
       continue;
@@ -497,6 +497,69 @@
   return summary;
 }
 
+namespace {
+
+constexpr std::size_t kCrashesToNotice = 5;
+
+// Ends of the runs that crashed their engine, in order.
+std::vector<Time> PromptCrashes(const History& aHistory)
+{
+  std::vector<Time> times;
+  for (const RunRecord& run : aHistory.Runs()) {
+    const CallRecord* call = aHistory.FindCall(run.callId);
+    if (run.hasCrashed && call != nullptr && call->crashesEngines) {
+      times.push_back(run.endedAt);
+    }
+  }
+  std::sort(times.begin(), times.end());
+  return times;
+}
+
+bool IsSoundStream(const CallRecord& aCall)
+{
+  return IsStream(aCall.kind) && !aCall.crashesEngines && aCall.outcome != CallOutcome::Abandoned &&
+         aCall.outcome != CallOutcome::NotSent;
+}
+
+} // namespace
+
+void CheckCrashingPrompts(const History& aHistory, const Bounds& aBounds, Findings& aFindings)
+{
+  const std::vector<Time> crashes = PromptCrashes(aHistory);
+  if (crashes.size() < kCrashesToNotice) {
+    return;
+  }
+  const Time noticed = crashes[kCrashesToNotice - 1] + aBounds.contact;
+  std::size_t late = 0;
+  for (const ArrivalRecord& arrival : aHistory.Arrivals()) {
+    const CallRecord* call = aHistory.FindCall(arrival.callId);
+    const bool counts =
+      call != nullptr && call->crashesEngines && arrival.at > noticed &&
+      aHistory.IsDaemonFaultFree(call->daemon, arrival.at - aBounds.contact, arrival.at);
+    late += counts ? 1 : 0;
+  }
+  if (late > kMaxTolerated) {
+    Add(aFindings, "crashing prompts",
+        std::to_string(late) + " requests with a prompt part under which " +
+          std::to_string(kCrashesToNotice) + " engines had ended reached engines; " +
+          std::to_string(crashes.size()) + " ended in all");
+  }
+  std::size_t sent = 0;
+  std::size_t served = 0;
+  for (const CallRecord& call : aHistory.Calls()) {
+    const bool counts =
+      IsSoundStream(call) && call.sentAt > noticed + aBounds.contact &&
+      aHistory.IsDaemonFaultFree(call.daemon, call.sentAt - aBounds.contact, call.endedAt);
+    sent += counts ? 1 : 0;
+    served += counts && call.outcome == CallOutcome::Answered && IsSuccess(call.status) ? 1 : 0;
+  }
+  if (sent >= kMinCallsToJudge && served * 2 < sent) {
+    Add(aFindings, "crashing prompts",
+        "only " + std::to_string(served) + " of " + std::to_string(sent) +
+          " other streams were served after the engines had ended");
+  }
+}
+
 Findings CheckAll(const History& aHistory, const Bounds& aBounds, Time aFaultFreeSince)
 {
   Findings findings;
@@ -510,6 +573,7 @@
   CheckMessages(aHistory, findings);
   CheckAttempts(aHistory, aBounds, findings);
   CheckRetryBudget(aHistory, aBounds, findings);
+  CheckCrashingPrompts(aHistory, aBounds, findings);
   CheckConfiguration(aHistory, aBounds, findings);
   CheckDrain(aHistory, aBounds, findings);
   CheckPlannedStops(aHistory, aBounds, findings);
--- a/tests/soak/Checks.hpp
+++ b/tests/soak/Checks.hpp
@@ -43,6 +43,9 @@
 void CheckPlannedStops(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
 void CheckTimeouts(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
 void CheckAbandonedCalls(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+// Few requests with a prompt part that crashes engines may reach engines once several have ended,
+// and the other requests with the same first part must be served.
+void CheckCrashingPrompts(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
 void CheckOrders(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
 // No fault is active for calls sent at or after aFaultFreeSince, so most of them must be served.
 void CheckRecovery(const History& aHistory, Time aFaultFreeSince, Findings& aFindings);
--- a/tests/soak/Engine.cpp
+++ b/tests/soak/Engine.cpp
@@ -154,6 +154,13 @@
          hasTime;
 }
 
+bool Engine::HasCrashingPart(const Exchange& aExchange) const
+{
+  const std::string parts = "," + aExchange.HeaderValue("Masticstep-Prompt-Prefix");
+  return !mShared.crashingPart.empty() &&
+         parts.find("," + mShared.crashingPart + ":") != std::string::npos;
+}
+
 Awaitable<void> Engine::Handle(Exchange& aExchange)
 {
   if (!mIsUp) {
@@ -311,6 +318,15 @@
   }
   const std::size_t run = BeginRun(aRequest, 200);
   mShared.history->Run(run).usesOtherCallsPrompt = isOtherCalls;
+  if (HasCrashingPart(aExchange)) {
+    // Like the engines of the platform: the head is sent, and the engine ends before an event.
+    std::vector<Header> headers = Headers(aRequest, mShared.history->Run(run).stamp);
+    co_await aExchange.BeginEvents(std::move(headers));
+    EndRun(run, true);
+    mShared.crash(mOptions.name);
+    aExchange.Drop();
+    co_return;
+  }
   co_await SendStream(aExchange, std::move(aRequest), run);
 }
 
--- a/tests/soak/Engine.hpp
+++ b/tests/soak/Engine.hpp
@@ -5,6 +5,7 @@
 #include "common/HttpServer.hpp"
 #include "common/Signal.hpp"
 
+#include <functional>
 #include <map>
 #include <random>
 
@@ -44,6 +45,8 @@
   MetadataStore* store = nullptr;
   std::map<std::string, CachedPrompt> prompts; // by ADDRESS/HANDLE
   std::mt19937_64 random;
+  std::string crashingPart; // id of a prompt part that crashes engines; empty if none
+  std::function<void(const std::string& aEngine)> crash; // crashes and restarts the named engine
 };
 
 // Simulated backend server that uses the platform's wire format. Each start gets a new instance id.
@@ -64,6 +67,7 @@
   // Removes the store entry and writes it again after a delay, as after an outage of the store.
   Awaitable<void> Reregister(Duration aPause);
   bool IsUp() const { return mIsUp; }
+  const std::string& Name() const { return mOptions.name; }
   EngineFaults& Faults() { return mFaults; }
   void NotifyFaultsChanged() { mChanged.NotifyAll(); }
 
@@ -90,6 +94,7 @@
   bool IsCurrent(std::uint64_t aIncarnation) const { return mIsUp && mIncarnation == aIncarnation; }
   bool ShouldInject(double aShare);
   bool IsAsSent(const standins::Exchange& aExchange) const;
+  bool HasCrashingPart(const standins::Exchange& aExchange) const;
   std::size_t BeginRun(const Request& aRequest, unsigned aStatus);
   void EndRun(std::size_t aRun, bool aHasCrashed);
   std::vector<standins::Header> Headers(const Request& aRequest, const std::string& aStamp) const;
--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -232,6 +232,15 @@
   co_await CrashAndRestart(aHost, aSpan);
 }
 
+void Fleet::CrashByName(const std::string& aEngine)
+{
+  for (const std::unique_ptr<EngineHost>& host : mEngines) {
+    if (host->engine->Name() == aEngine && !host->isChanging) {
+      Spawn(CrashEngine(*host, kAddressReuseDelay));
+    }
+  }
+}
+
 Awaitable<void> Fleet::RetireEngine(EngineHost& aHost, Duration aSpan)
 {
   aHost.isChanging = true;
--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -52,6 +52,10 @@
   mEngineShared.store = &mStore;
   mEngineShared.random.seed(mOptions.plan.seed);
   mCallerShared.history = &mHistory;
+  mEngineShared.crashingPart = mOptions.crashingPart;
+  mEngineShared.crash = [this](const std::string& aEngine) { CrashByName(aEngine); };
+  mCallerShared.crashingPart = mOptions.crashingPart;
+  mCallerShared.crashingPartPercent = mOptions.crashingPartPercent;
   mCallerShared.chooseDaemon = [this](std::uint64_t aNumber) { return ChooseDaemon(aNumber); };
 }
 
--- a/tests/soak/Fleet.hpp
+++ b/tests/soak/Fleet.hpp
@@ -14,7 +14,9 @@
   std::size_t modelEngines = 6;
   std::size_t plainEngines = 3; // for each of the two plain services
   std::size_t callers = 16;
-  std::string folder; // for settings, process output and the fault plan
+  std::string crashingPart{};           // id of a prompt part that crashes engines; empty if none
+  std::int64_t crashingPartPercent = 0; // share of streams that have it
+  std::string folder;                   // for settings, process output and the fault plan
 };
 
 // An engine with its HTTP server and the proxy through which all daemons connect to it.
@@ -57,6 +59,7 @@
   Awaitable<void> PlayEngineFault(PlannedFault aFault);
   Awaitable<void> CrashEngine(EngineHost& aHost, Duration aSpan);
   Awaitable<void> CrashAndRestart(EngineHost& aHost, Duration aSpan);
+  void CrashByName(const std::string& aEngine);
   Awaitable<void> RetireEngine(EngineHost& aHost, Duration aSpan);
   Awaitable<void> PlayOperatorFault(PlannedFault aFault);
   Daemon& DaemonOf(const PlannedFault& aFault)
--- a/tests/soak/Plan.cpp
+++ b/tests/soak/Plan.cpp
@@ -79,6 +79,9 @@
 
 std::vector<PlannedFault> MakePlan(const PlanOptions& aOptions)
 {
+  if (aOptions.fixed) {
+    return *aOptions.fixed;
+  }
   PortableRandom random(aOptions.seed);
   const std::int64_t count = random.Between(kMinFaults, kMaxFaults);
   const std::int64_t last = std::max((aOptions.length - aOptions.faultFreeTail) / Milliseconds(1),
--- a/tests/soak/Plan.hpp
+++ b/tests/soak/Plan.hpp
@@ -3,6 +3,7 @@
 #include "masticstep/base/Time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -64,6 +65,8 @@
   Duration length = Seconds(40);
   Duration faultFreeTail = Seconds(17); // fault-free period at the end of the run
   std::set<std::size_t> without;        // indices into the plan of faults to skip
+  // Replaces the random faults if set.
+  std::optional<std::vector<PlannedFault>> fixed{};
 };
 
 // Returns the faults of a run in order of their start. The plan is deterministic, and skipping
--- a/tests/soak/Records.hpp
+++ b/tests/soak/Records.hpp
@@ -52,7 +52,8 @@
   Time endedAt{};
   CallOutcome outcome = CallOutcome::Waiting;
   bool isOnKeptConnection = false;
-  bool hasExtraBytes = false; // received after the complete response
+  bool crashesEngines = false; // has the prompt part that crashes engines
+  bool hasExtraBytes = false;  // received after the complete response
   unsigned status = 0;
   std::string stamp;
   std::string body;
