Quarantine prompt parts that crash engines

What callers saw: requests with one prompt part ended engine after engine; with each engine all that it was answering broke off. Cause: nothing related the end of an engine to the content that it was working on. The circuit breaker is kept for each engine, so the next request with the part went to the next healthy one; with several daemons, each also saw only few of the crashes. Class: an input that kills its worker is handed to the next worker, without a limit that spans requests and daemons. Change: the new decision library quarantine collects the parts of all answers that broke off when an engine crashed, quarantines the part that explains most crashes without a whole answer in between, and lets crashes that it explains count against no other part. Evidence is passed on between the daemons of all data centres; quarantined parts are kept in the store and read at start. Simulated fleets of 7 and 300 daemons: at most 3 late requests, no other request refused.

--- /dev/null
+++ b/libs/quarantine/src/PromptQuarantine.cpp
@@ -0,0 +1,291 @@
+#include "masticstep/quarantine/PromptQuarantine.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace masticstep::quarantine {
+
+namespace {
+
+// Crashes at different moments after which a part is quarantined.
+constexpr std::size_t kCrashesToQuarantine = 3;
+// The same for parts that cannot be told apart, and for the first part of prompts, which many
+// other requests share.
+constexpr std::size_t kCrashesToQuarantineTied = 4;
+constexpr std::size_t kCrashesToQuarantineFirst = 5;
+// A failure of a host or a link ends several engines at once, so crashes at the same moment count
+// once.
+constexpr Duration kSameMoment = Milliseconds(50);
+// Time in which evidence reaches all daemons.
+constexpr Duration kSettleTime = Milliseconds(1500);
+constexpr Duration kCrashLifetime = Seconds(120);
+constexpr std::size_t kMaximumCrashes = 32;
+constexpr std::size_t kMaximumSuspects = 64; // for each crash
+// Parts that were answered this recently are no suspects of a crash.
+constexpr Duration kSoundLifetime = Seconds(3);
+constexpr std::size_t kMaximumAnswered = 8192;
+
+void Limit(std::unordered_map<std::uint64_t, Time>& aTimes, Time aNow)
+{
+  if (aTimes.size() > kMaximumAnswered) {
+    std::erase_if(aTimes,
+                  [aNow](const auto& aItem) { return aItem.second + kSoundLifetime < aNow; });
+  }
+  if (aTimes.size() > kMaximumAnswered) {
+    aTimes.clear();
+  }
+}
+
+} // namespace
+
+std::optional<Time> PromptQuarantine::AnsweredAt(std::uint64_t aPart) const
+{
+  const auto found = mAnswered.find(aPart);
+  return found == mAnswered.end() ? std::nullopt : std::optional<Time>(found->second);
+}
+
+bool PromptQuarantine::IsSound(std::uint64_t aPart, Time aNow) const
+{
+  const std::optional<Time> answered = AnsweredAt(aPart);
+  return answered && *answered + kSoundLifetime >= aNow;
+}
+
+// A whole answer after the begin of a quarantine shows that the part crashes no engine.
+bool PromptQuarantine::IsActive(std::uint64_t aPart, const Entry& aEntry, Time aNow) const
+{
+  const std::optional<Time> answered = AnsweredAt(aPart);
+  return aNow < aEntry.until && (!answered || *answered <= aEntry.since);
+}
+
+void PromptQuarantine::Expire(Time aNow)
+{
+  std::erase_if(mCrashes,
+                [aNow](const EngineCrash& aCrash) { return aCrash.at + kCrashLifetime < aNow; });
+  std::erase_if(mQuarantined, [aNow](const auto& aItem) { return aItem.second.until <= aNow; });
+}
+
+void PromptQuarantine::AddCrash(const EngineCrash& aCrash)
+{
+  if (aCrash.suspects.empty()) {
+    return;
+  }
+  std::vector<EngineCrash>::iterator it =
+    std::find_if(mCrashes.begin(), mCrashes.end(),
+                 [&aCrash](const EngineCrash& aOther) { return aOther.process == aCrash.process; });
+  if (it == mCrashes.end()) {
+    if (mCrashes.size() >= kMaximumCrashes) {
+      mCrashes.erase(mCrashes.begin());
+    }
+    it = mCrashes.insert(mCrashes.end(), EngineCrash{ aCrash.process, aCrash.at, {} });
+  }
+  for (const SuspectPart& suspect : aCrash.suspects) {
+    const bool isKnown =
+      std::any_of(it->suspects.begin(), it->suspects.end(),
+                  [&suspect](const SuspectPart& aOther) { return aOther.id == suspect.id; });
+    if (!isKnown && it->suspects.size() < kMaximumSuspects) {
+      it->suspects.push_back(suspect);
+      ++mRevision;
+    }
+  }
+}
+
+void PromptQuarantine::OnCrash(const EngineCrash& aCrash, Time aNow)
+{
+  Expire(aNow);
+  AddCrash(aCrash);
+  Evaluate(aNow);
+}
+
+void PromptQuarantine::OnAnswered(const std::vector<std::uint64_t>& aParts, Time aNow)
+{
+  for (const std::uint64_t part : aParts) {
+    mAnswered[part] = aNow;
+    mOwnAnswers[part] = aNow;
+  }
+  Limit(mAnswered, aNow);
+  Limit(mOwnAnswers, aNow);
+}
+
+void PromptQuarantine::Quarantine(QuarantinedPart aPart)
+{
+  // The time of the latest answer decides, as for a quarantine that begins now.
+  const Time since = aPart.until - kDuration;
+  const Entry entry{ since, aPart.until, since };
+  mRevision += mQuarantined.try_emplace(aPart.part, entry).second ? 1 : 0;
+}
+
+void PromptQuarantine::Merge(const Evidence& aEvidence, Time aNow)
+{
+  Expire(aNow);
+  for (const SoundPart& sound : aEvidence.sound) {
+    Time& answered = mAnswered.try_emplace(sound.part, sound.answeredAt).first->second;
+    answered = std::max(answered, sound.answeredAt);
+  }
+  Limit(mAnswered, aNow);
+  for (const QuarantinedPart& part : aEvidence.quarantined) {
+    Quarantine(part);
+  }
+  for (const EngineCrash& crash : aEvidence.crashes) {
+    AddCrash(crash);
+  }
+  Evaluate(aNow);
+}
+
+bool PromptQuarantine::IsExplained(const EngineCrash& aCrash) const
+{
+  return std::any_of(aCrash.suspects.begin(), aCrash.suspects.end(),
+                     [this](const SuspectPart& aPart) { return mQuarantined.contains(aPart.id); });
+}
+
+std::vector<PromptQuarantine::Candidate> PromptQuarantine::Candidates(Time aNow) const
+{
+  struct Count
+  {
+    Candidate candidate;
+    std::vector<Time> moments;
+  };
+  std::map<std::uint64_t, Count> counts;
+  for (const EngineCrash& crash : mCrashes) {
+    if (IsExplained(crash)) {
+      continue;
+    }
+    for (const SuspectPart& suspect : crash.suspects) {
+      const std::optional<Time> answered = AnsweredAt(suspect.id);
+      const bool isSuspect = !IsSound(suspect.id, aNow) && (!answered || *answered < crash.at);
+      if (isSuspect) {
+        Count& count = counts[suspect.id];
+        count.candidate = { suspect.id, suspect.position, {} };
+        count.moments.push_back(crash.at);
+      }
+    }
+  }
+  std::vector<Candidate> candidates;
+  for (auto& [part, count] : counts) {
+    std::sort(count.moments.begin(), count.moments.end());
+    count.candidate.weight.crashes = count.moments.size();
+    Time latest = Time::min();
+    for (const Time moment : count.moments) {
+      if (latest == Time::min() || moment >= latest + kSameMoment) {
+        ++count.candidate.weight.moments;
+        latest = moment;
+      }
+    }
+    candidates.push_back(count.candidate);
+  }
+  return candidates;
+}
+
+void PromptQuarantine::Evaluate(Time aNow)
+{
+  // The daemons learn of a crash in pieces, each with the parts that one of them had sent to the
+  // engine. A part that seemed to explain the first pieces is freed if a better one turns up.
+  const std::unordered_map<std::uint64_t, Entry> before = mQuarantined;
+  std::erase_if(mQuarantined, [aNow](const auto& aItem) { return aItem.second.settledAt > aNow; });
+  bool mayContinue = true;
+  while (mayContinue) {
+    mayContinue = QuarantineNext(aNow, before);
+  }
+}
+
+bool PromptQuarantine::QuarantineNext(Time aNow,
+                                      const std::unordered_map<std::uint64_t, Entry>& aBefore)
+{
+  const std::vector<Candidate> candidates = Candidates(aNow);
+  Weight most;
+  Weight mostOfFirst;
+  std::size_t tied = 0;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.position == 0) {
+      mostOfFirst = std::max(mostOfFirst, candidate.weight);
+    } else if (candidate.weight > most) {
+      most = candidate.weight;
+      tied = 1;
+    } else if (candidate.weight == most) {
+      ++tied;
+    }
+  }
+  const bool isLater =
+    most.moments >= kCrashesToQuarantineTied || (tied == 1 && most.moments >= kCrashesToQuarantine);
+  const bool isFirst = !isLater && mostOfFirst.moments >= kCrashesToQuarantineFirst;
+  if (!isLater && !isFirst) {
+    return false;
+  }
+  const Weight weight = isLater ? most : mostOfFirst;
+  for (const Candidate& candidate : candidates) {
+    if ((candidate.position > 0) == isLater && candidate.weight == weight) {
+      const auto known = aBefore.find(candidate.part);
+      const Entry entry{ aNow, aNow + kDuration, aNow + kSettleTime };
+      mQuarantined[candidate.part] = known == aBefore.end() ? entry : known->second;
+      mRevision += known == aBefore.end() ? 1 : 0;
+    }
+  }
+  return true;
+}
+
+std::optional<Time> PromptQuarantine::QuarantinedUntil(const std::vector<std::uint64_t>& aParts,
+                                                       Time aNow) const
+{
+  std::optional<Time> until;
+  for (const std::uint64_t part : aParts) {
+    const auto found = mQuarantined.find(part);
+    if (found != mQuarantined.end() && IsActive(part, found->second, aNow)) {
+      until = std::max(until.value_or(found->second.until), found->second.until);
+    }
+  }
+  return until;
+}
+
+std::vector<QuarantinedPart> PromptQuarantine::Active(Time aNow) const
+{
+  std::vector<QuarantinedPart> parts;
+  for (const auto& [part, entry] : mQuarantined) {
+    if (IsActive(part, entry, aNow)) {
+      parts.push_back({ part, entry.until });
+    }
+  }
+  std::sort(parts.begin(), parts.end());
+  return parts;
+}
+
+std::vector<QuarantinedPart> PromptQuarantine::Settled(Time aNow) const
+{
+  std::vector<QuarantinedPart> parts = Active(aNow);
+  std::erase_if(parts, [this, aNow](const QuarantinedPart& aPart) {
+    return mQuarantined.at(aPart.part).settledAt > aNow;
+  });
+  return parts;
+}
+
+std::set<std::uint64_t> PromptQuarantine::SuspectedParts() const
+{
+  std::set<std::uint64_t> parts;
+  for (const EngineCrash& crash : mCrashes) {
+    for (const SuspectPart& suspect : crash.suspects) {
+      parts.insert(suspect.id);
+    }
+  }
+  for (const auto& [part, entry] : mQuarantined) {
+    parts.insert(part);
+  }
+  return parts;
+}
+
+Evidence PromptQuarantine::ToShare(Time aNow) const
+{
+  Evidence evidence;
+  for (const EngineCrash& crash : mCrashes) {
+    if (crash.at + kCrashLifetime >= aNow) {
+      evidence.crashes.push_back(crash);
+    }
+  }
+  evidence.quarantined = Settled(aNow);
+  for (const std::uint64_t part : SuspectedParts()) {
+    const auto found = mOwnAnswers.find(part);
+    if (found != mOwnAnswers.end()) {
+      evidence.sound.push_back({ part, found->second });
+    }
+  }
+  return evidence;
+}
+
+} // namespace masticstep::quarantine
--- /dev/null
+++ b/libs/quarantine/tests/PromptQuarantineTests.cpp
@@ -0,0 +1,140 @@
+#include "masticstep/quarantine/PromptQuarantine.hpp"
+
+#include "masticstep/base/Random.hpp"
+#include "masticstep/testing/Test.hpp"
+
+using namespace masticstep;
+using namespace masticstep::quarantine;
+
+namespace {
+
+constexpr std::uint64_t kFirst = 1; // part that all prompts begin with
+constexpr std::uint64_t kBad = 66;
+
+Time At(double aSeconds)
+{
+  return Time{ Seconds(1000) } + FromSeconds(aSeconds);
+}
+
+EngineCrash Crash(const std::string& aProcess, double aSeconds, std::vector<SuspectPart> aParts)
+{
+  return { aProcess, At(aSeconds), std::move(aParts) };
+}
+
+bool IsQuarantined(const PromptQuarantine& aQuarantine, std::uint64_t aPart, double aSeconds)
+{
+  return aQuarantine.QuarantinedUntil({ aPart }, At(aSeconds)).has_value();
+}
+
+} // namespace
+
+MASTICSTEP_TEST("a part of all prompts that crashed engines is quarantined", "[quarantine]")
+{
+  PromptQuarantine quarantine;
+  quarantine.OnCrash(Crash("a", 0.0, { { kFirst, 0 }, { kBad, 1 }, { 7, 1 } }), At(0.0));
+  quarantine.OnCrash(Crash("b", 0.3, { { kFirst, 0 }, { kBad, 1 }, { 8, 1 } }), At(0.3));
+  CHECK_FALSE(IsQuarantined(quarantine, kBad, 0.5));
+  quarantine.OnCrash(Crash("c", 0.6, { { kFirst, 0 }, { kBad, 1 }, { 7, 1 } }), At(0.6));
+  CHECK_TRUE(IsQuarantined(quarantine, kBad, 0.7));
+  CHECK_FALSE(IsQuarantined(quarantine, kFirst, 0.7));
+  CHECK_FALSE(IsQuarantined(quarantine, 7, 0.7));
+}
+
+// Guards against sound requests that are refused because they were on the engines that crashed.
+MASTICSTEP_TEST("crashes that a quarantined part explains do not count against other parts",
+                "[quarantine][failure]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 30; ++i) {
+    const double at = 0.2 * i;
+    quarantine.OnCrash(
+      Crash("p" + std::to_string(i), at, { { kFirst, 0 }, { kBad, 1 }, { 100U + i % 3, 1 } }),
+      At(at));
+  }
+  CHECK_EQUAL(std::size_t{ 1 }, quarantine.Active(At(7.0)).size());
+  CHECK_TRUE(IsQuarantined(quarantine, kBad, 7.0));
+}
+
+// Guards against quarantine of the requests that a failed host or link broke off.
+MASTICSTEP_TEST("engines that end at the same moment quarantine no part", "[quarantine][failure]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 30; ++i) {
+    const double at = 0.003 * i;
+    quarantine.OnCrash(Crash("p" + std::to_string(i), at, { { kFirst, 0 }, { kBad, 1 } }), At(at));
+  }
+  CHECK_TRUE(quarantine.Active(At(1.0)).empty());
+}
+
+MASTICSTEP_TEST("a part that is answered between crashes is not quarantined", "[quarantine]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 30; ++i) {
+    quarantine.OnCrash(Crash("p" + std::to_string(i), i, { { kBad, 1 } }), At(i));
+    quarantine.OnAnswered({ kBad }, At(i + 0.5));
+  }
+  CHECK_TRUE(quarantine.Active(At(31.0)).empty());
+}
+
+MASTICSTEP_TEST("a whole answer that another daemon received ends the quarantine", "[quarantine]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 3; ++i) {
+    quarantine.OnCrash(Crash("p" + std::to_string(i), i, { { kBad, 1 } }), At(i));
+  }
+  CHECK_TRUE(IsQuarantined(quarantine, kBad, 3.0));
+  quarantine.Merge({ {}, {}, { { kBad, At(3.5) } } }, At(3.6));
+  CHECK_FALSE(IsQuarantined(quarantine, kBad, 3.7));
+}
+
+MASTICSTEP_TEST("a quarantine ends by itself", "[quarantine]")
+{
+  PromptQuarantine quarantine;
+  quarantine.Quarantine({ kBad, At(0.0) + PromptQuarantine::kDuration });
+  CHECK_TRUE(IsQuarantined(quarantine, kBad, 599.0));
+  CHECK_FALSE(IsQuarantined(quarantine, kBad, 601.0));
+}
+
+// Guards against two suspects of the same crashes that keep each other from being found.
+MASTICSTEP_TEST("parts that cannot be told apart are quarantined after one more crash",
+                "[quarantine]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 4; ++i) {
+    CHECK_TRUE(quarantine.Active(At(i)).empty());
+    quarantine.OnCrash(Crash("p" + std::to_string(i), i, { { kFirst, 0 }, { kBad, 1 }, { 67, 2 } }),
+                       At(i));
+  }
+  CHECK_EQUAL(std::size_t{ 2 }, quarantine.Active(At(4.0)).size());
+  CHECK_FALSE(IsQuarantined(quarantine, kFirst, 4.0));
+}
+
+// Guards against a sound part in quarantine because the rest of the evidence arrived after it.
+MASTICSTEP_TEST("a quarantine ends when late evidence explains the crashes better",
+                "[quarantine][failure]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 3; ++i) {
+    quarantine.OnCrash(Crash("p" + std::to_string(i), 0.2 * i, { { 7, 1 } }), At(0.2 * i));
+  }
+  CHECK_TRUE(IsQuarantined(quarantine, 7, 0.5));
+  CHECK_TRUE(quarantine.Settled(At(0.5)).empty());
+  Evidence late;
+  for (int i = 0; i < 3; ++i) {
+    late.crashes.push_back(Crash("p" + std::to_string(i), 0.2 * i, { { kBad, 1 } }));
+  }
+  late.crashes.push_back(Crash("q", 0.9, { { kBad, 1 } }));
+  quarantine.Merge(late, At(1.0));
+  CHECK_FALSE(IsQuarantined(quarantine, 7, 1.1));
+  CHECK_TRUE(IsQuarantined(quarantine, kBad, 1.1));
+}
+
+// Guards against parts that were read from the store after a restart and forgotten with the next
+// crash.
+MASTICSTEP_TEST("a quarantine known from the store outlasts other crashes", "[quarantine]")
+{
+  PromptQuarantine quarantine;
+  quarantine.Quarantine({ kBad, At(0.0) + PromptQuarantine::kDuration });
+  quarantine.OnCrash(Crash("a", 0.1, { { 7, 1 } }), At(0.1));
+  CHECK_TRUE(IsQuarantined(quarantine, kBad, 0.2));
+}
--- /dev/null
+++ b/libs/quarantine/tests/QuarantineFleetTests.cpp
@@ -0,0 +1,161 @@
+// Daemons that share their evidence about crashes, on virtual time.
+#include "masticstep/quarantine/PromptQuarantine.hpp"
+
+#include "masticstep/base/Random.hpp"
+#include "masticstep/testing/Test.hpp"
+
+#include <queue>
+
+using namespace masticstep;
+using namespace masticstep::quarantine;
+
+namespace {
+
+constexpr std::uint64_t kBad = 0xdead5;
+constexpr std::uint64_t kFirstParts = 6; // ids 1 to 6
+constexpr std::uint64_t kSharedParts = 40;
+constexpr Duration kStep = Milliseconds(10);
+constexpr Duration kSendInterval = Milliseconds(200);
+constexpr std::size_t kReceivers = 4;
+constexpr double kLostDatagrams = 0.02;
+constexpr double kSoundRequestsPerSecond = 7.0; // of each daemon
+constexpr double kBadRequestsPerSecond = 12.0;
+// Time from arrival until the engine begins to answer.
+constexpr Duration kPrefillTime = Milliseconds(150);
+constexpr Duration kContact = Seconds(4);
+
+struct Result
+{
+  std::size_t crashes = 0;
+  std::size_t late = 0; // sent with the part later than kContact after the fifth crash
+  std::size_t refusedSound = 0;
+};
+
+// A fleet of daemons before engines that crash on one prompt part. Sound requests are on each
+// engine that crashes, and most of them are answered.
+class Simulation
+{
+public:
+  Simulation(std::size_t aDaemons, std::uint64_t aSeed)
+    : mDaemons(aDaemons)
+    , mRandom(aSeed)
+  {
+  }
+
+  Result Run(Duration aLength)
+  {
+    for (mNow = Time{ Seconds(100) }; mNow < Time{ Seconds(100) } + aLength; mNow += kStep) {
+      SoundRequests();
+      BadRequests();
+      Gossip();
+    }
+    return mResult;
+  }
+
+private:
+  PromptQuarantine& AnyDaemon() { return mDaemons[mRandom.Below(mDaemons.size())]; }
+  std::vector<std::uint64_t> SoundParts()
+  {
+    return { 1 + mRandom.Below(kFirstParts), 100 + mRandom.Below(kSharedParts) };
+  }
+
+  void SoundRequests()
+  {
+    mSoundDue += kSoundRequestsPerSecond * ToSeconds(kStep) * static_cast<double>(mDaemons.size());
+    for (; mSoundDue >= 1.0; mSoundDue -= 1.0) {
+      SoundRequest();
+    }
+  }
+
+  void SoundRequest()
+  {
+    PromptQuarantine& daemon = AnyDaemon();
+    const std::vector<std::uint64_t> parts = SoundParts();
+    if (daemon.QuarantinedUntil(parts, mNow)) {
+      ++mResult.refusedSound;
+    } else {
+      daemon.OnAnswered(parts, mNow);
+    }
+  }
+
+  void BadRequests()
+  {
+    PromptQuarantine& daemon = AnyDaemon();
+    const bool isSent = mRandom.Chance(kBadRequestsPerSecond * ToSeconds(kStep)) &&
+                        !daemon.QuarantinedUntil({ kBad }, mNow);
+    if (isSent) {
+      mResult.late += mFifthCrash && mNow > *mFifthCrash + kContact ? 1 : 0;
+      mSent.push({ mNow + kPrefillTime, &daemon });
+    }
+    while (!mSent.empty() && mSent.front().first <= mNow) {
+      CrashEngine(*mSent.front().second);
+      mSent.pop();
+    }
+  }
+
+  void CrashEngine(PromptQuarantine& aDaemon)
+  {
+    const std::string process = "engine-" + std::to_string(++mResult.crashes);
+    if (mResult.crashes == 5) {
+      mFifthCrash = mNow;
+    }
+    std::vector<SuspectPart> suspects{ { 1 + mRandom.Below(kFirstParts), 0 }, { kBad, 1 } };
+    aDaemon.OnCrash({ process, mNow, suspects }, mNow);
+    for (int i = 0; i < 3; ++i) {
+      const std::vector<std::uint64_t> parts = SoundParts();
+      PromptQuarantine& other = AnyDaemon();
+      if (!other.IsSound(parts[1], mNow)) {
+        other.OnCrash({ process, mNow, { { parts[0], 0 }, { parts[1], 1 } } }, mNow);
+      }
+    }
+  }
+
+  void Gossip()
+  {
+    if ((mNow.time_since_epoch() % kSendInterval) != Duration::zero()) {
+      return;
+    }
+    for (PromptQuarantine& sender : mDaemons) {
+      const Evidence evidence = sender.ToShare(mNow);
+      for (std::size_t i = 0; i < kReceivers && !evidence.IsEmpty(); ++i) {
+        if (!mRandom.Chance(kLostDatagrams)) {
+          AnyDaemon().Merge(evidence, mNow);
+        }
+      }
+    }
+  }
+
+  std::vector<PromptQuarantine> mDaemons;
+  Random mRandom;
+  Time mNow{};
+  double mSoundDue = 0.0;
+  std::optional<Time> mFifthCrash;
+  std::queue<std::pair<Time, PromptQuarantine*>> mSent;
+  Result mResult;
+};
+
+void CheckFleet(std::size_t aDaemons, Duration aLength)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Simulation simulation(aDaemons, seed);
+    const Result result = simulation.Run(aLength);
+    CHECK_TRUE(result.crashes >= 3);
+    CHECK_TRUE(result.late <= 3);
+    CHECK_EQUAL(std::size_t{ 0 }, result.refusedSound);
+  }
+}
+
+} // namespace
+
+// Guards against requests that keep crashing engines since each daemon sees few of the crashes.
+MASTICSTEP_TEST("seven daemons together find the part that crashes engines",
+                "[quarantine][fleet][failure]")
+{
+  CheckFleet(7, Seconds(20));
+}
+
+MASTICSTEP_TEST("three hundred daemons together find the part that crashes engines",
+                "[quarantine][fleet][failure]")
+{
+  CheckFleet(300, Seconds(12));
+}
--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -20,6 +20,7 @@
 
 class PlatformWatcher;
 class StageController;
+class QuarantineExchange;
 class WorkReportChannel;
 
 // Settings of one daemon at startup.
@@ -99,6 +100,7 @@
   std::shared_ptr<PlatformWatcher> mWatcher;
   std::shared_ptr<StageController> mStageController;
   std::shared_ptr<WorkReportChannel> mWorkReports; // null if the UDP port cannot be bound
+  std::shared_ptr<QuarantineExchange> mQuarantineExchange;
   std::unique_ptr<net::HttpServer> mCallerServer;
   std::unique_ptr<net::HttpServer> mReadinessServer;
   std::unique_ptr<net::HttpServer> mMetricsServer;
--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -6,6 +6,7 @@
 #include "masticstep/dispatch/RouteTable.hpp"
 #include "masticstep/dispatch/StageDemand.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
+#include "masticstep/quarantine/PromptQuarantine.hpp"
 #include "masticstep/relay/Dialect.hpp"
 #include "masticstep/relay/StoreSyncState.hpp"
 #include "masticstep/telemetry/Metrics.hpp"
@@ -15,6 +16,7 @@
 namespace masticstep::relay {
 
 class AsyncPromptQueue;
+class CrashDetector;
 
 // State that the requests of one daemon share. Not thread-safe: the daemon runs on a single thread,
 // since an entry host gives it less than one core.
@@ -32,6 +34,8 @@
   dispatch::BackendDirectory directory;
   dispatch::Dispatcher dispatcher;
   const std::unique_ptr<AsyncPromptQueue> promptQueue;
+  quarantine::PromptQuarantine quarantine;
+  const std::shared_ptr<CrashDetector> crashDetector;
   dispatch::RetryBudget retryBudget;
   dispatch::StageDemand stageDemand;
   StoreSyncState storeSync;
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "AdminHandler.hpp"
 #include "PlatformWatcher.hpp"
+#include "QuarantineExchange.hpp"
 #include "StageController.hpp"
 #include "WorkReportChannel.hpp"
 #include "masticstep/net/Clock.hpp"
@@ -127,6 +128,8 @@
   mWatcher->OnRouteTable([this] { ApplyLimits(); });
   mWorkReports = WorkReportChannel::Create(mState, access.store, mSettings.host,
                                            mSettings.place.dataCentre, mSettings.reportAddress);
+  mQuarantineExchange =
+    std::make_shared<QuarantineExchange>(mState, mWorkReports, access.store, RandomSeed());
   StartStageController(std::move(access));
   StartLoops();
   telemetry::Log(Level::Info, "daemon started",
@@ -164,7 +167,11 @@
   spawn([watcher = mWatcher] { return watcher->RunBackendResync(); });
   spawn([watcher = mWatcher] { return watcher->RunBackendExpiry(); });
   spawn([stages = mStageController] { return stages->Run(); });
+  spawn([exchange = mQuarantineExchange] { return exchange->SendEvidence(); });
+  spawn([exchange = mQuarantineExchange] { return exchange->SyncWithStore(); });
   if (mWorkReports) {
+    mWorkReports->OnCrashReport(
+      [exchange = mQuarantineExchange](std::string_view aDatagram) { exchange->Apply(aDatagram); });
     spawn([workReports = mWorkReports] { return workReports->Receive(); });
     spawn([workReports = mWorkReports] { return workReports->SendReports(); });
     spawn([workReports = mWorkReports] { return workReports->DiscoverPeers(); });
--- a/libs/relay/src/RelayState.cpp
+++ b/libs/relay/src/RelayState.cpp
@@ -1,6 +1,7 @@
 #include "masticstep/relay/RelayState.hpp"
 
 #include "AsyncPromptQueue.hpp"
+#include "CrashDetector.hpp"
 
 #include <utility>
 
@@ -20,6 +21,7 @@
   , pool(net::ConnectionPool::Create(kPoolLimits))
   , dispatcher(std::move(aPlace), aSeed)
   , promptQueue(std::make_unique<AsyncPromptQueue>(executor, dispatcher))
+  , crashDetector(std::make_shared<CrashDetector>(executor, pool, quarantine, metrics))
 {
 }
 
--- a/libs/relay/src/WorkReportChannel.cpp
+++ b/libs/relay/src/WorkReportChannel.cpp
@@ -1,15 +1,15 @@
 #include "WorkReportChannel.hpp"
 
+#include "StoreCall.hpp"
 #include "masticstep/base/Hash.hpp"
 #include "masticstep/base/ObjectReader.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
+#include "masticstep/wire/CrashReport.hpp"
 #include "masticstep/wire/WorkReport.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/async_result.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -119,7 +119,12 @@
       co_await net::Sleep(kRetryInterval);
       continue;
     }
-    Apply(std::string_view(buf.data(), n), sender);
+    const std::string_view datagram(buf.data(), n);
+    if (wire::IsCrashReport(datagram)) {
+      mOnCrashReport(datagram);
+    } else {
+      Apply(datagram, sender);
+    }
   }
 }
 
@@ -216,6 +221,19 @@
   }
 }
 
+void WorkReportChannel::SendToFleet(const std::string& aDatagram, std::size_t aCount,
+                                    Random& aRandom)
+{
+  std::vector<Udp::endpoint> receivers = mPeers;
+  receivers.insert(receivers.end(), mRemotePeers.begin(), mRemotePeers.end());
+  for (std::size_t i = 0; i < aCount && i < receivers.size(); ++i) {
+    std::swap(receivers[i], receivers[i + aRandom.Below(receivers.size() - i)]);
+    // The next report replaces one that is lost.
+    boost::system::error_code ignored;
+    mSocket.send_to(asio::buffer(aDatagram), receivers[i], 0, ignored);
+  }
+}
+
 std::string WorkReportChannel::OwnEntry() const
 {
   return boost::json::serialize(boost::json::object{
@@ -224,20 +242,7 @@
 
 net::Task<PlatformReply> WorkReportChannel::Call(platform::PlatformCall aCall)
 {
-  platform::PlatformRequest request;
-  request.number = mNextCall++;
-  request.call = std::move(aCall);
-  const auto submit = [this, &request](auto aHandler) {
-    const auto handler = std::make_shared<decltype(aHandler)>(std::move(aHandler));
-    mStore->Submit(std::move(request),
-                   [handler, executor = mState->executor](PlatformReply aReply) {
-                     asio::post(executor, [handler, reply = std::move(aReply)]() mutable {
-                       (*handler)(std::move(reply));
-                     });
-                   });
-  };
-  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(PlatformReply)>(
-    submit, asio::use_awaitable);
+  co_return co_await CallStore(*mStore, mState->executor, mNextCall++, std::move(aCall));
 }
 
 net::Task<void> WorkReportChannel::DiscoverPeers()
@@ -284,12 +289,12 @@
 void WorkReportChannel::UpdatePeers(const std::vector<platform::ObjectChange>& aEntries)
 {
   std::vector<Udp::endpoint> peers;
+  std::vector<Udp::endpoint> remotePeers;
   for (const platform::ObjectChange& entry : aEntries) {
     Faults faults;
     const std::optional<boost::json::object> object =
       ParseObject(entry.body, entry.key.Text(), faults);
-    if (!object || entry.key.Text() == kDaemonPrefix + mHost.Text() ||
-        peers.size() >= kMaximumPeers) {
+    if (!object || entry.key.Text() == kDaemonPrefix + mHost.Text()) {
       continue;
     }
     ObjectReader reader(*object, entry.key.Text(), "$", faults);
@@ -298,11 +303,14 @@
     const std::string dataCentre = reader.RequiredString("data_centre");
     boost::system::error_code ec;
     const asio::ip::address address = asio::ip::make_address(ip, ec);
-    if (faults.empty() && !ec && dataCentre == mDataCentre.Text()) {
-      peers.emplace_back(address, static_cast<std::uint16_t>(port));
+    const bool isRemote = dataCentre != mDataCentre.Text();
+    std::vector<Udp::endpoint>& group = isRemote ? remotePeers : peers;
+    if (faults.empty() && !ec && (isRemote || peers.size() < kMaximumPeers)) {
+      group.emplace_back(address, static_cast<std::uint16_t>(port));
     }
   }
   mPeers = std::move(peers);
+  mRemotePeers = std::move(remotePeers);
   // The entries of daemons that have left remain, which makes each share smaller but never too
   // large.
   mState->retryBudget.SetDaemonCount(aEntries.size());
--- a/libs/relay/src/WorkReportChannel.hpp
+++ b/libs/relay/src/WorkReportChannel.hpp
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "masticstep/base/Random.hpp"
 #include "masticstep/net/HostPort.hpp"
 #include "masticstep/platform/ObjectStore.hpp"
 #include "masticstep/relay/RelayState.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 
+#include <functional>
 #include <memory>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace masticstep::relay {
@@ -28,6 +32,14 @@
   // Registers this daemon in the store and reads the entries of its peers periodically.
   net::Task<void> DiscoverPeers();
 
+  // Sets the receiver of datagrams with crash reports. Must be called before Receive.
+  void OnCrashReport(std::function<void(std::string_view)> aHandler)
+  {
+    mOnCrashReport = std::move(aHandler);
+  }
+  // Sends a datagram to some daemons of any data centre, chosen at random.
+  void SendToFleet(const std::string& aDatagram, std::size_t aCount, Random& aRandom);
+
 private:
   using Udp = boost::asio::ip::udp;
 
@@ -52,7 +64,9 @@
   const DataCentreName mDataCentre;
   const net::HostPort mAddress;
   Udp::socket mSocket;
-  std::vector<Udp::endpoint> mPeers;
+  std::vector<Udp::endpoint> mPeers;       // of the data centre
+  std::vector<Udp::endpoint> mRemotePeers; // of the other data centres
+  std::function<void(std::string_view)> mOnCrashReport = [](std::string_view /*aDatagram*/) {};
   bool mIsRegistered = false;
   std::uint64_t mNextCall = 1;
 };
--- a/tools/check_dependencies.py
+++ b/tools/check_dependencies.py
@@ -20,6 +20,7 @@
     "membership": ["base"],
     "spread": ["base", "membership"],
     "dispatch": ["base", "config"],
+    "quarantine": ["base"],
 }
 SHELL = {
     "net": ["base"],
@@ -28,7 +29,8 @@
     "peering": ["base", "net", "wire", "membership", "spread", "telemetry"],
     "order_service": ["base", "net", "orders", "platform", "telemetry"],
     "control": ["base", "net", "authority", "roles", "publication", "platform", "telemetry", "config"],
-    "relay": ["authority", "base", "config", "control", "dispatch", "net", "platform", "telemetry", "wire"],
+    "relay": ["authority", "base", "config", "control", "dispatch", "net", "platform", "quarantine", "telemetry",
+              "wire"],
     "adapter": ["authority", "base", "config", "control", "dispatch", "net", "platform", "platform_client", "relay",
                 "telemetry"],
     "gateway": sorted(DECISION.keys() - {"testing", "dispatch"})
