Log the request limits that backend servers name

Change: the adapter reads the limit from an answer, each such answer is logged and counted. No decision changed.

--- a/libs/relay/include/masticstep/relay/Call.hpp
+++ b/libs/relay/include/masticstep/relay/Call.hpp
@@ -60,6 +60,8 @@
   bool notExecuted = false; // the backend server states that it did not execute the request
   bool isEncoded = false;   // an intermediary may have re-encoded the body
   std::optional<dispatch::LoadSample> load;
+  // Requests per second that the backend server accepts from all daemons together.
+  std::optional<double> requestLimit;
 
   bool operator==(const BackendResponseHead&) const = default;
 };
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -1,6 +1,7 @@
 #include "Exchange.hpp"
 
 #include "masticstep/net/Clock.hpp"
+#include "masticstep/telemetry/Log.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -70,6 +71,7 @@
   if (!head) {
     co_return Failure(MakeError(Progress::Unknown, head.error()));
   }
+  LogRequestLimit(*head);
   if (head->load) {
     mState.dispatcher.OnSample(mBackend.id, *head->load, net::Now());
   }
@@ -88,6 +90,17 @@
   co_return *head;
 }
 
+void Exchange::LogRequestLimit(const BackendResponseHead& aHead) const
+{
+  if (aHead.requestLimit) {
+    mState.metrics.GetCounter({ "masticstep_limited_responses_total", {}, {} })->Add();
+    telemetry::Log(telemetry::Level::Info, "backend server limits requests",
+                   { { "request_id", mCallId },
+                     { "backend", mBackend.id.Text() },
+                     { "per_second", *aHead.requestLimit } });
+  }
+}
+
 net::Task<Result<BackendResponseHead, net::NetError>> Exchange::ReadMatchingHead(Time aDeadline)
 {
   for (std::uint32_t skipped = 0; skipped <= kMaximumSkippedResponses; ++skipped) {
--- a/libs/relay/src/Exchange.hpp
+++ b/libs/relay/src/Exchange.hpp
@@ -49,6 +49,7 @@
   const BackendServerName& BackendId() const { return mBackend.id; }
 
 private:
+  void LogRequestLimit(const BackendResponseHead& aHead) const;
   net::Task<Result<BackendResponseHead, net::NetError>> ReadMatchingHead(Time aDeadline);
 
   RelayState& mState;
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -112,6 +112,8 @@
   answer.status = aHead.status;
   answer.callId = std::string(net::FindHeader(aHead.headers, "Id"));
   answer.isSigned = !net::FindHeader(aHead.headers, "Signed").empty();
+  const std::string limit(net::FindHeader(aHead.headers, "Limit"));
+  answer.requestLimit = limit.empty() ? std::nullopt : std::optional<double>(std::stod(limit));
   answer.notExecuted = !net::FindHeader(aHead.headers, "Not-Run").empty();
   return answer;
 }
