Show that engines get more requests than the limit that they name

What callers saw: little; engines in need got several times what they had asked for. One daemon before an engine that names 4 requests a second sends it more than the 29 that may come in 4 s. Change: the stand-in engines of the soak name limits for a while, and a check holds the bound and that they get requests again afterwards. No logic changed.

--- a/libs/relay/tests/PromptSessionTests.cpp
+++ b/libs/relay/tests/PromptSessionTests.cpp
@@ -274,3 +274,33 @@
   const std::string sound = fixture.SendRequest("POST", "/stream/1", "Parts: 1,8,200\r\n");
   CHECK_TRUE(Contains(sound, "data: t3"));
 }
+
+// Guards against an engine that gets more requests than it has asked for, prefills included.
+MASTICSTEP_TEST("an engine gets no more requests than the limit that it names",
+                "[relay][prompt][failure]")
+{
+  constexpr double kLimit = 4.0;
+  constexpr Duration kLength = Seconds(4);
+  std::atomic<std::size_t> requests = 0;
+  ScriptedBackend limited([&requests](const std::string& /*aRequest*/) {
+    ++requests;
+    return ScriptedResponse{ "HTTP/1.1 200 OK\r\nId: c1\r\nSigned: s\r\nLimit: 4.0\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n" +
+                               Events(1, 3) + StreamEnd(),
+                             Then::KeepOpen };
+  });
+  ScriptedBackend other(AnswerWholeStream);
+  RelayFixture fixture;
+  fixture.Add("e0", "llm", limited);
+  fixture.Add("e1", "llm", other);
+  const std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
+  std::size_t served = 0;
+  std::size_t sent = 0;
+  while (std::chrono::steady_clock::now() < begin + kLength) {
+    ++sent;
+    served += Contains(fixture.SendRequest("POST", "/stream/"), "data: t3") ? 1U : 0U;
+  }
+  CHECK_TRUE(static_cast<double>(requests) <= 1.5 * kLimit * ToSeconds(kLength) + 5.0);
+  CHECK_TRUE(requests > 1);
+  CHECK_EQUAL(sent, served);
+}
--- a/tests/soak/Checks.hpp
+++ b/tests/soak/Checks.hpp
@@ -46,6 +46,9 @@
 // Few requests with a prompt part that crashes engines may reach engines once several have ended,
 // and the other requests with the same first part must be served.
 void CheckCrashingPrompts(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+// An engine that names a limit must not get more requests from the daemons that it has told, and
+// gets requests again once it names none.
+void CheckRequestLimits(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
 void CheckOrders(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
 // No fault is active for calls sent at or after aFaultFreeSince, so most of them must be served.
 void CheckRecovery(const History& aHistory, Time aFaultFreeSince, Findings& aFindings);
--- a/tests/soak/Engine.cpp
+++ b/tests/soak/Engine.cpp
@@ -211,6 +211,10 @@
   std::vector<Header> headers;
   headers.push_back({ kId, aRequest.callId });
   headers.push_back({ "Masticstep-Instance-Load", "1,0," + std::to_string(kSlots) });
+  if (mFaults.requestLimit) {
+    headers.push_back({ "Server-Limit", std::to_string(*mFaults.requestLimit) });
+    mShared.history->AddRequestLimit(mId, aRequest.callId, *mFaults.requestLimit, standins::Now());
+  }
   if (!aStamp.empty()) {
     headers.push_back({ "Masticstep-Response-Stamp", aStamp });
   }
--- a/tests/soak/Engine.hpp
+++ b/tests/soak/Engine.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 
 namespace masticstep::soak {
@@ -20,7 +21,8 @@
   double sendsGarbage = 0.0;   // executed, then answered with invalid HTTP or no response stamp
   double repeatsAnswers = 0.0; // the response is sent a second time
   double cutsStreams = 0.0;    // closed in the middle of an event
-  bool isUnresponsive = false; // no request is answered while this is set
+  std::optional<double> requestLimit; // requests per second that its answers name
+  bool isUnresponsive = false;        // no request is answered while this is set
 };
 
 struct EngineOptions
@@ -68,6 +70,7 @@
   Awaitable<void> Reregister(Duration aPause);
   bool IsUp() const { return mIsUp; }
   const std::string& Name() const { return mOptions.name; }
+  const std::string& Service() const { return mOptions.service; }
   EngineFaults& Faults() { return mFaults; }
   void NotifyFaultsChanged() { mChanged.NotifyAll(); }
 
--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -2,6 +2,7 @@
 
 #include "common/TokenBucket.hpp"
 
+#include <map>
 #include <utility>
 
 // Injection of planned faults into a fleet.
@@ -232,6 +233,23 @@
   co_await CrashAndRestart(aHost, aSpan);
 }
 
+Awaitable<void> Fleet::LimitEngines(Duration aStart, Duration aSpan)
+{
+  co_await standins::Pause(aStart);
+  std::map<std::string, std::size_t> limited; // by service
+  std::vector<Engine*> engines;
+  for (const std::unique_ptr<EngineHost>& host : mEngines) {
+    if (limited[host->engine->Service()]++ < mOptions.limitedEngines) {
+      host->engine->Faults().requestLimit = mOptions.requestLimit;
+      engines.push_back(host->engine.get());
+    }
+  }
+  co_await standins::Pause(aSpan);
+  for (Engine* engine : engines) {
+    engine->Faults().requestLimit.reset();
+  }
+}
+
 void Fleet::CrashByName(const std::string& aEngine)
 {
   for (const std::unique_ptr<EngineHost>& host : mEngines) {
--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t kStagePatterns = 3;
 // Callers start this long after the daemons.
 constexpr Duration kCallerStartDelay = Milliseconds(1500);
+constexpr Duration kLimitStart = Seconds(5);
 constexpr Duration kReadinessInterval = Seconds(1);
 constexpr Duration kStopPollInterval = Milliseconds(50);
 constexpr pid_t kProcessNetworks = 128;
@@ -197,6 +198,8 @@
     Spawn(PlayFault(fault));
   }
   file.close();
+  Spawn(
+    LimitEngines(kLimitStart, mOptions.plan.length - mOptions.plan.faultFreeTail - kLimitStart));
   co_await standins::Pause(kCallerStartDelay);
   for (const std::unique_ptr<Caller>& caller : mCallers) {
     Spawn(caller->Run());
--- a/tests/soak/Fleet.hpp
+++ b/tests/soak/Fleet.hpp
@@ -16,7 +16,10 @@
   std::size_t callers = 16;
   std::string crashingPart{};           // id of a prompt part that crashes engines; empty if none
   std::int64_t crashingPartPercent = 0; // share of streams that have it
-  std::string folder;                   // for settings, process output and the fault plan
+  // The first engines of each service that name a limit, and the limit in requests per second.
+  std::size_t limitedEngines = 0;
+  double requestLimit = 4.0;
+  std::string folder; // for settings, process output and the fault plan
 };
 
 // An engine with its HTTP server and the proxy through which all daemons connect to it.
@@ -59,6 +62,8 @@
   Awaitable<void> PlayEngineFault(PlannedFault aFault);
   Awaitable<void> CrashEngine(EngineHost& aHost, Duration aSpan);
   Awaitable<void> CrashAndRestart(EngineHost& aHost, Duration aSpan);
+  // Makes the first engines of each service name a limit, until aSpan has passed.
+  Awaitable<void> LimitEngines(Duration aStart, Duration aSpan);
   void CrashByName(const std::string& aEngine);
   Awaitable<void> RetireEngine(EngineHost& aHost, Duration aSpan);
   Awaitable<void> PlayOperatorFault(PlannedFault aFault);
--- a/tests/soak/History.hpp
+++ b/tests/soak/History.hpp
@@ -16,6 +16,10 @@
   std::size_t AddArrival(ArrivalRecord aArrival);
   std::size_t AddRun(RunRecord aRun);
   void AddOrder(OrderRecord aOrder) { mOrders.push_back(std::move(aOrder)); }
+  void AddRequestLimit(std::string aEngine, std::string aCallId, double aPerSecond, Time aAt)
+  {
+    mRequestLimits.push_back({ std::move(aEngine), std::move(aCallId), aPerSecond, aAt });
+  }
   void AddConfiguration(ConfigurationRecord aRecord);
   void AddDrain(DrainRecord aDrain) { mDrains.push_back(std::move(aDrain)); }
   std::size_t AddStop(StopRecord aStop);
@@ -35,6 +39,7 @@
   const std::vector<RunRecord>& Runs() const { return mRuns; }
   const std::vector<OrderRecord>& Orders() const { return mOrders; }
   const std::vector<ConfigurationRecord>& Configurations() const { return mConfigurations; }
+  const std::vector<RequestLimitRecord>& RequestLimits() const { return mRequestLimits; }
   const std::vector<DrainRecord>& Drains() const { return mDrains; }
   const std::vector<StopRecord>& Stops() const { return mStops; }
   const std::vector<Disturbance>& Disturbances() const { return mDisturbances; }
@@ -54,6 +59,7 @@
   std::vector<RunRecord> mRuns;
   std::vector<OrderRecord> mOrders;
   std::vector<ConfigurationRecord> mConfigurations;
+  std::vector<RequestLimitRecord> mRequestLimits;
   std::vector<DrainRecord> mDrains;
   std::vector<StopRecord> mStops;
   std::vector<Disturbance> mDisturbances;
--- a/tests/soak/Records.hpp
+++ b/tests/soak/Records.hpp
@@ -74,6 +74,15 @@
   bool isAsSent = false;      // as sent by the caller, with a valid deadline and no added headers
 };
 
+// An answer in which an engine named the requests per second that it takes from all daemons.
+struct RequestLimitRecord
+{
+  std::string engine;
+  std::string callId;
+  double perSecond = 0.0;
+  Time at{};
+};
+
 struct RunRecord
 {
   std::string callId;
