Keep to the request limits that backend servers name

What callers saw: little; engines in need got several times the requests that they had asked for. Cause: the limit in an answer was never read, and nothing held the requests of all daemons to one backend server below a rate. Class: a limit for the whole fleet without an owner; each daemon looked only at its own load. Change: RequestLimit keeps a daemon's requests to a backend server within its part of the limit, prefills and decodes alike; DaemonFleet divides a limit without coordination among a few daemons chosen by rendezvous hashing, so that the parts stay usable with hundreds of daemons and the sum stays within the limit. The others send a probe now and then. The limit holds until an answer names none; a limited backend server is no last resort.

--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -4,8 +4,10 @@
 #include "masticstep/dispatch/Backend.hpp"
 #include "masticstep/dispatch/BackendLoad.hpp"
 #include "masticstep/dispatch/CircuitBreaker.hpp"
+#include "masticstep/dispatch/DaemonFleet.hpp"
 #include "masticstep/dispatch/PeerWork.hpp"
 #include "masticstep/dispatch/PrefixCache.hpp"
+#include "masticstep/dispatch/RequestLimit.hpp"
 #include "masticstep/dispatch/RouteTable.hpp"
 
 #include <map>
@@ -87,6 +89,11 @@
               std::uint32_t aTokens, Time aNow);
   void OnDone(const BackendServerName& aBackend, RequestId aId, Outcome aOutcome, Time aNow);
   void OnSample(const BackendServerName& aBackend, const LoadSample& aSample, Time aNow);
+  // Records whether an answer named a limit, in requests per second of all daemons.
+  void OnRequestLimit(const BackendServerName& aBackend, std::optional<double> aPerSecond,
+                      Time aNow);
+  // Sets the daemons that share the limits of backend servers.
+  void SetFleet(HostName aOwn, std::vector<HostName> aAll);
   // Records a completed prefill; aElapsed is the time from sending to the response.
   void OnPrefillDone(const BackendServerName& aBackend, const PromptRequest& aRequest,
                      const PrefillPlacement& aPlacement, Duration aElapsed, Time aNow);
@@ -109,13 +116,14 @@
     CircuitBreaker breaker;
     CircuitBreaker kvTransferBreaker; // for transfers of the KV cache out of the engine
     PrefixCache cache;
+    RequestLimit limit;
     double prefillSecondsPerToken;
   };
 
   // Estimated outstanding work of all daemons at a backend server.
   OutstandingWork WorkAt(const BackendState& aState, Time aNow) const;
   // Backend servers of the service that may receive new work. If all breakers are open, returns
-  // every server: trying one is better than refusing the request.
+  // every server whose request limit allows it: trying one is better than refusing the request.
   std::vector<const BackendState*> Candidates(const ServiceName& aService,
                                               const BackendNames& aExcluded,
                                               bool (*aSupportsStage)(Stage), Time aNow) const;
@@ -134,6 +142,7 @@
   std::shared_ptr<const RouteTable> mTable;
   std::map<BackendServerName, BackendState> mBackendStates;
   PeerWork mPeers;
+  DaemonFleet mFleet;
   // Shortest observed time of a prefill by data centre: nearly all of it is the network round trip.
   std::map<DataCentreName, Duration> mNetworkLatency;
   double mMeanPrefillSecondsPerToken; // average over all engines
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -157,7 +157,7 @@
     const Backend& backend = state.backend;
     const bool isExcluded = std::find(aExcluded.begin(), aExcluded.end(), id) != aExcluded.end();
     if (backend.service != aService || backend.isDraining || isExcluded ||
-        !aSupportsStage(backend.stage)) {
+        !aSupportsStage(backend.stage) || !state.limit.AllowsRequest(aNow)) {
       continue;
     }
     all.push_back(&state);
@@ -331,6 +331,7 @@
   if (BackendState* state = FindState(aBackend)) {
     const Duration wait = WorkAt(*state, aNow).prefillTime;
     state->load.OnSent(aId, wait, aPrefillTime, aTokens, aNow);
+    state->limit.OnSent(aNow);
     state->breaker.OnSent(aNow);
     state->kvTransferBreaker.OnSent(aNow);
   }
@@ -382,6 +383,25 @@
   }
 }
 
+void Dispatcher::OnRequestLimit(const BackendServerName& aBackend, std::optional<double> aPerSecond,
+                                Time aNow)
+{
+  BackendState* state = FindState(aBackend);
+  if (state == nullptr) {
+    return;
+  }
+  if (aPerSecond) {
+    state->limit.OnNamed(mFleet.AllotmentOf(aBackend, *aPerSecond), mRandom.Uniform(), aNow);
+  } else {
+    state->limit.OnNotNamed(aNow);
+  }
+}
+
+void Dispatcher::SetFleet(HostName aOwn, std::vector<HostName> aAll)
+{
+  mFleet.Set(std::move(aOwn), std::move(aAll));
+}
+
 void Dispatcher::OnPrefillDone(const BackendServerName& aBackend, const PromptRequest& aRequest,
                                const PrefillPlacement& aPlacement, Duration aElapsed, Time aNow)
 {
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -72,6 +72,9 @@
     co_return Failure(MakeError(Progress::Unknown, head.error()));
   }
   LogRequestLimit(*head);
+  if (head->requestLimit || head->isSigned || head->notExecuted) {
+    mState.dispatcher.OnRequestLimit(mBackend.id, head->requestLimit, net::Now());
+  }
   if (head->load) {
     mState.dispatcher.OnSample(mBackend.id, *head->load, net::Now());
   }
--- a/libs/relay/src/WorkReportChannel.cpp
+++ b/libs/relay/src/WorkReportChannel.cpp
@@ -290,6 +290,7 @@
 {
   std::vector<Udp::endpoint> peers;
   std::vector<Udp::endpoint> remotePeers;
+  std::vector<HostName> hosts{ mHost };
   for (const platform::ObjectChange& entry : aEntries) {
     Faults faults;
     const std::optional<boost::json::object> object =
@@ -297,6 +298,7 @@
     if (!object || entry.key.Text() == kDaemonPrefix + mHost.Text()) {
       continue;
     }
+    hosts.emplace_back(entry.key.Text().substr(kDaemonPrefix.size()));
     ObjectReader reader(*object, entry.key.Text(), "$", faults);
     const std::string ip = reader.RequiredString("ip");
     const std::int64_t port = reader.RequiredInteger("port", kPorts);
@@ -314,6 +316,7 @@
   // The entries of daemons that have left remain, which makes each share smaller but never too
   // large.
   mState->retryBudget.SetDaemonCount(aEntries.size());
+  mState->dispatcher.SetFleet(mHost, std::move(hosts));
 }
 
 } // namespace masticstep::relay
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -229,6 +229,7 @@
 {
   // Tests send single requests, so no earlier requests have filled the retry budget.
   mState->retryBudget.SetBounds(dispatch::RetryBounds{ 0.2, 640.0, Seconds(10) });
+  mState->dispatcher.SetFleet(HostName{ "h0" }, { HostName{ "h0" } });
   if (aHasTable) {
     mState->table = Table();
     mState->dispatcher.SetTable(mState->table);
