Quarantine prompt parts on routes without streams too

What callers would see: a prompt part that crashes backend servers keeps being sent on idempotent routes, twice for each request. Cause: only the session for prompts asked the quarantine and reported crashes. Change: both kinds of session do, through their base. Evidence: the new test lets every such request end two servers without the check in PlainSession, and at most six in all with it.

--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -8,10 +8,6 @@
 
 using dispatch::Outcome;
 
-namespace {
-
-} // namespace
-
 net::Task<void> PlainSession::Run()
 {
   Step step = Step::Continue;
@@ -26,6 +22,10 @@
     co_await GiveUp("deadline", "the deadline has passed");
     co_return Step::Done;
   }
+  if (IsQuarantined()) {
+    co_await GiveUp("quarantined", kQuarantinedMessage);
+    co_return Step::Done;
+  }
   const std::optional<dispatch::Backend> backend =
     mState->dispatcher.ChooseServer(mRequest.service, mExcluded, net::Now());
   if (!backend) {
@@ -68,6 +68,9 @@
   const bool isError = IsServerError(aHead.status);
   mState->dispatcher.OnDone(aBackend.id, mRequest.number,
                             isError ? Outcome::Failed : Outcome::Answered, net::Now());
+  if (!isError) {
+    mState->quarantine.OnAnswered(mSharedParts, net::Now());
+  }
   ++mExecutions;
   mPossiblyExecuted = true;
   if (isError && mRequest.route->IsRetryable() && mExecutions < mRequest.route->attempts &&
@@ -88,6 +91,7 @@
 {
   mState->dispatcher.OnDone(aBackend.id, mRequest.number, OutcomeOf(aError), net::Now());
   LogFailure(aBackend, aError);
+  ReportBrokenAnswer(aBackend, aError);
   mExcluded.push_back(aBackend.id);
   if (aError.progress == Progress::Unknown) {
     ++mExecutions;
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -1,7 +1,6 @@
 #include "PromptSession.hpp"
 
 #include "AsyncPromptQueue.hpp"
-#include "CrashDetector.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/HttpClient.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -31,12 +30,6 @@
            "unsigned answer with status " + std::to_string(aHead.status) };
 }
 
-bool IsConnectionLost(const ExchangeError& aError)
-{
-  return aError.progress == Progress::Unknown &&
-         (aError.kind == net::NetErrorKind::Closed || aError.kind == net::NetErrorKind::Reset);
-}
-
 net::Task<void> SendKvCacheRelease(std::shared_ptr<RelayState> aState, KvCacheHandle aHandle)
 {
   net::HttpRequest request = aState->dialect->BuildKvCacheRelease(aHandle);
@@ -56,7 +49,6 @@
   mWork.service = mRequest.service;
   mWork.prompt = mRequest.call.prompt.value_or(dispatch::Prompt{});
   mWork.keys = dispatch::PrefixKeys(mWork.prompt);
-  mSharedParts = dispatch::SharedParts(mWork.prompt);
 }
 
 PromptSession::~PromptSession()
@@ -77,9 +69,8 @@
   if (IsCallerGone() || IsPastDeadline()) {
     co_return co_await Abort("deadline", "the deadline has passed");
   }
-  const std::optional<Duration> quarantine = QuarantineLeft();
-  if (quarantine) {
-    co_return co_await AbortQuarantined(*quarantine);
+  if (IsQuarantined()) {
+    co_return co_await Abort("quarantined", kQuarantinedMessage);
   }
   if (!mKvSource) {
     dispatch::QueuedPrompt waiting = MakeWaitingPrompt();
@@ -90,11 +81,10 @@
       co_return co_await Abort("no_engine", "no engine of the service can start in time");
     }
     // The part may have been put into quarantine while the prompt was waiting.
-    const std::optional<Duration> left = QuarantineLeft();
-    if (left) {
+    if (IsQuarantined()) {
       mState->dispatcher.OnDone(placement->engine.id, mRequest.number, Outcome::Abandoned,
                                 net::Now());
-      co_return co_await AbortQuarantined(*left);
+      co_return co_await Abort("quarantined", kQuarantinedMessage);
     }
     if (placement->engine.stage != dispatch::Stage::Prefill) {
       mState->dispatcher.OnDone(placement->engine.id, mRequest.number, Outcome::Abandoned,
@@ -116,19 +106,6 @@
   co_return co_await RunDecode(*engine);
 }
 
-std::optional<Duration> PromptSession::QuarantineLeft() const
-{
-  const Time now = net::Now();
-  const std::optional<Time> until = mState->quarantine.QuarantinedUntil(mSharedParts, now);
-  return until ? std::optional<Duration>(*until - now) : std::nullopt;
-}
-
-net::Task<PromptSession::Step> PromptSession::AbortQuarantined(Duration aLeft)
-{
-  mRetryAfter = aLeft;
-  co_return co_await Abort("quarantined", "engines crashed on a part of the prompt");
-}
-
 dispatch::QueuedPrompt PromptSession::MakeWaitingPrompt() const
 {
   const dispatch::Route& route = *mRequest.route;
@@ -367,9 +344,7 @@
   }
   mState->dispatcher.OnDone(aEngine.id, mRequest.number, OutcomeOf(aError), net::Now());
   LogFailure(aEngine, aError);
-  if (IsConnectionLost(aError)) {
-    mState->crashDetector->OnBrokenAnswer(aEngine, mSharedParts);
-  }
+  ReportBrokenAnswer(aEngine, aError);
   mWork.excluded.push_back(aEngine.id);
   bool mayRetry = aError.progress == Progress::NotSent;
   if (aError.progress == Progress::NotExecuted) {
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -28,9 +28,6 @@
   };
 
   net::Task<Step> Attempt();
-  // Returns the time left if a part of the prompt is in quarantine since it crashes engines.
-  std::optional<Duration> QuarantineLeft() const;
-  net::Task<Step> AbortQuarantined(Duration aLeft);
   dispatch::QueuedPrompt MakeWaitingPrompt() const;
   // Runs the prefill on the engine of the placement and keeps the handle of its KV cache.
   net::Task<Step> RunPrefill(const dispatch::PrefillPlacement& aPlacement);
@@ -55,7 +52,6 @@
   void ReleaseKvCache();
 
   dispatch::PromptRequest mWork;
-  std::vector<std::uint64_t> mSharedParts; // ids
   std::optional<KvCacheHandle> mKvSource;
   std::optional<dispatch::Backend> mPrefillEngine; // engine that holds mKvSource
   std::optional<std::uint64_t> mLastEventId;
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -1,5 +1,6 @@
 #include "Session.hpp"
 
+#include "CrashDetector.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/telemetry/Log.hpp"
 
@@ -18,14 +19,10 @@
 constexpr std::int64_t kRetryAfterDivisor = 4;
 constexpr Duration kMaximumRetryAfter = Milliseconds(1000);
 
-// Ids of the parts that other requests may share, in hexadecimal.
-std::string PartsText(const std::optional<dispatch::Prompt>& aPrompt)
+std::string ToHex(const std::vector<std::uint64_t>& aIds)
 {
   std::string text;
-  if (!aPrompt) {
-    return text;
-  }
-  for (const std::uint64_t id : dispatch::SharedParts(*aPrompt)) {
+  for (const std::uint64_t id : aIds) {
     char hex[18];
     std::snprintf(hex, sizeof(hex), "%s%llx", text.empty() ? "" : ",",
                   static_cast<unsigned long long>(id));
@@ -51,6 +48,7 @@
   : mState(std::move(aState))
   , mRequest(std::move(aRoutedRequest))
   , mResponder(aResponder)
+  , mSharedParts(dispatch::SharedParts(mRequest.call.prompt.value_or(dispatch::Prompt{})))
 {
   ++mState->runningRequests;
   mState->retryBudget.OnRequest(mRequest.service, mRequest.arrived);
@@ -134,6 +132,26 @@
   return dispatch::Outcome::Failed;
 }
 
+bool Session::IsQuarantined()
+{
+  const Time now = net::Now();
+  const std::optional<Time> until = mState->quarantine.QuarantinedUntil(mSharedParts, now);
+  if (until) {
+    mRetryAfter = *until - now;
+  }
+  return until.has_value();
+}
+
+void Session::ReportBrokenAnswer(const dispatch::Backend& aBackend, const ExchangeError& aError)
+{
+  const bool isConnectionLost =
+    aError.progress == Progress::Unknown &&
+    (aError.kind == net::NetErrorKind::Closed || aError.kind == net::NetErrorKind::Reset);
+  if (isConnectionLost) {
+    mState->crashDetector->OnBrokenAnswer(aBackend, mSharedParts);
+  }
+}
+
 SendOptions Session::OptionsFor(const dispatch::Backend& aBackend) const
 {
   SendOptions options;
@@ -149,7 +167,7 @@
                  { { "request_id", mRequest.call.id },
                    { "backend", aBackend.id.Text() },
                    { "problem", aError.detail },
-                   { "prompt_parts", PartsText(mRequest.call.prompt) },
+                   { "prompt_parts", ToHex(mSharedParts) },
                    { "answer_begun", mResponder.HasStarted() },
                    { "not_run", aError.progress != Progress::Unknown } });
 }
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -13,6 +13,8 @@
 constexpr Duration kMaximumIdleRepeatable = Seconds(5);
 constexpr Duration kMaximumIdleNonRepeatable = Milliseconds(1000);
 
+constexpr const char* kQuarantinedMessage = "engines crashed on a part of the prompt";
+
 bool IsSuccess(unsigned aStatus);
 bool IsServerError(unsigned aStatus);
 
@@ -42,6 +44,11 @@
   net::Task<void> GiveUp(std::string aReason, std::string aMessage);
   // Takes one retry from the service's retry budget. Returns false if the budget is exhausted.
   bool TryTakeRetry();
+  // Returns whether a part of the prompt is in quarantine since it crashes engines. If so, callers
+  // that are refused are told to come back after its end.
+  bool IsQuarantined();
+  // Reports the parts of the prompt as suspects if the backend server may have crashed.
+  void ReportBrokenAnswer(const dispatch::Backend& aBackend, const ExchangeError& aError);
   void LogFailure(const dispatch::Backend& aBackend, const ExchangeError& aError) const;
   void LogCompletion(std::string_view aOutcome, unsigned aStatus,
                      std::optional<Time> aFirstEvent = std::nullopt) const;
@@ -55,7 +62,8 @@
   const std::shared_ptr<RelayState> mState;
   const RoutedRequest mRequest;
   net::HttpResponder& mResponder;
-  Exchange* mActiveExchange = nullptr; // null if none is running
+  const std::vector<std::uint64_t> mSharedParts; // ids; empty for requests without a prompt
+  Exchange* mActiveExchange = nullptr;           // null if none is running
   std::optional<Duration> mRetryAfter; // set by the prompt queue if it refused the request
   bool mPossiblyExecuted = false;      // a backend server may have executed the request
   std::uint32_t mExecutions = 0;       // number of attempts that may have been executed
--- a/libs/relay/tests/PlainSessionTests.cpp
+++ b/libs/relay/tests/PlainSessionTests.cpp
@@ -2,6 +2,9 @@
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/testing/Test.hpp"
 
+#include <atomic>
+#include <thread>
+
 using namespace masticstep;
 using namespace masticstep::relay;
 
@@ -264,3 +267,28 @@
   CHECK_TRUE(fixture.SendRequest("POST", "/once/").ends_with("ok"));
   CHECK_EQUAL(std::size_t{ 0 }, fixture.BufferedResponseBytes());
 }
+
+// Guards against a prompt part that crashes backend servers on routes without streams, where each
+// request is also sent twice.
+MASTICSTEP_TEST("a prompt part that crashes backend servers is quarantined on plain routes too",
+                "[relay][plain][failure]")
+{
+  constexpr std::size_t kServers = 12;
+  constexpr std::size_t kMaximumCrashes = 6; // the last request may have crashed a second one
+  std::atomic<std::size_t> crashes = 0;
+  RelayFixture fixture;
+  std::vector<std::unique_ptr<ScriptedBackend>> servers;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    servers.push_back(
+      std::make_unique<ScriptedBackend>([&crashes](const std::string& /*aRequest*/) {
+        ++crashes;
+        return ScriptedResponse{ {}, ScriptedResponse::Then::Crash };
+      }));
+    fixture.Add("s" + std::to_string(i), "plain", *servers.back());
+  }
+  for (std::size_t i = 0; i < kServers / 2; ++i) {
+    fixture.SendRequest("POST", "/again/", "Parts: 1,7," + std::to_string(100 + i) + "\r\n");
+    std::this_thread::sleep_for(Milliseconds(120));
+  }
+  CHECK_TRUE(crashes <= kMaximumCrashes);
+}
