--- a/libs/relay/src/QuarantineExchange.cpp
+++ b/libs/relay/src/QuarantineExchange.cpp
@@ -1,6 +1,7 @@
 #include "QuarantineExchange.hpp"
 
 #include "StoreCall.hpp"
+#include "masticstep/base/ObjectReader.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <cstdio>
 #include <utility>
 
@@ -32,6 +34,8 @@
 constexpr Duration kRepeatInterval = Seconds(5);
 constexpr Duration kStoreInterval = Milliseconds(1000);
 constexpr int kHexadecimal = 16;
+// Up to the year 2100, so that differences cannot overflow.
+constexpr IntegerRange kUnixMilliseconds{ 0, 4102444800000 };
 
 std::string ToHex(std::uint64_t aPart)
 {
@@ -50,6 +54,38 @@
   return isComplete ? std::optional<std::uint64_t>(part) : std::nullopt;
 }
 
+// Entries hold the end of the quarantine by the time of day, since hosts share no other clock.
+std::int64_t UnixMilliseconds()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+std::string EntryBody(Duration aLeft)
+{
+  return boost::json::serialize(
+    boost::json::object{ { "until_ms", UnixMilliseconds() + aLeft / Milliseconds(1) } });
+}
+
+// Returns the time left; that of a new quarantine if the entry does not tell.
+Duration TimeLeft(const platform::ObjectChange& aEntry)
+{
+  Faults faults;
+  const std::optional<boost::json::object> object =
+    ParseObject(aEntry.body, aEntry.key.Text(), faults);
+  if (!object) {
+    return quarantine::PromptQuarantine::kDuration;
+  }
+  ObjectReader reader(*object, aEntry.key.Text(), "$", faults);
+  const std::int64_t until = reader.RequiredInteger("until_ms", kUnixMilliseconds);
+  if (!faults.empty()) {
+    return quarantine::PromptQuarantine::kDuration;
+  }
+  return std::min(Duration(Milliseconds(until - UnixMilliseconds())),
+                  quarantine::PromptQuarantine::kDuration);
+}
+
 wire::CrashReport ToWire(const Evidence& aEvidence, Time aNow)
 {
   wire::CrashReport report;
@@ -199,7 +235,7 @@
       continue;
     }
     mStored[*part] = entry.version;
-    mState->quarantine.Quarantine({ *part, now + quarantine::PromptQuarantine::kDuration });
+    mState->quarantine.Quarantine({ *part, now + TimeLeft(entry) });
   }
   co_return true;
 }
@@ -213,7 +249,7 @@
     }
     platform::PlatformCall write =
       platform::ConditionalWrite{ platform::ObjectKey{ kPartPrefix + ToHex(part.part) },
-                                  std::nullopt, "{}" };
+                                  std::nullopt, EntryBody(part.until - aNow) };
     const PlatformReply written =
       co_await CallStore(*mStore, mState->executor, mNextCall++, std::move(write));
     // A conflict means that the daemon of another data centre was first.
--- a/libs/relay/tests/WorkReportChannelTests.cpp
+++ b/libs/relay/tests/WorkReportChannelTests.cpp
@@ -1,7 +1,7 @@
 #include "WorkReportChannel.hpp"
 
 #include "RelayFixture.hpp"
-#include "masticstep/platform/InMemoryPlatform.hpp"
+#include "SynchronousStore.hpp"
 #include "masticstep/testing/Test.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,30 +14,6 @@
 
 const platform::ObjectKey kOwnKey{ "masticstep-daemons/host-1" };
 
-// In-memory store that completes requests synchronously.
-class SynchronousStore : public platform::ObjectStore
-{
-public:
-  void Submit(platform::PlatformRequest aRequest, Callback aCallback) override
-  {
-    writes += std::holds_alternative<platform::ConditionalWrite>(aRequest.call) ? 1 : 0;
-    platform::PlatformReply reply = mPlatform.Apply(aRequest);
-    for (platform::ObjectChange& item : reply.items) {
-      item.body = mPlatform.Apply({ 0, platform::ReadRequest{ item.key } }).body;
-    }
-    aCallback(std::move(reply));
-  }
-  std::string Read(const platform::ObjectKey& aKey)
-  {
-    return mPlatform.Apply({ 0, platform::ReadRequest{ aKey } }).body;
-  }
-
-  int writes = 0;
-
-private:
-  platform::InMemoryPlatform mPlatform;
-};
-
 // Runs a daemon named host-1 until it has registered itself in the store.
 void RegisterDaemon(const std::shared_ptr<SynchronousStore>& aStore)
 {
