Send only new evidence about crashes, mostly within a data centre

Cause: each daemon sent all that it knew of the last two minutes, to any data centre, five times a second after each change, and every engine that was replaced made the parts of all its broken answers suspects. Change: only what was learned within the last second is passed on, to three peers of the data centre and one of another; the whole goes to single peers every five seconds. Only answers that broke off before an event make suspects. Evidence: tests of quarantine (11, with the new way of sending in the simulated fleets), relay (53) and the soak's prompt and limit tests pass.

--- a/libs/quarantine/include/masticstep/quarantine/PromptQuarantine.hpp
+++ b/libs/quarantine/include/masticstep/quarantine/PromptQuarantine.hpp
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -60,7 +59,7 @@
   // Records the evidence of another daemon.
   void Merge(const Evidence& aEvidence, Time aNow);
   // Quarantines a part on the word of another process, unless a quarantine of it is known already.
-  void Quarantine(QuarantinedPart aPart);
+  void Quarantine(QuarantinedPart aPart, Time aNow);
 
   // Returns the end of the quarantine of a prompt with these parts, or nullopt if it may be sent.
   std::optional<Time> QuarantinedUntil(const std::vector<std::uint64_t>& aParts, Time aNow) const;
@@ -70,7 +69,8 @@
   std::vector<QuarantinedPart> Active(Time aNow) const;
   // Those of them that further evidence about known crashes will not change.
   std::vector<QuarantinedPart> Settled(Time aNow) const;
-  Evidence ToShare(Time aNow) const;
+  // Returns what this daemon knows, or only what it has learned at aSince or later.
+  Evidence ToShare(Time aNow, Time aSince = Time::min()) const;
   // Increases whenever a crash, a suspect or a quarantine becomes known.
   std::uint64_t Revision() const { return mRevision; }
 
@@ -79,6 +79,7 @@
   {
     Time since{};
     Time until{};
+    Time learnedAt{};
     Time settledAt{}; // when all daemons have told what they know about the crashes
   };
   // How many of the unexplained crashes a part would explain.
@@ -97,7 +98,7 @@
   };
 
   void Expire(Time aNow);
-  void AddCrash(const EngineCrash& aCrash);
+  void AddCrash(const EngineCrash& aCrash, Time aNow);
   // Decides anew which parts explain the crashes. Settled quarantines remain.
   void Evaluate(Time aNow);
   // Quarantines the parts that explain most of the remaining crashes. Returns whether there are
@@ -105,11 +106,11 @@
   bool QuarantineNext(Time aNow, const std::unordered_map<std::uint64_t, Entry>& aBefore);
   std::vector<Candidate> Candidates(Time aNow) const;
   bool IsExplained(const EngineCrash& aCrash) const;
-  std::set<std::uint64_t> SuspectedParts() const;
   std::optional<Time> AnsweredAt(std::uint64_t aPart) const;
   bool IsActive(std::uint64_t aPart, const Entry& aEntry, Time aNow) const;
 
-  std::vector<EngineCrash> mCrashes; // oldest first
+  std::vector<EngineCrash> mCrashes;                // oldest first
+  std::unordered_map<std::string, Time> mLearnedAt; // of the latest suspect, by engine process
   std::unordered_map<std::uint64_t, Entry> mQuarantined;
   std::unordered_map<std::uint64_t, Time> mAnswered;   // latest whole answer seen by any daemon
   std::unordered_map<std::uint64_t, Time> mOwnAnswers; // latest whole answer seen by this daemon
--- a/libs/quarantine/src/PromptQuarantine.cpp
+++ b/libs/quarantine/src/PromptQuarantine.cpp
@@ -61,10 +61,12 @@
 {
   std::erase_if(mCrashes,
                 [aNow](const EngineCrash& aCrash) { return aCrash.at + kCrashLifetime < aNow; });
+  std::erase_if(mLearnedAt,
+                [aNow](const auto& aItem) { return aItem.second + kCrashLifetime < aNow; });
   std::erase_if(mQuarantined, [aNow](const auto& aItem) { return aItem.second.until <= aNow; });
 }
 
-void PromptQuarantine::AddCrash(const EngineCrash& aCrash)
+void PromptQuarantine::AddCrash(const EngineCrash& aCrash, Time aNow)
 {
   if (aCrash.suspects.empty()) {
     return;
@@ -84,6 +86,7 @@
                   [&suspect](const SuspectPart& aOther) { return aOther.id == suspect.id; });
     if (!isKnown && it->suspects.size() < kMaximumSuspects) {
       it->suspects.push_back(suspect);
+      mLearnedAt[aCrash.process] = aNow;
       ++mRevision;
     }
   }
@@ -92,7 +95,7 @@
 void PromptQuarantine::OnCrash(const EngineCrash& aCrash, Time aNow)
 {
   Expire(aNow);
-  AddCrash(aCrash);
+  AddCrash(aCrash, aNow);
   Evaluate(aNow);
 }
 
@@ -106,11 +109,11 @@
   Limit(mOwnAnswers, aNow);
 }
 
-void PromptQuarantine::Quarantine(QuarantinedPart aPart)
+void PromptQuarantine::Quarantine(QuarantinedPart aPart, Time aNow)
 {
   // The time of the latest answer decides, as for a quarantine that begins now.
   const Time since = aPart.until - kDuration;
-  const Entry entry{ since, aPart.until, since };
+  const Entry entry{ since, aPart.until, aNow, since };
   mRevision += mQuarantined.try_emplace(aPart.part, entry).second ? 1 : 0;
 }
 
@@ -123,10 +126,10 @@
   }
   Limit(mAnswered, aNow);
   for (const QuarantinedPart& part : aEvidence.quarantined) {
-    Quarantine(part);
+    Quarantine(part, aNow);
   }
   for (const EngineCrash& crash : aEvidence.crashes) {
-    AddCrash(crash);
+    AddCrash(crash, aNow);
   }
   Evaluate(aNow);
 }
@@ -214,7 +217,8 @@
   for (const Candidate& candidate : candidates) {
     if ((candidate.position > 0) == isLater && candidate.weight == weight) {
       const auto known = aBefore.find(candidate.part);
-      const Entry entry{ aNow, aNow + kDuration, aNow + kSettleTime };
+      const Time settledAt = aNow + kSettleTime;
+      const Entry entry{ aNow, aNow + kDuration, settledAt, settledAt };
       mQuarantined[candidate.part] = known == aBefore.end() ? entry : known->second;
       mRevision += known == aBefore.end() ? 1 : 0;
     }
@@ -256,35 +260,42 @@
   return parts;
 }
 
-std::set<std::uint64_t> PromptQuarantine::SuspectedParts() const
+Evidence PromptQuarantine::ToShare(Time aNow, Time aSince) const
 {
-  std::set<std::uint64_t> parts;
+  Evidence evidence;
+  std::map<std::uint64_t, Time> sound;
+  const auto addSound = [this, &sound](std::uint64_t aPart) {
+    const auto found = mOwnAnswers.find(aPart);
+    if (found != mOwnAnswers.end()) {
+      sound[aPart] = found->second;
+    }
+  };
   for (const EngineCrash& crash : mCrashes) {
+    const auto learned = mLearnedAt.find(crash.process);
+    const bool isNew = learned != mLearnedAt.end() && learned->second >= aSince;
+    if (!isNew || crash.at + kCrashLifetime < aNow) {
+      continue;
+    }
+    evidence.crashes.push_back(crash);
     for (const SuspectPart& suspect : crash.suspects) {
-      parts.insert(suspect.id);
+      addSound(suspect.id);
     }
   }
-  for (const auto& [part, entry] : mQuarantined) {
-    parts.insert(part);
-  }
-  return parts;
-}
-
-Evidence PromptQuarantine::ToShare(Time aNow) const
-{
-  Evidence evidence;
-  for (const EngineCrash& crash : mCrashes) {
-    if (crash.at + kCrashLifetime >= aNow) {
-      evidence.crashes.push_back(crash);
+  for (const QuarantinedPart& part : Settled(aNow)) {
+    if (mQuarantined.at(part.part).learnedAt >= aSince) {
+      evidence.quarantined.push_back(part);
+      addSound(part.part);
     }
   }
-  evidence.quarantined = Settled(aNow);
-  for (const std::uint64_t part : SuspectedParts()) {
-    const auto found = mOwnAnswers.find(part);
-    if (found != mOwnAnswers.end()) {
-      evidence.sound.push_back({ part, found->second });
+  // An answer after the begin of a quarantine has ended it; the others must learn of that.
+  for (const auto& [part, entry] : mQuarantined) {
+    if (!IsActive(part, entry, aNow)) {
+      addSound(part);
     }
   }
+  for (const auto& [part, at] : sound) {
+    evidence.sound.push_back({ part, at });
+  }
   return evidence;
 }
 
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -200,6 +200,7 @@
 net::Task<PromptSession::Step> PromptSession::RunDecode(const dispatch::Backend& aEngine)
 {
   mDecodeSentAt = net::Now();
+  mHasEventsOfAttempt = false;
   mState->dispatcher.OnSent(aEngine.id, mRequest.number, Duration::zero(),
                             mWork.prompt.promptTokens, mDecodeSentAt);
   SendOptions options = OptionsFor(aEngine);
@@ -298,6 +299,7 @@
   if (newEvents.empty()) {
     co_return !IsCallerGone();
   }
+  mHasEventsOfAttempt = true;
   if (!mResponder.HasStarted()) {
     mFirstEvent = net::Now();
     telemetry::Log(telemetry::Level::Info, "answer begins",
@@ -344,7 +346,10 @@
   }
   mState->dispatcher.OnDone(aEngine.id, mRequest.number, OutcomeOf(aError), net::Now());
   LogFailure(aEngine, aError);
-  ReportBrokenAnswer(aEngine, aError);
+  // An engine that has sent events got past the begin of the answer without a crash.
+  if (!mHasEventsOfAttempt) {
+    ReportBrokenAnswer(aEngine, aError);
+  }
   mWork.excluded.push_back(aEngine.id);
   bool mayRetry = aError.progress == Progress::NotSent;
   if (aError.progress == Progress::NotExecuted) {
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -59,7 +59,8 @@
   bool mIsDemandRecorded = false;
   std::uint32_t mPrefillAttempts = 0;
   std::uint32_t mRefusedTransfers = 0;
-  Time mDecodeSentAt; // start of the latest decode attempt
+  bool mHasEventsOfAttempt = false; // the engine of the latest decode attempt has sent events
+  Time mDecodeSentAt;               // start of the latest decode attempt
   std::optional<Time> mFirstEvent;
   std::optional<Time> mLastEvent;
 };
--- a/libs/relay/src/QuarantineExchange.cpp
+++ b/libs/relay/src/QuarantineExchange.cpp
@@ -29,7 +29,7 @@
 // A daemon passes new evidence on for this long; it reaches each of hundreds of daemons on several
 // ways, since datagrams may be lost.
 constexpr Duration kSpreadTime = Milliseconds(1000);
-constexpr std::size_t kReceivers = 4;
+constexpr std::size_t kReceivers = 3; // of the own data centre
 // Brings daemons up to date that were away.
 constexpr Duration kRepeatInterval = Seconds(5);
 constexpr Duration kStoreInterval = Milliseconds(1000);
@@ -164,19 +164,22 @@
       newest = now;
     }
     if (revision != 0 && now < newest + kSpreadTime) {
-      Send(kReceivers, now);
+      const quarantine::Evidence fresh = mState->quarantine.ToShare(now, now - kSpreadTime);
+      Send(fresh, { kReceivers, 1 }, now);
     } else if (now >= repeatedAt + kRepeatInterval) {
-      Send(1, now);
+      // About one daemon of a data centre tells one of another.
+      const std::size_t peers = mState->dispatcher.ActivePeers(now).size();
+      const std::size_t remote = mRandom.Below(peers + 1) == 0 ? 1 : 0;
+      Send(mState->quarantine.ToShare(now), { 1, remote }, now);
       repeatedAt = now;
     }
   }
 }
 
-void QuarantineExchange::Send(std::size_t aReceivers, Time aNow)
+void QuarantineExchange::Send(const Evidence& aEvidence, Receivers aReceivers, Time aNow)
 {
-  const Evidence evidence = mState->quarantine.ToShare(aNow);
-  if (mChannel && !evidence.IsEmpty()) {
-    mChannel->SendToFleet(wire::EncodeCrashReport(ToWire(evidence, aNow)), aReceivers, mRandom);
+  if (mChannel && !aEvidence.IsEmpty()) {
+    mChannel->SendToFleet(wire::EncodeCrashReport(ToWire(aEvidence, aNow)), aReceivers, mRandom);
   }
 }
 
@@ -235,7 +238,7 @@
       continue;
     }
     mStored[*part] = entry.version;
-    mState->quarantine.Quarantine({ *part, now + TimeLeft(entry) });
+    mState->quarantine.Quarantine({ *part, now + TimeLeft(entry) }, now);
   }
   co_return true;
 }
--- a/libs/relay/src/QuarantineExchange.hpp
+++ b/libs/relay/src/QuarantineExchange.hpp
@@ -30,7 +30,7 @@
 
 private:
   void LogChanges(Time aNow);
-  void Send(std::size_t aReceivers, Time aNow);
+  void Send(const quarantine::Evidence& aEvidence, Receivers aReceivers, Time aNow);
   net::Task<bool> Load();
   // Writes or removes one entry if the store differs from what this daemon knows.
   net::Task<void> Store(Time aNow);
--- a/libs/relay/src/WorkReportChannel.cpp
+++ b/libs/relay/src/WorkReportChannel.cpp
@@ -221,16 +221,21 @@
   }
 }
 
-void WorkReportChannel::SendToFleet(const std::string& aDatagram, std::size_t aCount,
+void WorkReportChannel::SendToFleet(const std::string& aDatagram, Receivers aReceivers,
                                     Random& aRandom)
 {
-  std::vector<Udp::endpoint> receivers = mPeers;
-  receivers.insert(receivers.end(), mRemotePeers.begin(), mRemotePeers.end());
-  for (std::size_t i = 0; i < aCount && i < receivers.size(); ++i) {
-    std::swap(receivers[i], receivers[i + aRandom.Below(receivers.size() - i)]);
-    // The next report replaces one that is lost.
+  SendToSome(aDatagram, mPeers, aReceivers.local, aRandom);
+  SendToSome(aDatagram, mRemotePeers, aReceivers.remote, aRandom);
+}
+
+void WorkReportChannel::SendToSome(const std::string& aDatagram, std::vector<Udp::endpoint> aPeers,
+                                   std::size_t aCount, Random& aRandom)
+{
+  for (std::size_t i = 0; i < aCount && i < aPeers.size(); ++i) {
+    std::swap(aPeers[i], aPeers[i + aRandom.Below(aPeers.size() - i)]);
+    // The next datagram replaces one that is lost.
     boost::system::error_code ignored;
-    mSocket.send_to(asio::buffer(aDatagram), receivers[i], 0, ignored);
+    mSocket.send_to(asio::buffer(aDatagram), aPeers[i], 0, ignored);
   }
 }
 
--- a/libs/relay/src/WorkReportChannel.hpp
+++ b/libs/relay/src/WorkReportChannel.hpp
@@ -15,6 +15,15 @@
 
 namespace masticstep::relay {
 
+// How many daemons get a datagram.
+struct Receivers
+{
+  std::size_t local = 0;  // of the own data centre
+  std::size_t remote = 0; // of the other data centres, whose traffic is charged
+
+  bool operator==(const Receivers&) const = default;
+};
+
 // Exchanges work reports with the other daemons of the data centre: which work each daemon has sent
 // to which backend server. Daemons discover each other through the platform's store and send
 // reports as UDP datagrams. A lost report is replaced by the next one.
@@ -37,8 +46,8 @@
   {
     mOnCrashReport = std::move(aHandler);
   }
-  // Sends a datagram to some daemons of any data centre, chosen at random.
-  void SendToFleet(const std::string& aDatagram, std::size_t aCount, Random& aRandom);
+  // Sends a datagram to daemons that are chosen at random.
+  void SendToFleet(const std::string& aDatagram, Receivers aReceivers, Random& aRandom);
 
 private:
   using Udp = boost::asio::ip::udp;
@@ -55,6 +64,8 @@
   // Decides whether this daemon is a store watcher of its data centre, or the store poller: the
   // daemons with the lowest host hashes.
   void ElectStoreWatchers(Time aNow);
+  void SendToSome(const std::string& aDatagram, std::vector<Udp::endpoint> aPeers,
+                  std::size_t aCount, Random& aRandom);
   void Broadcast(const std::string& aDatagram);
   std::string OwnEntry() const;
 
--- a/libs/wire/src/CrashReport.cpp
+++ b/libs/wire/src/CrashReport.cpp
@@ -27,6 +27,7 @@
 std::vector<fb::PartTime> ToFlatBuffer(const std::vector<PartTime>& aTimes)
 {
   std::vector<fb::PartTime> times;
+  times.reserve(aTimes.size());
   for (const PartTime& item : aTimes) {
     times.emplace_back(item.part, EncodeTime(item.time));
   }
@@ -53,6 +54,7 @@
   std::vector<flatbuffers::Offset<fb::ReportedCrash>> crashes;
   for (const ReportedCrash& crash : aReport.crashes) {
     std::vector<fb::CrashSuspect> suspects;
+    suspects.reserve(crash.suspects.size());
     for (const CrashSuspect& suspect : crash.suspects) {
       suspects.emplace_back(suspect.part, suspect.position);
     }
