Log the era of the platform's store and the revisions that daemons follow

Cause: not confirmed yet. The log shows that watches get 410, but not from which revision a daemon watched, nor that the store went back. Change: versions carry the era that the store names in its answers. 'platform restored from an older copy' names the feed, the era and the revisions before and after; 'platform lost' names the revision that was watched; a gauge has the era. Versions are still compared by their value first, so no decision changes.

--- a/libs/platform/include/masticstep/platform/ObjectKey.hpp
+++ b/libs/platform/include/masticstep/platform/ObjectKey.hpp
@@ -11,11 +11,14 @@
 // Key of an object, such as "config/manifest".
 using ObjectKey = Identifier<struct ObjectKeyTag>;
 
-// Version of an object. The platform never assigns the same version to a key twice, not even after
-// the object was deleted and recreated.
+// Version of an object, and revision of the store. The platform never assigns the same version to a
+// key twice within an era, not even after the object was deleted and recreated.
 struct Version
 {
   std::uint64_t value = 0;
+  // Increases whenever the store is restored from an older copy of itself, after which it assigns
+  // values again. 0 if the store does not tell.
+  std::uint64_t era = 0;
 
   std::strong_ordering operator<=>(const Version&) const = default;
 };
--- a/libs/platform/include/masticstep/platform/PlatformReply.hpp
+++ b/libs/platform/include/masticstep/platform/PlatformReply.hpp
@@ -49,6 +49,7 @@
   std::uint64_t revision = 0;      // of a listing or watch
   std::vector<ObjectChange> items; // of a listing or watch
   bool hasMore = false;            // of a listing: continue after the last key
+  std::uint64_t era = 0;           // of the store; see Version. 0 without a response
 
   auto operator<=>(const PlatformReply&) const = default;
 };
--- a/libs/relay/include/masticstep/relay/PlatformFeed.hpp
+++ b/libs/relay/include/masticstep/relay/PlatformFeed.hpp
@@ -4,6 +4,7 @@
 #include "masticstep/dispatch/Backend.hpp"
 #include "masticstep/dispatch/RouteTable.hpp"
 #include "masticstep/net/Task.hpp"
+#include "masticstep/platform/ObjectKey.hpp"
 
 #include <memory>
 #include <optional>
@@ -31,7 +32,7 @@
 {
   BackendServerName id;
   std::optional<dispatch::Backend> backend;
-  std::uint64_t revision = 0; // of the entry
+  platform::Version revision; // of the entry
 
   bool operator==(const BackendChange&) const = default;
 };
@@ -40,13 +41,13 @@
 struct BackendUpdate
 {
   std::vector<BackendChange> changes;
-  std::uint64_t revision = 0;
+  platform::Version revision;
 };
 
 struct RouteTableUpdate
 {
   std::shared_ptr<const dispatch::RouteTable> table; // null if unchanged or absent
-  std::uint64_t revision = 0;
+  platform::Version revision;
 };
 
 // Source of the platform's list of backend servers and its configuration. A watch is a long poll
@@ -57,11 +58,11 @@
   virtual ~PlatformFeed() = default;
 
   virtual net::Task<Result<BackendUpdate, FeedError>> ListBackends() = 0;
-  virtual net::Task<Result<BackendUpdate, FeedError>> WatchBackends(std::uint64_t aRevision,
+  virtual net::Task<Result<BackendUpdate, FeedError>> WatchBackends(platform::Version aRevision,
                                                                     Duration aWait) = 0;
   virtual net::Task<Result<RouteTableUpdate, FeedError>> ReadRouteTable() = 0;
-  virtual net::Task<Result<RouteTableUpdate, FeedError>> WatchRouteTable(std::uint64_t aRevision,
-                                                                         Duration aWait) = 0;
+  virtual net::Task<Result<RouteTableUpdate, FeedError>> WatchRouteTable(
+    platform::Version aRevision, Duration aWait) = 0;
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/src/PlatformWatcher.cpp
+++ b/libs/relay/src/PlatformWatcher.cpp
@@ -55,8 +55,17 @@
   mRouteTableFeed.hasNewFeed = true;
 }
 
-void PlatformWatcher::OnResponse(FeedState& aFeedState)
+void PlatformWatcher::OnResponse(FeedState& aFeedState, platform::Version aRevision)
 {
+  if (aRevision.era > aFeedState.revision.era && aFeedState.lastResponse != Time{}) {
+    telemetry::Log(Level::Warning, "platform restored from an older copy",
+                   { { "feed", aFeedState.name },
+                     { "era", aRevision.era },
+                     { "revision", aRevision.value },
+                     { "revision_before", aFeedState.revision.value } });
+  }
+  mState->metrics.GetGauge({ "masticstep_store_era", {}, {} })
+    ->Set(static_cast<std::int64_t>(aRevision.era));
   if (!aFeedState.isConnected) {
     telemetry::Log(Level::Info, "platform reached", { { "feed", aFeedState.name } });
   }
@@ -101,7 +110,10 @@
 {
   if (aFeedState.isConnected) {
     telemetry::Log(Level::Warning, "platform lost",
-                   { { "feed", aFeedState.name }, { "problem", aError.detail } });
+                   { { "feed", aFeedState.name },
+                     { "revision", aFeedState.revision.value },
+                     { "era", aFeedState.revision.era },
+                     { "problem", aError.detail } });
   }
   aFeedState.isConnected = false;
   aFeedState.lastFailure = net::Now();
@@ -116,7 +128,7 @@
     mState->directory.OnStoreLost();
     co_return false;
   }
-  OnResponse(mBackendFeed);
+  OnResponse(mBackendFeed, reply->revision);
   mState->directory.OnStoreRecovered(net::Now());
   Apply(*reply, true);
   co_return true;
@@ -136,7 +148,7 @@
       backoff.Reset();
     }
     co_await WaitForNews(mBackendFeed, [this] {
-      return mState->storeSync.peersBackendChangeRevision > mBackendFeed.revision;
+      return mState->storeSync.peersBackendChangeRevision > mBackendFeed.revision.value;
     });
     const std::shared_ptr<PlatformFeed> feed = mFeed;
     mBackendFeed.isWatching = true;
@@ -153,7 +165,7 @@
       co_await net::Sleep(backoff.NextDelay());
       continue;
     }
-    OnResponse(mBackendFeed);
+    OnResponse(mBackendFeed, reply->revision);
     mState->directory.OnStoreRecovered(net::Now());
     // The resync loop may have read a newer state in the meantime.
     if (reply->revision > mBackendFeed.revision) {
@@ -228,7 +240,7 @@
   std::vector<dispatch::Backend> listed;
   bool isChanged = !aIsSnapshot && !aUpdate.changes.empty();
   for (const BackendChange& change : aUpdate.changes) {
-    newest = std::max(newest, change.revision);
+    newest = std::max(newest, change.revision.value);
     if (aIsSnapshot) {
       if (change.backend) {
         listed.push_back(*change.backend);
@@ -239,7 +251,7 @@
                    { { "backend", change.id.Text() },
                      { "present", change.backend.has_value() },
                      { "draining", change.backend && change.backend->isDraining },
-                     { "revision", aUpdate.revision } });
+                     { "revision", change.revision.value } });
     if (change.backend) {
       mState->directory.Set(*change.backend);
     } else {
@@ -247,9 +259,10 @@
     }
   }
   if (aIsSnapshot) {
-    telemetry::Log(
-      Level::Info, "backends listed",
-      { { "count", static_cast<std::uint64_t>(listed.size()) }, { "revision", aUpdate.revision } });
+    telemetry::Log(Level::Info, "backends listed",
+                   { { "count", static_cast<std::uint64_t>(listed.size()) },
+                     { "revision", aUpdate.revision.value },
+                     { "era", aUpdate.revision.era } });
     const std::map<BackendServerName, dispatch::Backend> before = mState->directory.Backends();
     mState->directory.Replace(std::move(listed), now);
     isChanged = before != mState->directory.Backends();
@@ -257,7 +270,7 @@
   if (isChanged) {
     // A peer that has read the store at this revision or later has seen the same changes.
     mState->storeSync.backendChangeRevision =
-      std::max(mState->storeSync.backendChangeRevision, aUpdate.revision);
+      std::max(mState->storeSync.backendChangeRevision, aUpdate.revision.value);
   }
   if (aIsSnapshot || !aUpdate.changes.empty()) {
     mState->dispatcher.SetBackends(mState->directory.Backends());
@@ -285,7 +298,7 @@
     OnError(mRouteTableFeed, reply.error());
     co_return false;
   }
-  OnResponse(mRouteTableFeed);
+  OnResponse(mRouteTableFeed, reply->revision);
   Apply(*reply);
   co_return true;
 }
@@ -318,7 +331,7 @@
       co_await net::Sleep(backoff.NextDelay());
       continue;
     }
-    OnResponse(mRouteTableFeed);
+    OnResponse(mRouteTableFeed, reply->revision);
     Apply(*reply);
   }
 }
--- a/libs/relay/src/PlatformWatcher.hpp
+++ b/libs/relay/src/PlatformWatcher.hpp
@@ -54,7 +54,7 @@
     bool hasNewFeed = false;  // the feed was replaced and its state has not been read yet
     Time lastResponse{};
     Time lastFailure{};
-    std::uint64_t revision = 0;            // of the newest state that was applied
+    platform::Version revision{};          // of the newest state that was applied
     std::uint64_t lastPeerVersionRead = 0; // last peer version that caused a read
     Time peerIsNewerSince{}; // when a peer first reported a newer version; zero if none did
   };
@@ -63,7 +63,7 @@
   net::Task<bool> ReadRouteTable();
   void Apply(const BackendUpdate& aUpdate, bool aIsSnapshot);
   void Apply(const RouteTableUpdate& aUpdate);
-  void OnResponse(FeedState& aFeedState);
+  void OnResponse(FeedState& aFeedState, platform::Version aRevision);
   void OnError(FeedState& aFeedState, const FeedError& aError);
   // Returns whether peers follow the store for this daemon.
   bool IsFollower() const;
@@ -81,8 +81,8 @@
   const WatchOptions mOptions;
   const Time mElectionEnd;
   std::function<void()> mOnRouteTable;
-  FeedState mBackendFeed{ "backends" };
-  FeedState mRouteTableFeed{ "configuration" };
+  FeedState mBackendFeed{ .name = "backends" };
+  FeedState mRouteTableFeed{ .name = "configuration" };
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/tests/PlatformWatcherTests.cpp
+++ b/libs/relay/tests/PlatformWatcherTests.cpp
@@ -31,7 +31,7 @@
   std::deque<Result<BackendUpdate, FeedError>> watches;
   std::deque<Result<RouteTableUpdate, FeedError>> reads;
   std::deque<Result<RouteTableUpdate, FeedError>> tables; // of watches
-  std::vector<std::uint64_t> watched;                     // revisions passed to WatchBackends
+  std::vector<platform::Version> watched;                 // revisions passed to WatchBackends
   Duration backendWait{ 0 };                              // of the latest watch
   Duration tableWait{ 0 };
 
@@ -39,7 +39,7 @@
   {
     co_return co_await Next(lists);
   }
-  net::Task<Result<BackendUpdate, FeedError>> WatchBackends(std::uint64_t aRevision,
+  net::Task<Result<BackendUpdate, FeedError>> WatchBackends(platform::Version aRevision,
                                                             Duration aWait) override
   {
     watched.push_back(aRevision);
@@ -50,7 +50,7 @@
   {
     co_return co_await Next(reads);
   }
-  net::Task<Result<RouteTableUpdate, FeedError>> WatchRouteTable(std::uint64_t,
+  net::Task<Result<RouteTableUpdate, FeedError>> WatchRouteTable(platform::Version,
                                                                  Duration aWait) override
   {
     tableWait = aWait;
@@ -127,8 +127,8 @@
   fixture.RunUntil([&fixture] { return fixture.feed->watched.size() == 2; });
   CHECK_TRUE(fixture.Has("b"));
   CHECK_FALSE(fixture.Has("a"));
-  CHECK_EQUAL(std::uint64_t{ 5 }, fixture.feed->watched.at(0));
-  CHECK_EQUAL(std::uint64_t{ 7 }, fixture.feed->watched.at(1));
+  CHECK_EQUAL(platform::Version{ 5 }, fixture.feed->watched.at(0));
+  CHECK_EQUAL(platform::Version{ 7 }, fixture.feed->watched.at(1));
   CHECK_EQUAL(std::uint64_t{ 7 }, fixture.state->storeSync.newestEntryRevision);
 }
 
@@ -147,7 +147,7 @@
       boost::asio::detached);
     fixture.RunUntil([&fixture] { return fixture.feed->watched.size() == 2; });
     CHECK_TRUE(fixture.Has("a"));
-    CHECK_EQUAL(std::uint64_t{ 9 }, fixture.feed->watched.at(1));
+    CHECK_EQUAL(platform::Version{ 9 }, fixture.feed->watched.at(1));
   }
 }
 
@@ -283,7 +283,7 @@
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
   fixture.RunUntil([&fixture] { return fixture.feed->watched.size() == 1; });
-  CHECK_EQUAL(std::uint64_t{ 5 }, fixture.feed->watched.at(0));
+  CHECK_EQUAL(platform::Version{ 5 }, fixture.feed->watched.at(0));
 }
 
 // Guards against followers that keep using a backend server whose removal a watcher saw only as its
--- a/libs/relay/tests/RelayDaemonTests.cpp
+++ b/libs/relay/tests/RelayDaemonTests.cpp
@@ -28,7 +28,7 @@
   {
     co_return BackendUpdate{ { { mBackend.id, mBackend, 1 } }, 1 };
   }
-  net::Task<Result<BackendUpdate, FeedError>> WatchBackends(std::uint64_t, Duration) override
+  net::Task<Result<BackendUpdate, FeedError>> WatchBackends(platform::Version, Duration) override
   {
     co_await net::Sleep(Seconds(3600));
     co_return BackendUpdate{ {}, 1 };
@@ -37,7 +37,8 @@
   {
     co_return RouteTableUpdate{ mTable, 1 };
   }
-  net::Task<Result<RouteTableUpdate, FeedError>> WatchRouteTable(std::uint64_t, Duration) override
+  net::Task<Result<RouteTableUpdate, FeedError>> WatchRouteTable(platform::Version,
+                                                                 Duration) override
   {
     co_await net::Sleep(Seconds(3600));
     co_return RouteTableUpdate{ nullptr, 1 };
