Show that changes of a store that came back from an older copy are missed

What callers saw: requests reach engines that have left (DRAIN). A feed that goes back from revision 59 to 56: the daemon watches from 59 and misses the removal at 57. Change: the soak's store keeps copies of the latest seconds, comes back from one, names its era and answers 410 to revisions that it does not have; engines and the operator write again what was lost. No logic changed.

--- a/libs/relay/tests/PlatformWatcherTests.cpp
+++ b/libs/relay/tests/PlatformWatcherTests.cpp
@@ -132,6 +132,28 @@
   CHECK_EQUAL(std::uint64_t{ 7 }, fixture.state->storeSync.newestEntryRevision);
 }
 
+// Guards against missing the changes between a list of a restored store and the revision that was
+// known before.
+MASTICSTEP_TEST("a restored store is watched from the revision of its list",
+                "[relay][watcher][restored]")
+{
+  WatcherFixture fixture;
+  fixture.feed->lists.push_back(
+    BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 58, 1 } } }, { 59, 1 } });
+  fixture.feed->watches.push_back(Failure(FeedError{ FeedErrorKind::Unavailable, {} }));
+  fixture.feed->lists.push_back(
+    BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 52, 2 } } }, { 56, 2 } });
+  fixture.feed->watches.push_back(
+    BackendUpdate{ { { BackendServerName{ "a" }, std::nullopt, { 57, 2 } } }, { 57, 2 } });
+  boost::asio::co_spawn(
+    fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
+    boost::asio::detached);
+  fixture.RunUntil([&fixture] { return fixture.feed->watched.size() == 3; });
+  CHECK_EQUAL((platform::Version{ 56, 2 }), fixture.feed->watched.at(1));
+  CHECK_EQUAL((platform::Version{ 57, 2 }), fixture.feed->watched.at(2));
+  CHECK_FALSE(fixture.Has("a"));
+}
+
 // Guards against stale state: a store that has discarded its history reports none of the missed
 // changes on a resumed watch.
 MASTICSTEP_TEST("a failed watch is followed by a new list", "[relay][watcher][failure]")
--- a/standins/common/HttpClient.cpp
+++ b/standins/common/HttpClient.cpp
@@ -42,6 +42,14 @@
   return !ec && value.is_object() ? std::move(value.get_object()) : boost::json::object{};
 }
 
+std::string HttpReply::HeaderValue(std::string_view aName) const
+{
+  const std::vector<Header>::const_iterator it =
+    std::find_if(headers.begin(), headers.end(),
+                 [aName](const Header& aHeader) { return aHeader.name == aName; });
+  return it == headers.end() ? std::string() : it->value;
+}
+
 Awaitable<HttpReply> Fetch(HttpCall aCall)
 {
   HttpReply reply;
@@ -66,6 +74,9 @@
     co_return reply;
   }
   reply.status = parser.get().result_int();
+  for (const auto& field : parser.get()) {
+    reply.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
   reply.body = std::move(parser.get().body());
   co_return reply;
 }
--- a/standins/common/HttpClient.hpp
+++ b/standins/common/HttpClient.hpp
@@ -6,6 +6,7 @@
 #include "masticstep/base/Time.hpp"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace masticstep::standins {
@@ -23,11 +24,13 @@
 struct HttpReply
 {
   unsigned status = 0; // HTTP status; 0 if the response was not received completely
+  std::vector<Header> headers;
   std::string body;
   std::string error; // reason why status is 0
 
   // Returns the body as a JSON object, or an empty object if it is not one.
   boost::json::object Json() const;
+  std::string HeaderValue(std::string_view aName) const; // empty if absent
 };
 
 // Makes one HTTP call over a new connection.
--- a/tests/soak/Engine.cpp
+++ b/tests/soak/Engine.cpp
@@ -128,6 +128,15 @@
   }
 }
 
+Awaitable<void> Engine::WriteEntryAgain(Duration aPause)
+{
+  const std::uint64_t incarnation = mIncarnation;
+  co_await standins::Pause(aPause);
+  if (IsCurrent(incarnation)) {
+    WriteEntry();
+  }
+}
+
 bool Engine::ShouldInject(double aShare)
 {
   constexpr std::uint64_t kParts = 1000;
--- a/tests/soak/Engine.hpp
+++ b/tests/soak/Engine.hpp
@@ -68,7 +68,10 @@
   Awaitable<void> StartDraining();
   // Removes the store entry and writes it again after a delay, as after an outage of the store.
   Awaitable<void> Reregister(Duration aPause);
+  // Writes the store entry, which the store may have lost, after a delay.
+  Awaitable<void> WriteEntryAgain(Duration aPause);
   bool IsUp() const { return mIsUp; }
+  const std::string& Id() const { return mId; }
   const std::string& Name() const { return mOptions.name; }
   const std::string& Service() const { return mOptions.service; }
   EngineFaults& Faults() { return mFaults; }
--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -2,6 +2,7 @@
 
 #include "common/TokenBucket.hpp"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -24,6 +25,9 @@
 // Entries that expired during a store outage are registered again within this time.
 constexpr std::int64_t kMaxReregisterDelayMs = 1600;
 constexpr Duration kSettleTime = Milliseconds(200);
+// Age of the copy from which the store comes back, in seconds.
+constexpr std::uint64_t kMinCopyAge = 2;
+constexpr std::uint64_t kMaxCopyAge = 10;
 
 boost::json::object LinkFault(FaultKind aKind, std::uint64_t aChoice, Duration aSpan)
 {
@@ -68,6 +72,8 @@
     co_await PlayStoreFault(aFault);
   } else if (aFault.kind <= FaultKind::EngineLeaves) {
     co_await PlayEngineFault(aFault);
+  } else if (aFault.kind == FaultKind::StoreRestored) {
+    co_await PlayRestore(aFault);
   } else {
     co_await PlayOperatorFault(aFault);
   }
@@ -184,6 +190,36 @@
   }
 }
 
+Awaitable<void> Fleet::PlayRestore(PlannedFault aFault)
+{
+  StoreFaults& faults = mStore.Faults();
+  const std::size_t disturbance = mHistory.Disturb(Scope::Store, 0, standins::Now());
+  (aFault.choice % 2 == 0 ? faults.isDown : faults.isSilent) = true;
+  mStore.NotifyFaultsChanged();
+  co_await standins::Pause(aFault.span);
+  const std::uint64_t ages = kMaxCopyAge - kMinCopyAge + 1;
+  mStore.Restore(Seconds(static_cast<std::int64_t>(kMinCopyAge + aFault.choice % ages)));
+  faults = StoreFaults{};
+  mStore.NotifyFaultsChanged();
+  mHistory.EndDisturbance(disturbance, standins::Now());
+  for (const std::unique_ptr<EngineHost>& host : mEngines) {
+    const std::int64_t pause =
+      static_cast<std::int64_t>(mEngineShared.random() % kMaxReregisterDelayMs);
+    Spawn(host->engine->WriteEntryAgain(Milliseconds(pause)));
+  }
+  co_await mOperator.WriteAgain();
+  // Entries that the copy has of engines that are gone lapse.
+  co_await standins::Pause(kEntryLifetime);
+  for (const std::string& name : mStore.Names("servers")) {
+    const bool isOfEngine = std::any_of(
+      mEngines.begin(), mEngines.end(),
+      [&name](const std::unique_ptr<EngineHost>& aHost) { return aHost->engine->Id() == name; });
+    if (!isOfEngine) {
+      mStore.Remove("servers", name);
+    }
+  }
+}
+
 Awaitable<void> Fleet::PlayEngineFault(PlannedFault aFault)
 {
   EngineHost& host = EngineOf(aFault);
--- a/tests/soak/Fleet.hpp
+++ b/tests/soak/Fleet.hpp
@@ -59,6 +59,8 @@
   Awaitable<void> PlayLinkFault(PlannedFault aFault);
   Awaitable<void> PlayReload(PlannedFault aFault);
   Awaitable<void> PlayStoreFault(PlannedFault aFault);
+  // Takes the store away and brings it back from an older copy of itself.
+  Awaitable<void> PlayRestore(PlannedFault aFault);
   Awaitable<void> PlayEngineFault(PlannedFault aFault);
   Awaitable<void> CrashEngine(EngineHost& aHost, Duration aSpan);
   Awaitable<void> CrashAndRestart(EngineHost& aHost, Duration aSpan);
--- a/tests/soak/MetadataStore.cpp
+++ b/tests/soak/MetadataStore.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kHistoryLength = 2000;
 constexpr std::int64_t kMaxWaitMs = 30000;
 constexpr Duration kMaxSilence = Seconds(20);
+constexpr Duration kCopyLifetime = Seconds(20);
 
 boost::json::value ErrorBody(const std::string& aText)
 {
@@ -69,13 +70,53 @@
   mChanged.NotifyAll();
 }
 
+void MetadataStore::KeepCopy()
+{
+  const Time now = standins::Now();
+  mCopies.push_back({ now, mObjects, mRevision });
+  while (mCopies.front().until + kCopyLifetime < now) {
+    mCopies.pop_front();
+  }
+}
+
+void MetadataStore::Restore(Duration aAge)
+{
+  const Time at = standins::Now() - aAge;
+  const std::deque<Copy>::const_iterator copy = std::find_if(
+    mCopies.begin(), mCopies.end(), [at](const Copy& aCopy) { return aCopy.until >= at; });
+  if (copy != mCopies.end()) {
+    mObjects = copy->objects;
+    mRevision = copy->revision;
+    mCopies.clear();
+  }
+  std::erase_if(mHistory, [this](const Change& aChange) { return aChange.revision > mRevision; });
+  mOldestRevision = std::min(mOldestRevision, mRevision);
+  ++mEra;
+  mChanged.NotifyAll();
+}
+
+std::vector<std::string> MetadataStore::Names(const std::string& aKind) const
+{
+  std::vector<std::string> names;
+  const Objects::const_iterator objects = mObjects.find(aKind);
+  if (objects != mObjects.end()) {
+    for (const auto& [name, object] : objects->second) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 void MetadataStore::Put(const std::string& aKind, const std::string& aName,
                         boost::json::value aContent)
 {
-  Object& object = mObjects[aKind][aName];
-  if (object.revision != 0 && object.content == aContent) {
+  const Objects::const_iterator objects = mObjects.find(aKind);
+  if (objects != mObjects.end() && objects->second.contains(aName) &&
+      objects->second.at(aName).content == aContent) {
     return;
   }
+  KeepCopy();
+  Object& object = mObjects[aKind][aName];
   object.revision = ++mRevision;
   object.created = object.created == 0 ? mRevision : object.created;
   object.content = std::move(aContent);
@@ -87,6 +128,7 @@
   if (!mObjects[aKind].contains(aName)) {
     return;
   }
+  KeepCopy();
   ++mRevision;
   boost::json::value last = Describe(aKind, aName);
   last.as_object()["metadata"].as_object()["revision"] = mRevision;
@@ -116,7 +158,11 @@
                                       boost::json::value aBody)
 {
   co_await standins::Pause(mFaults.latency / 2);
-  co_await aExchange.ReplyJson(aStatus, std::move(aBody));
+  std::vector<standins::Header> headers;
+  headers.push_back({ "Content-Type", "application/json" });
+  headers.push_back({ "Store-Era", std::to_string(mEra) });
+  std::string text = boost::json::serialize(aBody);
+  co_await aExchange.Reply(aStatus, std::move(text), std::move(headers));
 }
 
 Awaitable<void> MetadataStore::Handle(Exchange& aExchange)
@@ -190,7 +236,8 @@
     std::clamp<std::int64_t>(aExchange.IntegerParameter("waitMs", 0), 0, kMaxWaitMs);
   const Time deadline = standins::Now() + Milliseconds(wait);
   boost::json::array events;
-  while (IsReachable() && after >= mOldestRevision && events.empty()) {
+  const std::uint64_t era = mEra;
+  while (IsReachable() && era == mEra && CanWatchFrom(after) && events.empty()) {
     events = EventsAfter(aKind, after);
     const Duration left = deadline - standins::Now();
     if (!events.empty() || left <= Duration::zero()) {
@@ -204,7 +251,8 @@
     aExchange.Drop();
     co_return;
   }
-  const unsigned status = mFaults.isDown ? 503 : after < mOldestRevision ? 410 : 200;
+  const bool isGone = era != mEra || !CanWatchFrom(after);
+  const unsigned status = mFaults.isDown ? 503 : isGone ? 410 : 200;
   boost::json::value body =
     status == 200 ? boost::json::value{ { "events", std::move(events) }, { "asOf", mRevision } }
                   : ErrorBody("no watch");
--- a/tests/soak/MetadataStore.hpp
+++ b/tests/soak/MetadataStore.hpp
@@ -29,6 +29,11 @@
   void Remove(const std::string& aKind, const std::string& aName);
   // Discards the change history: watches from an earlier revision get 410.
   void DiscardHistory();
+  // Goes back to the state of aAge ago: later changes are lost, and their revisions are assigned
+  // again.
+  void Restore(Duration aAge);
+  // Names of the objects of a kind.
+  std::vector<std::string> Names(const std::string& aKind) const;
   StoreFaults& Faults() { return mFaults; }
   // Wakes waiting requests; must be called after a change of the faults.
   void NotifyFaultsChanged() { mChanged.NotifyAll(); }
@@ -47,6 +52,14 @@
     std::string kind;
     boost::json::value event;
   };
+  using Objects = std::map<std::string, std::map<std::string, Object>>;
+  // State before a change.
+  struct Copy
+  {
+    Time until{}; // time of the change
+    Objects objects;
+    std::uint64_t revision = 0;
+  };
   struct Target
   {
     std::string kind;
@@ -66,9 +79,17 @@
   boost::json::value Describe(const std::string& aKind, const std::string& aName) const;
   void Record(const std::string& aKind, boost::json::value aObject, bool aIsDeleted);
   boost::json::array EventsAfter(const std::string& aKind, std::uint64_t aRevision) const;
+  // Keeps the state of the latest seconds; must be called before a change.
+  void KeepCopy();
+  bool CanWatchFrom(std::uint64_t aRevision) const
+  {
+    return aRevision >= mOldestRevision && aRevision <= mRevision;
+  }
 
-  std::map<std::string, std::map<std::string, Object>> mObjects;
+  Objects mObjects;
+  std::deque<Copy> mCopies; // oldest first
   std::deque<Change> mHistory;
+  std::uint64_t mEra = 1;
   std::uint64_t mRevision = 100;
   std::uint64_t mOldestRevision = 100; // oldest revision from which a watch can start
   StoreFaults mFaults;
--- a/tests/soak/Operator.cpp
+++ b/tests/soak/Operator.cpp
@@ -85,7 +85,7 @@
   Write();
 }
 
-void Operator::Write()
+boost::json::value Operator::Content() const
 {
   boost::json::array routes;
   for (const auto& [prefix, service] : mServices) {
@@ -95,19 +95,30 @@
   for (const char* name : { kModels, kOrders, kArchive }) {
     services.push_back(MakeService(name));
   }
-  boost::json::value content{ { "version", mVersion },
-                              { "routes", std::move(routes) },
-                              { "services", std::move(services) },
-                              { "limits",
-                                { { "maxHeaderBytes", 16384 },
-                                  { "maxBodyBytes", 1048576 },
-                                  { "headerTimeoutMs", 3000 },
-                                  { "idleTimeoutMs", 5000 } } } };
+  return { { "version", mVersion },
+           { "routes", std::move(routes) },
+           { "services", std::move(services) },
+           { "limits",
+             { { "maxHeaderBytes", 16384 },
+               { "maxBodyBytes", 1048576 },
+               { "headerTimeoutMs", 3000 },
+               { "idleTimeoutMs", 5000 } } } };
+}
+
+void Operator::Write()
+{
   const Time now = standins::Now();
-  mStore.Put("config", "main", std::move(content));
+  mStore.Put("config", "main", Content());
   mHistory.AddConfiguration({ mVersion, now, now, mServices });
 }
 
+Awaitable<void> Operator::WriteAgain()
+{
+  co_await WaitForStore();
+  co_await standins::Pause(kStorePollInterval);
+  mStore.Put("config", "main", Content());
+}
+
 Awaitable<void> Operator::WaitForStore()
 {
   while (!mStore.IsReachable()) {
--- a/tests/soak/Operator.hpp
+++ b/tests/soak/Operator.hpp
@@ -19,9 +19,12 @@
   Awaitable<void> AddOrRemoveRoute();
   // Writes several configurations in quick succession.
   Awaitable<void> Storm();
+  // Writes the newest configuration to a store that may have lost it.
+  Awaitable<void> WriteAgain();
 
 private:
   Awaitable<void> WaitForStore();
+  boost::json::value Content() const;
   void Write();
 
   History& mHistory;
--- a/tests/soak/Plan.cpp
+++ b/tests/soak/Plan.cpp
@@ -15,7 +15,11 @@
 constexpr std::int64_t kMaxFaults = 11;
 constexpr std::int64_t kMinSpanMs = 200;
 constexpr std::int64_t kMaxSpanMs = 5000;
-constexpr std::size_t kKinds = static_cast<std::size_t>(FaultKind::ConfigurationStorm) + 1;
+constexpr std::size_t kKinds = static_cast<std::size_t>(FaultKind::StoreRestored) + 1;
+// The plans of known seeds must not change, so a restore of the store is drawn apart.
+constexpr std::size_t kDrawnKinds = static_cast<std::size_t>(FaultKind::StoreRestored);
+constexpr std::uint64_t kRestoreSeed = 0x5eed;
+constexpr Duration kRestoreSpan = Seconds(2);
 
 constexpr std::array<std::string_view, kKinds> kNames{ "kill daemon",
                                                        "pause daemon",
@@ -48,7 +52,8 @@
                                                        "engine leaves",
                                                        "move route",
                                                        "add route",
-                                                       "configuration storm" };
+                                                       "configuration storm",
+                                                       "store restored" };
 
 // Yields the same numbers with every standard library, unlike the standard distributions.
 class PortableRandom
@@ -89,13 +94,19 @@
   std::vector<PlannedFault> plan;
   for (std::int64_t i = 0; i < count; ++i) {
     PlannedFault fault;
-    fault.kind = static_cast<FaultKind>(random.Between(0, kKinds - 1));
+    fault.kind = static_cast<FaultKind>(random.Between(0, kDrawnKinds - 1));
     fault.span = Milliseconds(random.Between(kMinSpanMs, kMaxSpanMs));
     fault.at = Milliseconds(
       random.Between(kFirstFault / Milliseconds(1), last - fault.span / Milliseconds(1)));
     fault.choice = random.Any();
     plan.push_back(fault);
   }
+  if (aOptions.restoresStore) {
+    PortableRandom extra(aOptions.seed ^ kRestoreSeed);
+    const std::int64_t span = kRestoreSpan / Milliseconds(1);
+    const Duration at = Milliseconds(extra.Between(kFirstFault / Milliseconds(1), last - span));
+    plan.push_back({ at, kRestoreSpan, FaultKind::StoreRestored, extra.Any() });
+  }
   std::stable_sort(
     plan.begin(), plan.end(),
     [](const PlannedFault& aLeft, const PlannedFault& aRight) { return aLeft.at < aRight.at; });
--- a/tests/soak/Plan.hpp
+++ b/tests/soak/Plan.hpp
@@ -45,6 +45,7 @@
   MoveRoute,
   AddRoute,
   ConfigurationStorm,
+  StoreRestored,
 };
 
 std::string_view NameOf(FaultKind aKind);
@@ -65,6 +66,7 @@
   Duration length = Seconds(40);
   Duration faultFreeTail = Seconds(17); // fault-free period at the end of the run
   std::set<std::size_t> without;        // indices into the plan of faults to skip
+  bool restoresStore = false;           // adds a restore of the store to the random faults
   // Replaces the random faults if set.
   std::optional<std::vector<PlannedFault>> fixed{};
 };
--- a/tests/soak/tests/MetadataStoreTests.cpp
+++ b/tests/soak/tests/MetadataStoreTests.cpp
@@ -92,6 +92,25 @@
   CHECK_EQUAL(410U, fixture.Call("GET", watch).status);
 }
 
+MASTICSTEP_TEST("a restored store names a new era and assigns lost revisions again",
+                "[soak][store]")
+{
+  StoreFixture fixture;
+  const boost::json::object before = fixture.Call("GET", "servers").Json();
+  fixture.Store().Put("servers", "lost", "x");
+  const std::string watch =
+    "servers?waitMs=10&watch=" + std::to_string(before.at("asOf").to_number<std::int64_t>() + 1);
+  CHECK_EQUAL(200U, fixture.Call("GET", watch).status);
+  fixture.Store().Restore(Seconds(5));
+  CHECK_EQUAL(404U, fixture.Call("GET", "servers/lost").status);
+  CHECK_EQUAL(410U, fixture.Call("GET", watch).status);
+  const standins::HttpReply after = fixture.Call("GET", "servers");
+  CHECK_TRUE(before == after.Json());
+  CHECK_EQUAL(std::string("2"), after.HeaderValue("Store-Era"));
+  fixture.Store().Put("servers", "next", "y");
+  CHECK_EQUAL(200U, fixture.Call("GET", watch).status);
+}
+
 MASTICSTEP_TEST("a store that is down rejects writes, one that loses answers applies them",
                 "[soak][store]")
 {
