Compare revisions of the store within the era that it names

What callers saw: requests reach engines that left after the platform's store had come back from an older copy (DRAIN). Cause: revisions were taken to increase for ever. A daemon watched from the highest one that it knew, was refused until the store had assigned it again, and then missed what had changed between its latest list and that revision. Daemons that follow the reads of others took new changes for old ones. Change: a version is newer if its era is, whatever its value. A watch that is answered in another era is followed by a new list, late answers of the era before are not applied, work reports name the era, and a daemon that learns of a new era from a peer reads the store even if its own watch is silent. Why it works: within an era revisions only increase, and no value of one era is compared with a value of another.

--- a/libs/platform/include/masticstep/platform/ObjectKey.hpp
+++ b/libs/platform/include/masticstep/platform/ObjectKey.hpp
@@ -20,12 +20,18 @@
   // values again. 0 if the store does not tell.
   std::uint64_t era = 0;
 
-  std::strong_ordering operator<=>(const Version&) const = default;
+  // A version of a later era is newer, whatever its value.
+  constexpr std::strong_ordering operator<=>(const Version& aOther) const
+  {
+    const std::strong_ordering byEra = era <=> aOther.era;
+    return byEra != 0 ? byEra : value <=> aOther.value;
+  }
+  bool operator==(const Version&) const = default;
 };
 
 inline std::ostream& operator<<(std::ostream& aStream, Version aVersion)
 {
-  return aStream << aVersion.value;
+  return aStream << aVersion.value << " of era " << aVersion.era;
 }
 
 // Largest object body that the platform accepts.
--- a/libs/relay/include/masticstep/relay/StoreSyncState.hpp
+++ b/libs/relay/include/masticstep/relay/StoreSyncState.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticstep/base/Time.hpp"
+#include "masticstep/platform/ObjectKey.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -20,13 +21,14 @@
   bool isStorePoller = true;                   // until a peer with a lower host hash reports
   bool isStoreWatcher = true;                  // until two peers with lower host hashes report
   bool mayHaveFollowers = false;               // whether there are peers that are no watchers
-  std::uint64_t newestEntryRevision = 0;       // newest backend server entry seen by this daemon
-  std::uint64_t peersNewestEntryRevision = 0;  // newest backend server entry seen by any peer
+  platform::Version newestEntryRevision;       // newest backend server entry seen by this daemon
+  platform::Version peersNewestEntryRevision;  // newest backend server entry seen by any peer
   std::uint64_t peersConfigurationVersion = 0; // highest version in force at any peer
   // Store revision at which the latest change of a backend server entry was received, by this
   // daemon and by any peer.
-  std::uint64_t backendChangeRevision = 0;
-  std::uint64_t peersBackendChangeRevision = 0;
+  platform::Version backendChangeRevision;
+  platform::Version peersBackendChangeRevision;
+  std::uint64_t storeEra = 0; // highest one that this daemon or any peer has seen
   // Times up to which this daemon, and any peer, has had responses of the store about both backend
   // servers and configuration.
   std::optional<Time> storeContact;
--- a/libs/relay/src/PlatformWatcher.cpp
+++ b/libs/relay/src/PlatformWatcher.cpp
@@ -148,7 +148,7 @@
       backoff.Reset();
     }
     co_await WaitForNews(mBackendFeed, [this] {
-      return mState->storeSync.peersBackendChangeRevision > mBackendFeed.revision.value;
+      return mState->storeSync.peersBackendChangeRevision > mBackendFeed.revision;
     });
     const std::shared_ptr<PlatformFeed> feed = mFeed;
     mBackendFeed.isWatching = true;
@@ -177,8 +177,8 @@
   }
 }
 
-bool PlatformWatcher::NeedsResync(FeedState& aFeedState, std::uint64_t aOwnVersion,
-                                  std::uint64_t aPeerVersion)
+bool PlatformWatcher::NeedsResync(FeedState& aFeedState, platform::Version aOwnVersion,
+                                  platform::Version aPeerVersion)
 {
   const Time now = net::Now();
   if (std::exchange(aFeedState.hasNewFeed, false)) {
@@ -192,6 +192,12 @@
   if (mState->storeSync.isStorePoller && now >= aFeedState.lastResponse + mOptions.maximumSilence) {
     return true;
   }
+  // A watch that was pending while the store was restored may never return.
+  const std::uint64_t era = mState->storeSync.storeEra;
+  if (era > aFeedState.revision.era && era != aFeedState.lastEraRead) {
+    aFeedState.lastEraRead = era;
+    return true;
+  }
   // Each version of a peer causes one read only.
   if (aPeerVersion <= aOwnVersion || aPeerVersion == aFeedState.lastPeerVersionRead) {
     aFeedState.peerIsNewerSince = Time{};
@@ -225,22 +231,38 @@
   const std::shared_ptr<PlatformWatcher> self = shared_from_this();
   while (true) {
     co_await net::Sleep(kResyncCheckInterval);
-    const std::uint64_t version = mState->table ? mState->table->Version() : 0;
-    if (NeedsResync(mRouteTableFeed, version, mState->storeSync.peersConfigurationVersion)) {
+    // The operator's versions increase in all eras.
+    const platform::Version version{ mState->table ? mState->table->Version() : 0 };
+    if (NeedsResync(mRouteTableFeed, version, { mState->storeSync.peersConfigurationVersion })) {
       co_await ReadRouteTable();
     }
   }
 }
 
+bool PlatformWatcher::MayApply(FeedState& aFeedState, platform::Version aRevision)
+{
+  if (aRevision.era < aFeedState.revision.era) {
+    return false;
+  }
+  aFeedState.revision = std::max(aFeedState.revision, aRevision);
+  mState->storeSync.storeEra = std::max(mState->storeSync.storeEra, aRevision.era);
+  return true;
+}
+
 void PlatformWatcher::Apply(const BackendUpdate& aUpdate, bool aIsSnapshot)
 {
   const Time now = net::Now();
-  mBackendFeed.revision = std::max(mBackendFeed.revision, aUpdate.revision);
-  std::uint64_t& newest = mState->storeSync.newestEntryRevision;
+  if (!MayApply(mBackendFeed, aUpdate.revision)) {
+    return;
+  }
+  platform::Version& newest = mState->storeSync.newestEntryRevision;
+  // All revisions that peers are told are of one era.
+  const bool isNewEra = aUpdate.revision.era > newest.era;
+  newest = std::max(newest, { 0, aUpdate.revision.era });
   std::vector<dispatch::Backend> listed;
-  bool isChanged = !aIsSnapshot && !aUpdate.changes.empty();
+  bool isChanged = isNewEra || (!aIsSnapshot && !aUpdate.changes.empty());
   for (const BackendChange& change : aUpdate.changes) {
-    newest = std::max(newest, change.revision.value);
+    newest = std::max(newest, change.revision);
     if (aIsSnapshot) {
       if (change.backend) {
         listed.push_back(*change.backend);
@@ -265,12 +287,12 @@
                      { "era", aUpdate.revision.era } });
     const std::map<BackendServerName, dispatch::Backend> before = mState->directory.Backends();
     mState->directory.Replace(std::move(listed), now);
-    isChanged = before != mState->directory.Backends();
+    isChanged = isChanged || before != mState->directory.Backends();
   }
   if (isChanged) {
     // A peer that has read the store at this revision or later has seen the same changes.
     mState->storeSync.backendChangeRevision =
-      std::max(mState->storeSync.backendChangeRevision, aUpdate.revision.value);
+      std::max(mState->storeSync.backendChangeRevision, aUpdate.revision);
   }
   if (aIsSnapshot || !aUpdate.changes.empty()) {
     mState->dispatcher.SetBackends(mState->directory.Backends());
@@ -338,11 +360,16 @@
 
 void PlatformWatcher::Apply(const RouteTableUpdate& aUpdate)
 {
-  mRouteTableFeed.revision = std::max(mRouteTableFeed.revision, aUpdate.revision);
-  if (!aUpdate.table) {
+  if (!MayApply(mRouteTableFeed, aUpdate.revision) || !aUpdate.table) {
     return;
   }
   if (mState->table && aUpdate.table->Version() <= mState->table->Version()) {
+    if (aUpdate.table->Version() < mState->table->Version()) {
+      telemetry::Log(Level::Warning, "older configuration ignored",
+                     { { "version", aUpdate.table->Version() },
+                       { "in_force", mState->table->Version() },
+                       { "era", aUpdate.revision.era } });
+    }
     return;
   }
   mState->table = aUpdate.table;
--- a/libs/relay/src/PlatformWatcher.hpp
+++ b/libs/relay/src/PlatformWatcher.hpp
@@ -54,8 +54,9 @@
     bool hasNewFeed = false;  // the feed was replaced and its state has not been read yet
     Time lastResponse{};
     Time lastFailure{};
-    platform::Version revision{};          // of the newest state that was applied
-    std::uint64_t lastPeerVersionRead = 0; // last peer version that caused a read
+    platform::Version revision{};            // of the newest state that was applied
+    platform::Version lastPeerVersionRead{}; // last peer version that caused a read
+    std::uint64_t lastEraRead = 0;           // last era of the store that caused a read
     Time peerIsNewerSince{}; // when a peer first reported a newer version; zero if none did
   };
 
@@ -74,7 +75,11 @@
   // otherwise when aHasNews returns true or the peers lose the store.
   net::Task<void> WaitForNews(const FeedState& aFeedState, std::function<bool()> aHasNews);
   // Returns whether the whole state must be read now, even while a watch is pending.
-  bool NeedsResync(FeedState& aFeedState, std::uint64_t aOwnVersion, std::uint64_t aPeerVersion);
+  bool NeedsResync(FeedState& aFeedState, platform::Version aOwnVersion,
+                   platform::Version aPeerVersion);
+  // Returns whether an update up to a revision may be applied. One that the store sent before it
+  // was restored from an older copy came too late.
+  bool MayApply(FeedState& aFeedState, platform::Version aRevision);
 
   const std::shared_ptr<RelayState> mState;
   std::shared_ptr<PlatformFeed> mFeed;
--- a/libs/relay/src/WorkReportChannel.cpp
+++ b/libs/relay/src/WorkReportChannel.cpp
@@ -143,12 +143,13 @@
     work[item.backend] = { item.prefillTime, item.requests, item.tokens };
   }
   StoreSyncState& storeSync = mState->storeSync;
+  storeSync.storeEra = std::max(storeSync.storeEra, report->storeEra);
   storeSync.peersNewestEntryRevision =
-    std::max(storeSync.peersNewestEntryRevision, report->newestEntry);
+    std::max(storeSync.peersNewestEntryRevision, { report->newestEntry, report->storeEra });
   storeSync.peersConfigurationVersion =
     std::max(storeSync.peersConfigurationVersion, report->configuration);
   storeSync.peersBackendChangeRevision =
-    std::max(storeSync.peersBackendChangeRevision, report->backendChanges);
+    std::max(storeSync.peersBackendChangeRevision, { report->backendChanges, report->storeEra });
   const Time now = net::Now();
   if (report->storeAge) {
     const Time contact = now - *report->storeAge;
@@ -191,11 +192,12 @@
     wire::WorkReport report{ mHost,
                              static_cast<std::uint64_t>(now.time_since_epoch().count()),
                              {},
-                             mState->storeSync.newestEntryRevision,
+                             mState->storeSync.newestEntryRevision.value,
                              mState->table ? mState->table->Version() : 0,
                              {},
-                             mState->storeSync.backendChangeRevision,
-                             {} };
+                             mState->storeSync.backendChangeRevision.value,
+                             {},
+                             mState->storeSync.newestEntryRevision.era };
     if (mState->storeSync.storeContact) {
       report.storeAge = now - *mState->storeSync.storeContact;
     }
--- a/libs/relay/tests/PlatformWatcherTests.cpp
+++ b/libs/relay/tests/PlatformWatcherTests.cpp
@@ -129,7 +129,7 @@
   CHECK_FALSE(fixture.Has("a"));
   CHECK_EQUAL(platform::Version{ 5 }, fixture.feed->watched.at(0));
   CHECK_EQUAL(platform::Version{ 7 }, fixture.feed->watched.at(1));
-  CHECK_EQUAL(std::uint64_t{ 7 }, fixture.state->storeSync.newestEntryRevision);
+  CHECK_EQUAL(platform::Version{ 7 }, fixture.state->storeSync.newestEntryRevision);
 }
 
 // Guards against missing the changes between a list of a restored store and the revision that was
@@ -143,15 +143,44 @@
   fixture.feed->watches.push_back(Failure(FeedError{ FeedErrorKind::Unavailable, {} }));
   fixture.feed->lists.push_back(
     BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 52, 2 } } }, { 56, 2 } });
+  dispatch::Backend leaving = MakeBackend("a");
+  leaving.isDraining = true;
   fixture.feed->watches.push_back(
-    BackendUpdate{ { { BackendServerName{ "a" }, std::nullopt, { 57, 2 } } }, { 57, 2 } });
+    BackendUpdate{ { { BackendServerName{ "a" }, leaving, { 57, 2 } } }, { 57, 2 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
   fixture.RunUntil([&fixture] { return fixture.feed->watched.size() == 3; });
   CHECK_EQUAL((platform::Version{ 56, 2 }), fixture.feed->watched.at(1));
   CHECK_EQUAL((platform::Version{ 57, 2 }), fixture.feed->watched.at(2));
-  CHECK_FALSE(fixture.Has("a"));
+  CHECK_TRUE(fixture.state->directory.Backends().at(BackendServerName{ "a" }).isDraining);
+}
+
+// Guards against a daemon that waits in a watch which the restored store has forgotten, while its
+// peers know that the store went back.
+MASTICSTEP_TEST("a restored store is read when a peer reports its era",
+                "[relay][watcher][restored]")
+{
+  WatcherFixture fixture;
+  fixture.feed->lists.push_back(BackendUpdate{ {}, { 59, 1 } });
+  const auto spawn = [&fixture](auto aFunction) {
+    boost::asio::co_spawn(fixture.context, std::move(aFunction), boost::asio::detached);
+  };
+  spawn([&fixture] { return fixture.watcher->RunBackendWatch(); });
+  spawn([&fixture] { return fixture.watcher->RunBackendResync(); });
+  fixture.RunUntil([&fixture] { return fixture.feed->watched.size() == 1; });
+  fixture.feed->lists.push_back(
+    BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 12, 2 } } }, { 14, 2 } });
+  fixture.state->storeSync.storeEra = 2;
+  fixture.RunUntil([&fixture] { return fixture.Has("a"); });
+  CHECK_EQUAL((platform::Version{ 12, 2 }), fixture.state->storeSync.newestEntryRevision);
+  CHECK_EQUAL((platform::Version{ 14, 2 }), fixture.state->storeSync.backendChangeRevision);
+  // An answer that the store sent before the restore arrives late.
+  fixture.feed->watches.push_back(
+    BackendUpdate{ { { BackendServerName{ "a" }, std::nullopt, { 60, 1 } } }, { 60, 1 } });
+  fixture.RunUntil([&fixture] { return fixture.feed->watched.size() == 2; });
+  CHECK_TRUE(fixture.Has("a"));
+  CHECK_EQUAL((platform::Version{ 14, 2 }), fixture.feed->watched.at(1));
 }
 
 // Guards against stale state: a store that has discarded its history reports none of the missed
@@ -261,7 +290,7 @@
   WatcherFixture fixture;
   fixture.Follow(net::Now() + Seconds(60));
   fixture.feed->lists.push_back(BackendUpdate{ {}, 5 });
-  fixture.state->storeSync.peersBackendChangeRevision = 5;
+  fixture.state->storeSync.peersBackendChangeRevision = { 5 };
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
@@ -270,7 +299,7 @@
   CHECK_TRUE(fixture.feed->watched.empty());
   fixture.feed->watches.push_back(
     BackendUpdate{ { { BackendServerName{ "b" }, MakeBackend("b"), 8 } }, 9 });
-  fixture.state->storeSync.peersBackendChangeRevision = 8;
+  fixture.state->storeSync.peersBackendChangeRevision = { 8 };
   fixture.RunUntil([&fixture] { return fixture.Has("b"); });
   fixture.RunFor(Milliseconds(300));
   CHECK_EQUAL(std::size_t{ 1 }, fixture.feed->watched.size());
@@ -321,7 +350,7 @@
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
   fixture.RunUntil([&fixture] { return fixture.feed->watched.size() == 2; });
-  CHECK_EQUAL(std::uint64_t{ 9 }, fixture.state->storeSync.backendChangeRevision);
+  CHECK_EQUAL(platform::Version{ 9 }, fixture.state->storeSync.backendChangeRevision);
 }
 
 // A connection may go silent for good while new ones work. Guards against followers that rely on a
--- a/libs/wire/include/masticstep/wire/WorkReport.hpp
+++ b/libs/wire/include/masticstep/wire/WorkReport.hpp
@@ -48,6 +48,7 @@
   std::vector<ServiceNeed> needs;     // empty if sent in a recent report
   std::uint64_t backendChanges = 0;   // store revision at which the daemon saw the latest change
   std::optional<Duration> storeAge{}; // time since the daemon's last answer from the store
+  std::uint64_t storeEra = 0;         // era of the store of newestEntry and backendChanges
 
   bool operator==(const WorkReport&) const = default;
 };
--- a/libs/wire/src/WorkReport.cpp
+++ b/libs/wire/src/WorkReport.cpp
@@ -54,10 +54,11 @@
       static_cast<float>(need.slotSeconds), static_cast<float>(need.kvCacheSeconds),
       static_cast<float>(need.transferSeconds)));
   }
-  const flatbuffers::Offset<fb::WorkReport> report = fb::CreateWorkReport(
-    builder, builder.CreateString(aReport.host.Text()), aReport.sequence,
-    builder.CreateVector(backends), aReport.newestEntry, aReport.configuration,
-    builder.CreateVector(needs), aReport.backendChanges, EncodeAge(aReport.storeAge));
+  const flatbuffers::Offset<fb::WorkReport> report =
+    fb::CreateWorkReport(builder, builder.CreateString(aReport.host.Text()), aReport.sequence,
+                         builder.CreateVector(backends), aReport.newestEntry, aReport.configuration,
+                         builder.CreateVector(needs), aReport.backendChanges,
+                         EncodeAge(aReport.storeAge), aReport.storeEra);
   fb::FinishWorkReportBuffer(builder, report);
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -81,7 +82,8 @@
                      table->configuration(),
                      {},
                      table->backend_changes(),
-                     DecodeAge(table->store_age_ms()) };
+                     DecodeAge(table->store_age_ms()),
+                     table->store_era() };
   for (const fb::BackendWork* item : *table->backends()) {
     if (item->backend() == nullptr) {
       return Failure(WireError{ WireErrorKind::MalformedBody,
--- a/libs/wire/tests/WorkReportTests.cpp
+++ b/libs/wire/tests/WorkReportTests.cpp
@@ -19,7 +19,8 @@
            4,
            { { ServiceName{ "llm" }, 1.5, 0.25, 0.125, 0.5 } },
            93,
-           Milliseconds(250) };
+           Milliseconds(250),
+           2 };
 }
 
 } // namespace
