Let knowledge about backend servers only move forward across a restore

Cause: a listing replaces what is known. Change: a process of a server goes from ready to draining to gone. Listed entries of processes that were gone before the restore wait until the server writes again or the entry outlives its lifetime of four heartbeats and the grace period; missing servers are kept for the grace period, as after an outage.

--- a/libs/dispatch/src/BackendDirectory.cpp
+++ b/libs/dispatch/src/BackendDirectory.cpp
@@ -6,6 +6,32 @@
 
 namespace masticstep::dispatch {
 
+namespace {
+
+// A copy from which the store is restored is younger than this.
+constexpr Duration kDepartureMemory = Seconds(600);
+
+} // namespace
+
+bool BackendDirectory::IsRestoring(Time aNow) const
+{
+  return mRestoredAt && aNow < *mRestoredAt + mEntryLifetime + kReregistrationGrace;
+}
+
+bool BackendDirectory::IsDoubtful(const Backend& aBackend, Time aNow) const
+{
+  if (!IsRestoring(aNow)) {
+    return false;
+  }
+  const auto departed = mDeparted.find(aBackend.id);
+  const bool isOfDeparted = departed != mDeparted.end() && departed->second.at < *mRestoredAt &&
+                            aBackend.startedAtMs <= departed->second.startedAtMs;
+  const auto known = mBackends.find(aBackend.id);
+  const bool isOfEarlierProcess =
+    known != mBackends.end() && aBackend.startedAtMs < known->second.startedAtMs;
+  return isOfDeparted || isOfEarlierProcess;
+}
+
 bool BackendDirectory::MayReregister(Time aNow) const
 {
   return mIsStoreLost || (mStoreRecoveredAt && aNow < *mStoreRecoveredAt + kReregistrationGrace);
@@ -16,8 +42,13 @@
   std::set<BackendServerName> listed;
   for (Backend& backend : aBackends) {
     listed.insert(backend.id);
-    Set(std::move(backend));
+    if (IsDoubtful(backend, aNow)) {
+      mDoubtful[backend.id] = std::move(backend);
+    } else {
+      Set(std::move(backend), aNow);
+    }
   }
+  std::erase_if(mDoubtful, [&listed](const auto& aItem) { return !listed.contains(aItem.first); });
   std::vector<BackendServerName> missing;
   for (const auto& [id, backend] : mBackends) {
     if (!listed.contains(id)) {
@@ -30,24 +61,44 @@
   mIsLoaded = true;
 }
 
-void BackendDirectory::Set(Backend aBackend)
+void BackendDirectory::Set(Backend aBackend, Time aNow)
 {
   mPendingRemovals.erase(aBackend.id);
+  mDeparted.erase(aBackend.id);
+  mDoubtful.erase(aBackend.id);
+  const auto known = mBackends.find(aBackend.id);
+  // Without a start time, a restarted server looks like the same process.
+  const bool mayBeSameProcess = aBackend.startedAtMs != 0 || IsRestoring(aNow);
+  if (known != mBackends.end() && mayBeSameProcess &&
+      known->second.startedAtMs == aBackend.startedAtMs) {
+    aBackend.isDraining = aBackend.isDraining || known->second.isDraining;
+  }
   // An address identifies one running backend server, so an earlier server at it is gone.
-  std::erase_if(mBackends, [&aBackend, this](const auto& aEntry) {
+  std::erase_if(mBackends, [&aBackend, aNow, this](const auto& aEntry) {
     const bool isReplaced = aEntry.first != aBackend.id &&
                             aEntry.second.address == aBackend.address &&
                             aEntry.second.startedAtMs <= aBackend.startedAtMs;
     if (isReplaced) {
       mPendingRemovals.erase(aEntry.first);
+      mDeparted[aEntry.first] = { aEntry.second.startedAtMs, aNow };
     }
     return isReplaced;
   });
   mBackends[aBackend.id] = std::move(aBackend);
 }
 
+void BackendDirectory::Erase(const BackendServerName& aId, Time aNow)
+{
+  const auto found = mBackends.find(aId);
+  if (found != mBackends.end()) {
+    mDeparted[aId] = { found->second.startedAtMs, aNow };
+    mBackends.erase(found);
+  }
+}
+
 void BackendDirectory::Remove(const BackendServerName& aId, Time aNow)
 {
+  mDoubtful.erase(aId);
   const auto found = mBackends.find(aId);
   if (found == mBackends.end()) {
     return;
@@ -58,7 +109,7 @@
     mPendingRemovals.try_emplace(aId, recoveredAt + kReregistrationGrace);
     return;
   }
-  mBackends.erase(found);
+  Erase(aId, aNow);
   mPendingRemovals.erase(aId);
 }
 
@@ -76,6 +127,13 @@
   mStoreRecoveredAt = aNow;
 }
 
+void BackendDirectory::OnStoreRestored(Time aNow)
+{
+  mIsStoreLost = false;
+  mStoreRecoveredAt = aNow;
+  mRestoredAt = aNow;
+}
+
 bool BackendDirectory::RemoveExpired(Time aNow)
 {
   bool isChanged = false;
@@ -84,10 +142,18 @@
       ++it;
       continue;
     }
-    mBackends.erase(it->first);
+    Erase(it->first, aNow);
     it = mPendingRemovals.erase(it);
     isChanged = true;
   }
+  std::erase_if(mDeparted,
+                [aNow](const auto& aItem) { return aItem.second.at + kDepartureMemory < aNow; });
+  if (!IsRestoring(aNow)) {
+    for (auto& [id, backend] : std::exchange(mDoubtful, {})) {
+      Set(std::move(backend), aNow);
+      isChanged = true;
+    }
+  }
   return isChanged;
 }
 
--- a/libs/dispatch/tests/BackendDirectoryTests.cpp
+++ b/libs/dispatch/tests/BackendDirectoryTests.cpp
@@ -49,7 +49,7 @@
   directory.OnStoreRecovered(back);
   directory.Replace({}, back);
   CHECK_TRUE(Contains(directory, "a"));
-  directory.Set(MakeBackend("a", 1));
+  directory.Set(MakeBackend("a", 1), back);
   CHECK_FALSE(directory.RemoveExpired(back + Milliseconds(1900)));
   CHECK_TRUE(directory.RemoveExpired(back + BackendDirectory::kReregistrationGrace));
   CHECK_TRUE(Contains(directory, "a"));
@@ -76,7 +76,91 @@
   directory.Replace({ MakeBackend("a", 1) }, kStart);
   Backend next = MakeBackend("b", 1);
   next.startedAtMs = 5;
-  directory.Set(next);
+  directory.Set(next, kStart);
   CHECK_FALSE(Contains(directory, "a"));
   CHECK_TRUE(Contains(directory, "b"));
 }
+
+namespace {
+
+constexpr Duration kLifetime = Milliseconds(4800);
+
+Backend StartedAt(Backend aBackend, std::int64_t aTimeMs)
+{
+  aBackend.startedAtMs = aTimeMs;
+  return aBackend;
+}
+
+} // namespace
+
+// Guards against sending requests to a server whose drain notice the store has lost.
+MASTICSTEP_TEST("a restored store does not take back that a server is draining",
+                "[dispatch][directory][restored]")
+{
+  BackendDirectory directory;
+  directory.Replace({ StartedAt(MakeBackend("a", 1), 7) }, kStart);
+  directory.Set(StartedAt(MakeBackend("a", 1, true), 7), kStart);
+  directory.OnStoreRestored(kStart + Seconds(9));
+  directory.Replace({ StartedAt(MakeBackend("a", 1), 7) }, kStart + Seconds(9));
+  CHECK_TRUE(directory.Backends().at(BackendServerName{ "a" }).isDraining);
+  // A new process of the server is another matter.
+  directory.Set(StartedAt(MakeBackend("a", 1), 8), kStart + Seconds(10));
+  CHECK_FALSE(directory.Backends().at(BackendServerName{ "a" }).isDraining);
+}
+
+// Guards against sending requests to servers that had left when the store came back from an older
+// copy, which shows them until their entries expire.
+MASTICSTEP_TEST("entries of departed servers in a restored store are not used",
+                "[dispatch][directory][restored]")
+{
+  BackendDirectory directory;
+  directory.SetEntryLifetime(kLifetime);
+  const std::vector<Backend> copy{ StartedAt(MakeBackend("gone", 1), 7),
+                                   StartedAt(MakeBackend("silent", 2), 7) };
+  directory.Replace(copy, kStart);
+  directory.Remove(BackendServerName{ "gone" }, kStart);
+  directory.Remove(BackendServerName{ "silent" }, kStart);
+  const Time back = kStart + Seconds(9);
+  directory.OnStoreRestored(back);
+  directory.Replace(copy, back);
+  CHECK_EQUAL(std::size_t{ 2 }, directory.DoubtfulCount());
+  CHECK_TRUE(directory.Backends().empty());
+  // The entry of a server that is gone expires; one that lives outlasts that time.
+  directory.Remove(BackendServerName{ "gone" }, back + Seconds(3));
+  CHECK_FALSE(directory.RemoveExpired(back + kLifetime));
+  CHECK_TRUE(directory.RemoveExpired(back + kLifetime + BackendDirectory::kReregistrationGrace));
+  CHECK_TRUE(Contains(directory, "silent"));
+  CHECK_FALSE(Contains(directory, "gone"));
+}
+
+MASTICSTEP_TEST("a departed server that writes to a restored store is used at once",
+                "[dispatch][directory][restored]")
+{
+  BackendDirectory directory;
+  directory.Replace({ StartedAt(MakeBackend("a", 1), 7) }, kStart);
+  directory.Remove(BackendServerName{ "a" }, kStart);
+  directory.OnStoreRestored(kStart + Seconds(9));
+  directory.Replace({ StartedAt(MakeBackend("a", 1), 7) }, kStart + Seconds(9));
+  directory.Set(StartedAt(MakeBackend("a", 1), 7), kStart + Seconds(10));
+  CHECK_TRUE(Contains(directory, "a"));
+  // Entries that expire and come back after the restore are those of live servers.
+  directory.Remove(BackendServerName{ "a" }, kStart + Milliseconds(11500));
+  directory.Replace({ StartedAt(MakeBackend("a", 1), 7) }, kStart + Milliseconds(11600));
+  CHECK_TRUE(Contains(directory, "a"));
+}
+
+// Guards against dropping servers that started after the copy was made.
+MASTICSTEP_TEST("servers and processes that a restored store does not know are kept for a time",
+                "[dispatch][directory][restored]")
+{
+  BackendDirectory directory;
+  directory.Replace({ StartedAt(MakeBackend("new", 1), 7), StartedAt(MakeBackend("again", 2), 9) },
+                    kStart);
+  const Time back = kStart + Seconds(2);
+  directory.OnStoreRestored(back);
+  directory.Replace({ StartedAt(MakeBackend("again", 2), 4) }, back);
+  CHECK_TRUE(Contains(directory, "new"));
+  CHECK_EQUAL(std::int64_t{ 9 }, directory.Backends().at(BackendServerName{ "again" }).startedAtMs);
+  CHECK_TRUE(directory.RemoveExpired(back + BackendDirectory::kReregistrationGrace));
+  CHECK_FALSE(Contains(directory, "new"));
+}
--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -36,6 +36,8 @@
   Duration grace = Seconds(8); // from the stop signal until the process must have exited
   Duration maximumSilence = Seconds(3); // see WatchOptions
   Duration watchPause = Seconds(1);     // see WatchOptions
+  // Time after which the store drops the entry of a backend server that has fallen silent.
+  Duration entryLifetime = Seconds(4);
   dispatch::RetryBounds retries;
   dispatch::StagePolicy stages;
   bool enginesCheckFencing = false;
--- a/libs/relay/src/PlatformWatcher.cpp
+++ b/libs/relay/src/PlatformWatcher.cpp
@@ -275,7 +275,7 @@
                      { "draining", change.backend && change.backend->isDraining },
                      { "revision", change.revision.value } });
     if (change.backend) {
-      mState->directory.Set(*change.backend);
+      mState->directory.Set(*change.backend, now);
     } else {
       mState->directory.Remove(change.id, now);
     }
@@ -286,7 +286,15 @@
                      { "revision", aUpdate.revision.value },
                      { "era", aUpdate.revision.era } });
     const std::map<BackendServerName, dispatch::Backend> before = mState->directory.Backends();
+    if (isNewEra && mState->directory.IsLoaded()) {
+      mState->directory.OnStoreRestored(now);
+    }
     mState->directory.Replace(std::move(listed), now);
+    if (mState->directory.DoubtfulCount() > 0) {
+      telemetry::Log(
+        Level::Info, "entries of departed backends not used",
+        { { "count", static_cast<std::uint64_t>(mState->directory.DoubtfulCount()) } });
+    }
     isChanged = isChanged || before != mState->directory.Backends();
   }
   if (isChanged) {
@@ -305,8 +313,7 @@
   while (true) {
     co_await net::Sleep(kExpiryCheckInterval);
     if (mState->directory.RemoveExpired(net::Now())) {
-      telemetry::Log(Level::Info,
-                     "removed backend servers that did not reappear after a platform outage");
+      telemetry::Log(Level::Info, "list of backend servers corrected after a platform outage");
       mState->dispatcher.SetBackends(mState->directory.Backends());
     }
   }
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -77,6 +77,7 @@
                                         mSettings.place, RandomSeed()))
 {
   mState->retryBudget.SetBounds(mSettings.retries);
+  mState->directory.SetEntryLifetime(mSettings.entryLifetime);
 }
 
 RelayDaemon::~RelayDaemon()
