Keep a lease that the restored store has lost with its holder

Two daemons could hold the lease for orders with the same fencing number, and a successor could use a lower number than one that engines had seen. Cause: an absent lease was taken at once with fencing number 1, a version that was assigned again looked like the one observed before, and a write of before the restore could prove a lease that was lost meanwhile. Change: fencing numbers begin anew above those of earlier eras. A holder whose lease the store has lost writes it anew while it is valid by its own clock; all others wait for its whole duration, also processes that start when the whole system does not start for the first time. Answers of a later era to a write prove nothing. Conditions on versions of an earlier era are not sent.

--- a/libs/authority/include/masticstep/authority/Lease.hpp
+++ b/libs/authority/include/masticstep/authority/Lease.hpp
@@ -16,7 +16,7 @@
 {
   HostName holder;
   std::string nonce;         // identifies the write, to recognize it after a lost reply
-  std::uint64_t fencing = 0; // fencing token; increases by one with every change of the holder
+  std::uint64_t fencing = 0; // fencing token; increases with every change of the holder
   Duration duration{};       // zero after a release
 
   auto operator<=>(const Lease&) const = default;
@@ -29,6 +29,14 @@
 // Returns nothing if the text is not the content of a lease object.
 std::optional<Lease> ParseLease(std::string_view aText);
 
+// Returns a fencing token below all those that are assigned in an era of the store (see
+// platform::Version), and above those of earlier eras, which a restored store may have lost.
+constexpr std::uint64_t FencingBeforeEra(std::uint64_t aEra)
+{
+  constexpr unsigned kTokenBits = 32;
+  return aEra << kTokenBits;
+}
+
 // Lease as its holder knows it. Check it with IsLeaseValid just before each action.
 struct LeaseStatus
 {
--- a/libs/authority/include/masticstep/authority/LeaseManager.hpp
+++ b/libs/authority/include/masticstep/authority/LeaseManager.hpp
@@ -16,6 +16,9 @@
   HostName holder;
   std::string processNonce; // different at every process start
   Duration duration = Seconds(10);
+  // Whether an earlier process may hold a lease that the store has lost. If so, an absent lease is
+  // not taken before it would have expired.
+  bool mayHavePredecessor = false;
 
   auto operator<=>(const LeaseOptions&) const = default;
 };
@@ -23,6 +26,10 @@
 // Acquires, renews and releases one lease (docs/AUTHORITY.md). The holder measures the duration on
 // its own clock, from before it sends the write. Another process measures the whole duration on its
 // own clock, from when it first reads a version, and takes over only that version.
+//
+// A store that was restored from an older copy may have lost the lease, and may assign its version
+// again. Its holder writes it anew while it is valid by its own clock; all others wait for the
+// whole duration from when they learn of the new era.
 class LeaseManager
 {
 public:
@@ -44,8 +51,8 @@
   auto State() const
   {
     return std::tie(mOptions, mStoredLease, mVersion, mVersionObservedAt, mStatus, mStep,
-                    mRequestNumber, mWriteCount, mLastWrite, mLastWriteTime, mWakeUp, mIsReleasing,
-                    mFaults);
+                    mRequestNumber, mWriteCount, mLastWrite, mLastWriteTime, mLastWriteEra, mWakeUp,
+                    mIsReleasing, mEra, mHasRead, mMayHaveLostLease, mFaults);
   }
 
 private:
@@ -57,6 +64,7 @@
     bool countsFromReply = false;
     bool skipsReadBack = false;
     bool takesOverEarly = false;
+    bool ignoresEra = false;
 
     auto operator<=>(const PlantedFaults&) const = default;
   };
@@ -75,6 +83,12 @@
   Request OnWritten(const platform::PlatformReply& aReply, Time aNow);
   Request TakeIfExpired(Time aNow);
   void SetHeld(Time aWriteTime);
+  // Notes the era of the store if the reply is one of the store.
+  void ObserveEra(const platform::PlatformReply& aReply, Time aNow);
+  // Returns whether the latest write was sent before the store was restored.
+  bool IsWriteOfEarlierEra() const { return mLastWriteEra != mEra.value_or(mLastWriteEra); }
+  // Returns the fencing token for a new holder.
+  std::uint64_t NextFencing() const;
   bool IsOwnLease() const;
 
   LeaseOptions mOptions;
@@ -85,8 +99,12 @@
   Step mStep = Step::Waiting;
   std::uint64_t mRequestNumber = 0; // of the outstanding or latest request
   std::uint64_t mWriteCount = 0;
-  Lease mLastWrite;    // content of the latest write
-  Time mLastWriteTime; // taken just before it was sent
+  Lease mLastWrite;                  // content of the latest write
+  Time mLastWriteTime;               // taken just before it was sent
+  std::uint64_t mLastWriteEra = 0;   // of the store, as known when it was sent
+  std::optional<std::uint64_t> mEra; // newest known era of the store
+  bool mHasRead = false;             // whether the lease or its absence has been read
+  bool mMayHaveLostLease = false;    // whether an absent lease may have been lost by the store
   std::optional<Time> mWakeUp = Time{};
   bool mIsReleasing = false;
   PlantedFaults mFaults;
--- a/libs/authority/src/LeaseManager.cpp
+++ b/libs/authority/src/LeaseManager.cpp
@@ -23,6 +23,7 @@
 
 LeaseManager::LeaseManager(LeaseOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mMayHaveLostLease(mOptions.mayHavePredecessor)
 {
 }
 
@@ -45,9 +46,30 @@
   }
   const Step step = std::exchange(mStep, Step::Waiting);
   mWakeUp = aNow + mOptions.duration / kAttemptsPerLease;
+  ObserveEra(aReply, aNow);
   return step == Step::Reading ? OnRead(aReply, aNow) : OnWritten(aReply, aNow);
 }
 
+void LeaseManager::ObserveEra(const PlatformReply& aReply, Time aNow)
+{
+  const bool isOfStore =
+    aReply.status != PlatformStatus::Unknown && aReply.status != PlatformStatus::NotSent;
+  if (!isOfStore || mFaults.ignoresEra || (mEra && aReply.era <= *mEra)) {
+    return;
+  }
+  if (mEra) {
+    mMayHaveLostLease = true;
+    mVersionObservedAt = aNow;
+  }
+  mEra = aReply.era;
+}
+
+std::uint64_t LeaseManager::NextFencing() const
+{
+  const std::uint64_t stored = mStoredLease ? mStoredLease->fencing : 0;
+  return std::max(stored, FencingBeforeEra(mEra.value_or(0))) + 1;
+}
+
 std::optional<Time> LeaseManager::NextWakeUp() const
 {
   return mStep == Step::Waiting ? mWakeUp : std::nullopt;
@@ -80,6 +102,7 @@
 {
   mStep = Step::Writing;
   mLastWriteTime = aNow;
+  mLastWriteEra = mEra.value_or(0);
   mLastWrite = { mOptions.holder, mOptions.processNonce + "-" + std::to_string(++mWriteCount),
                  aFencing, mIsReleasing ? Duration::zero() : mOptions.duration };
   return PlatformRequest{ ++mRequestNumber,
@@ -98,17 +121,28 @@
       return std::nullopt; // a damaged lease is never taken over
     }
   }
-  if (!mStoredLease || mVersion != aReply.version) {
+  if (!mHasRead || mVersion != aReply.version) {
     mVersionObservedAt = aNow;
   }
+  mHasRead = true;
   mStoredLease = std::move(lease);
+  const bool isOfEra = mStoredLease && mStoredLease->fencing > FencingBeforeEra(mEra.value_or(0));
+  mMayHaveLostLease = mMayHaveLostLease && !isOfEra;
   mVersion = aReply.version;
-  // The reply to the latest write was lost; the nonce shows that the write took effect.
+  const bool isHeld = IsLeaseValid(mStatus, aNow);
+  // The reply to the latest write was lost; the nonce shows that the write took effect. After a
+  // restore it proves nothing, since it may have replaced a later lease that the store lost.
   if (mStoredLease && mStoredLease->nonce == mLastWrite.nonce &&
-      mStoredLease->duration > Duration::zero()) {
+      mStoredLease->duration > Duration::zero() && !IsWriteOfEarlierEra()) {
     SetHeld(mLastWriteTime);
     return std::nullopt;
   }
+  if (isHeld && IsWriteOfEarlierEra() && !mIsReleasing) {
+    if (!isOfEra) {
+      return WriteLease(NextFencing(), aNow);
+    }
+    mStatus.expiry = aNow;
+  }
   return TakeIfExpired(aNow);
 }
 
@@ -119,13 +153,11 @@
     mWakeUp.reset();
     return std::nullopt;
   }
-  if (!mStoredLease) {
-    return WriteLease(1, aNow);
-  }
-  const Duration wait =
-    mFaults.takesOverEarly ? mStoredLease->duration / 2 : mStoredLease->duration;
+  const Duration lost = mMayHaveLostLease ? mOptions.duration : Duration::zero();
+  const Duration stored = mStoredLease ? mStoredLease->duration : Duration::zero();
+  const Duration wait = mFaults.takesOverEarly ? stored / 2 : std::max(stored, lost);
   if (aNow >= mVersionObservedAt + wait) {
-    return WriteLease(mStoredLease->fencing + 1, aNow);
+    return WriteLease(NextFencing(), aNow);
   }
   mWakeUp = std::min(*mWakeUp, mVersionObservedAt + wait);
   return std::nullopt;
@@ -138,11 +170,19 @@
     mStoredLease = mLastWrite;
     mVersion = aReply.version;
     mVersionObservedAt = aNow;
+    // The store was restored meanwhile, so the write may have replaced a later lease that the store
+    // lost. It proves nothing beyond what was known before.
+    if (IsWriteOfEarlierEra()) {
+      mLastWrite.nonce.clear();
+      return IsLeaseValid(mStatus, aNow) ? WriteLease(NextFencing(), aNow) : std::nullopt;
+    }
     SetHeld(mFaults.countsFromReply ? aNow : mLastWriteTime);
     return std::nullopt;
   }
   if (aReply.status == PlatformStatus::Conflict) {
-    mStatus.expiry = std::min(mStatus.expiry, aNow); // another process took the lease
+    if (!IsWriteOfEarlierEra()) {
+      mStatus.expiry = std::min(mStatus.expiry, aNow); // another process took the lease
+    }
     return ReadLease();
   }
   if (aReply.status == PlatformStatus::Unknown) {
--- a/libs/authority/tests/AuthorityExplorerTests.cpp
+++ b/libs/authority/tests/AuthorityExplorerTests.cpp
@@ -81,6 +81,19 @@
   CheckHolds("lease, held, kills", options, InitialState::Held, 12);
 }
 
+// Guards against two lease holders when the platform comes back from an older copy, which may have
+// lost the lease, and assigns versions again.
+MASTICSTEP_TEST("no restore of the platform gives the lease to two daemons",
+                "[authority][explorer][restored]")
+{
+  ModelOptions options = MakeOptions(true, 4);
+  options.restores = 1;
+  CheckHolds("lease, restored", options, InitialState::Held, 14);
+  options.losses = 1;
+  options.crashes = 1;
+  CheckHolds("lease, restored, losses and kills", options, InitialState::Held, 10);
+}
+
 // Guards invariants I1 and I3 for an engine that checks fencing tokens, under pauses, late orders,
 // lost engine replies, lost platform requests or replies, and crashes.
 MASTICSTEP_TEST("no order of a fenced holder takes effect on a checking engine",
@@ -108,6 +121,19 @@
   CheckHolds("ignoring engine, silences", options, InitialState::OrderSent, 14);
 }
 
+// Guards against orders of an earlier holder when the platform has lost the latest intents.
+MASTICSTEP_TEST("no order of a fenced holder takes effect after a restore of the platform",
+                "[authority][explorer][restored]")
+{
+  for (const bool refuses : { true, false }) {
+    ModelOptions options = MakeOptions(refuses, 4);
+    options.restores = 1;
+    options.refusesWhileRunning = true;
+    CheckHolds("restored, order on its way", options, InitialState::OrderSent, 13);
+    CheckHolds("restored, takeover", options, InitialState::TakenOver, 14);
+  }
+}
+
 // Guards against an exploration that misses protocol faults.
 MASTICSTEP_TEST("the explorer finds each planted fault of the authority protocol",
                 "[authority][explorer][planted]")
@@ -123,6 +149,10 @@
   options.leaseFaults.takesOverEarly = true;
   CheckFindsViolation("planted: takeover before the lease lapsed", options, InitialState::Held);
   options = MakeOptions(true, 4);
+  options.restores = 1;
+  options.leaseFaults.ignoresEra = true;
+  CheckFindsViolation("planted: era of the platform ignored", options, InitialState::Held);
+  options = MakeOptions(true, 4);
   options.orderFaults.ignoresOutstandingIntent = true;
   CheckFindsViolation("planted: intent not settled", options, InitialState::OrderSent);
   options = MakeOptions(true, 4);
--- a/libs/authority/tests/AuthorityModel.cpp
+++ b/libs/authority/tests/AuthorityModel.cpp
@@ -14,10 +14,11 @@
 constexpr Duration kIntentTimeout = Seconds(6);
 constexpr Duration kClockStep = Seconds(5);
 
-constexpr std::array<const char*, 13> kEventNames{
-  "tick",    "start",         "apply",         "lose call", "lose answer", "time out", "deliver",
-  "receive", "silent engine", "engine answer", "finish",    "kill",        "wait"
-};
+constexpr std::array<const char*, 15> kEventNames{ "tick",          "start",       "apply",
+                                                   "lose call",     "lose answer", "time out",
+                                                   "deliver",       "receive",     "silent engine",
+                                                   "engine answer", "finish",      "kill",
+                                                   "wait",          "copy",        "restore" };
 
 template <class T>
 T RemoveAt(std::vector<T>& aItems, std::size_t aIndex)
@@ -36,7 +37,8 @@
 
 AuthorityModel::AuthorityModel(ModelOptions aOptions)
   : mOptions(aOptions)
-  , mBudget{ aOptions.losses, aOptions.unansweredSends, aOptions.crashes, aOptions.clockSteps }
+  , mBudget{ aOptions.losses,     aOptions.unansweredSends, aOptions.crashes,
+             aOptions.clockSteps, aOptions.restores,        aOptions.restores }
 {
   mDaemons.push_back(NewDaemon(0, 0));
   mDaemons.push_back(NewDaemon(1, 0));
@@ -47,7 +49,7 @@
 {
   const std::string nonce = "n" + std::to_string(aIndex) + std::to_string(aIncarnation);
   Daemon daemon{ LeaseManager({ LeaseKey(DataCentreName{ "dc" }, "roles"), HostName{ nonce }, nonce,
-                                kLeaseDuration }),
+                                kLeaseDuration, aIncarnation > 0 }),
                  EngineOrderStateMachine({ EngineId{ "e" }, mOptions.refusesOldFencing, nonce,
                                            kIntentTimeout, Duration{} }),
                  aIncarnation, 0 };
@@ -124,6 +126,8 @@
   }
   add(EventKind::FinishOrder, 0, mEngine.isRunning);
   add(EventKind::AdvanceClock, 0, mBudget.clockSteps > 0 && MayAdvanceClock());
+  add(EventKind::KeepCopy, 0, mBudget.copies > 0);
+  add(EventKind::Restore, 0, mBudget.restores > 0);
   return events;
 }
 
@@ -190,6 +194,14 @@
       --mBudget.clockSteps;
       mNow += kClockStep;
       break;
+    case EventKind::KeepCopy:
+      --mBudget.copies;
+      mCopy = mPlatform;
+      break;
+    case EventKind::Restore:
+      --mBudget.restores;
+      mPlatform.platform.RestoreFrom(mCopy.platform);
+      break;
     default:
       ApplyPlatformEvent(aEvent);
   }
@@ -283,6 +295,9 @@
   if (aTransmission.fencing < mEngine.fencing) {
     RecordViolation("an order of a fenced holder took effect");
   }
+  if (mEngine.isRunning && mOptions.refusesWhileRunning) {
+    return EngineReply::Refused;
+  }
   if (mEngine.isRunning) {
     RecordViolation("the engine holds conflicting orders");
   }
--- a/libs/authority/tests/AuthorityModel.hpp
+++ b/libs/authority/tests/AuthorityModel.hpp
@@ -33,6 +33,10 @@
   std::uint32_t losses = 0;          // of platform requests or replies
   std::uint32_t unansweredSends = 0; // sends to the engine without a reply
   std::uint32_t crashes = 0;
+  std::uint32_t restores = 0; // of the platform from a copy
+  // Whether the engine refuses an order while it carries out another one, as the platform's do. The
+  // restored platform may have lost the intent of an order that is being carried out.
+  bool refusesWhileRunning = false;
   std::uint32_t clockSteps = 0; // a daemon without events between two steps is paused
   PlantedFault::LeaseFaults leaseFaults = {};
   PlantedFault::OrderFaults orderFaults = {};
@@ -58,7 +62,9 @@
     EngineAnswer,
     FinishOrder, // the engine completes the running order
     Crash,
-    AdvanceClock
+    AdvanceClock,
+    KeepCopy, // the platform's state is kept for a restore, instead of an earlier one
+    Restore
   };
   struct Event
   {
@@ -81,7 +87,7 @@
   auto State() const
   {
     return std::tie(mDaemons, mPlatform, mPendingRequests, mPendingReplies, mInFlightOrders,
-                    mPendingEngineReplies, mEngine, mNow, mBudget, mViolation);
+                    mPendingEngineReplies, mEngine, mNow, mBudget, mCopy, mViolation);
   }
   std::size_t AcceptedOrders() const { return mEngine.executed.size(); }
 
@@ -135,11 +141,13 @@
     std::uint32_t unansweredSends = 0;
     std::uint32_t crashes = 0;
     std::uint32_t clockSteps = 0;
+    std::uint32_t copies = 0;
+    std::uint32_t restores = 0;
   };
   struct PlatformState
   {
     platform::InMemoryPlatform platform;
-    auto State() const { return std::tie(platform.All()); }
+    auto State() const { return std::tuple(platform.All(), platform.Era()); }
   };
 
   Daemon NewDaemon(std::size_t aIndex, std::uint32_t aIncarnation) const;
@@ -159,6 +167,7 @@
   ModelOptions mOptions;
   std::vector<Daemon> mDaemons;
   PlatformState mPlatform;
+  PlatformState mCopy; // from which the platform is restored
   std::vector<PendingRequest> mPendingRequests;
   std::vector<PendingReply> mPendingReplies;
   std::vector<InFlightOrder> mInFlightOrders;
--- a/libs/control/include/masticstep/control/EngineAuthority.hpp
+++ b/libs/control/include/masticstep/control/EngineAuthority.hpp
@@ -23,6 +23,7 @@
   Duration lease = Seconds(10);
   Duration orderTimeout = Seconds(10);
   Duration orderPollInterval = Seconds(1);
+  bool mayHavePredecessor = false; // see authority::LeaseOptions
 
   auto operator<=>(const AuthorityOptions&) const = default;
 };
--- a/libs/control/src/EngineAuthorityCore.cpp
+++ b/libs/control/src/EngineAuthorityCore.cpp
@@ -26,7 +26,7 @@
   , mCodec(aCodec ? std::move(aCodec) : std::make_shared<const HttpOrderCodec>())
   , mPool(net::ConnectionPool::Create())
   , mLeaseManager({ authority::LeaseKey(mOptions.dataCentre, mOptions.role), mOptions.holder,
-                    mOptions.processNonce, mOptions.lease })
+                    mOptions.processNonce, mOptions.lease, mOptions.mayHavePredecessor })
 {
 }
 
@@ -127,15 +127,18 @@
 {
   DeferredActions deferred;
   bool gained = false;
+  std::uint64_t fencing = 0;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     const std::uint64_t before = mLeaseManager.Status().fencing;
     deferred.lease = mLeaseManager.OnPlatformReply(aReply, net::Now());
-    gained = mLeaseManager.Status().fencing != before;
+    fencing = mLeaseManager.Status().fencing;
+    gained = fencing != before;
     ScheduleWakeUp(deferred);
   }
   if (gained) {
-    telemetry::Log(telemetry::Level::Info, "lease_gained", { { "role", mOptions.role } });
+    telemetry::Log(telemetry::Level::Info, "lease_gained",
+                   { { "role", mOptions.role }, { "fencing", fencing } });
   }
   RunDeferred(std::move(deferred));
 }
--- a/libs/platform/include/masticstep/platform/InMemoryPlatform.hpp
+++ b/libs/platform/include/masticstep/platform/InMemoryPlatform.hpp
@@ -36,6 +36,10 @@
   // Applies a call immediately. A watch returns the changes so far and does not wait.
   PlatformReply Apply(const PlatformRequest& aRequest);
 
+  // Goes back to the state of an earlier copy, in a new era: later versions are assigned again.
+  void RestoreFrom(const InMemoryPlatform& aCopy);
+  std::uint64_t Era() const { return mEra; }
+
   // Makes every later call fail with Refused until the outage ends.
   void SetOutage(bool aOutage) { mOutage = aOutage; }
   bool HasOutage() const { return mOutage; }
@@ -54,6 +58,7 @@
   Objects mObjects;
   std::map<ObjectKey, Version> mDeleted; // version of each deletion, for watches
   std::uint64_t mRevision = 0;
+  std::uint64_t mEra = 0;
   PlatformCounters mCounters;
   bool mOutage = false;
 };
--- a/libs/platform/src/InMemoryPlatform.cpp
+++ b/libs/platform/src/InMemoryPlatform.cpp
@@ -44,9 +44,24 @@
     }
   }
   reply.number = aRequest.number;
+  reply.era = mEra;
+  if (reply.version) {
+    reply.version->era = mEra;
+  }
+  for (ObjectChange& item : reply.items) {
+    item.version.era = mEra;
+  }
   return reply;
 }
 
+void InMemoryPlatform::RestoreFrom(const InMemoryPlatform& aCopy)
+{
+  mObjects = aCopy.mObjects;
+  mDeleted = aCopy.mDeleted;
+  mRevision = aCopy.mRevision;
+  ++mEra;
+}
+
 const InMemoryPlatform::Object* InMemoryPlatform::Find(const ObjectKey& aKey) const
 {
   const Objects::const_iterator it = mObjects.find(aKey);
@@ -71,8 +86,9 @@
     return Status(PlatformStatus::TooLarge);
   }
   const Object* object = Find(aCall.key);
-  const bool matches =
-    aCall.expected ? object != nullptr && object->version == *aCall.expected : object == nullptr;
+  const bool matches = aCall.expected
+                         ? object != nullptr && object->version.value == aCall.expected->value
+                         : object == nullptr;
   if (!matches) {
     return Status(PlatformStatus::Conflict);
   }
@@ -90,7 +106,8 @@
   if (object == nullptr) {
     return Status(PlatformStatus::NotFound);
   }
-  if (object->version != aCall.expected) {
+  // Like the platform, which is not told the era of the expected version.
+  if (object->version.value != aCall.expected.value) {
     return Status(PlatformStatus::Conflict);
   }
   mObjects.erase(aCall.key);
--- a/libs/platform_client/include/masticstep/platform_client/HttpObjectStore.hpp
+++ b/libs/platform_client/include/masticstep/platform_client/HttpObjectStore.hpp
@@ -37,7 +37,8 @@
 
 // Client of the platform's object API over HTTP. Callbacks run on a worker of the executor. A call
 // that is throttled or whose connection is refused completes with NotSent; a call without a
-// response completes with Unknown.
+// response completes with Unknown. A call that is conditional on a version of before the store was
+// restored from an older copy completes with Conflict and is not sent.
 class HttpObjectStore : public platform::ObjectStore
 {
 public:
--- a/libs/platform_client/src/HttpObjectStore.cpp
+++ b/libs/platform_client/src/HttpObjectStore.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -44,6 +45,9 @@
   std::optional<net::HostPort> TryAcquire();
   void RecordReply(const PlatformReply& aReply);
 
+  // Returns whether the call is conditional on a version of an era that has ended.
+  bool IsOutdated(const PlatformRequest& aRequest) const;
+
   const StoreOptions options;
   const std::shared_ptr<net::ConnectionPool> pool;
   const std::shared_ptr<const ObjectCodec> codec;
@@ -51,8 +55,18 @@
   net::HostPort address;
   CallLimiter limiter;
   StoreCounters counters;
+  std::uint64_t era = 0; // newest one of the store's replies
 };
 
+bool HttpObjectStore::Shared::IsOutdated(const PlatformRequest& aRequest) const
+{
+  if (const auto* write = std::get_if<platform::ConditionalWrite>(&aRequest.call)) {
+    return write->expected && write->expected->era < era;
+  }
+  const auto* remove = std::get_if<platform::ConditionalDelete>(&aRequest.call);
+  return remove != nullptr && remove->expected.era < era;
+}
+
 std::optional<net::HostPort> HttpObjectStore::Shared::TryAcquire()
 {
   const std::lock_guard<std::mutex> lock(mutex);
@@ -64,6 +78,7 @@
 void HttpObjectStore::Shared::RecordReply(const PlatformReply& aReply)
 {
   const std::lock_guard<std::mutex> lock(mutex);
+  era = std::max(era, aReply.era);
   counters.unknown += aReply.status == PlatformStatus::Unknown ? 1 : 0;
   const bool failed = aReply.status == PlatformStatus::Unknown ||
                       aReply.status == PlatformStatus::NotSent ||
@@ -110,6 +125,17 @@
 net::Task<PlatformReply> HttpObjectStore::Call(PlatformRequest aRequest)
 {
   const std::shared_ptr<Shared> shared = mShared;
+  {
+    const std::lock_guard<std::mutex> lock(shared->mutex);
+    if (shared->IsOutdated(aRequest)) {
+      // The store may have assigned the version again, so that the condition would hold by chance.
+      PlatformReply reply;
+      reply.number = aRequest.number;
+      reply.status = PlatformStatus::Conflict;
+      reply.era = shared->era;
+      co_return reply;
+    }
+  }
   const std::optional<net::HostPort> address = shared->TryAcquire();
   if (!address) {
     co_return PlatformReply{ aRequest.number, PlatformStatus::NotSent, {}, {}, 0, {}, false };
@@ -145,6 +171,7 @@
 {
   const std::lock_guard<std::mutex> lock(mShared->mutex);
   mShared->address = std::move(aAddress);
+  mShared->era = 0;
   // Failures at the old address must not delay calls to the new one.
   mShared->limiter.OnResponse();
 }
--- a/libs/platform_client/tests/HttpObjectStoreTests.cpp
+++ b/libs/platform_client/tests/HttpObjectStoreTests.cpp
@@ -1,5 +1,6 @@
 #include "masticstep/platform_client/HttpObjectStore.hpp"
 
+#include "HttpObjectCodec.hpp"
 #include "masticstep/net/HttpServer.hpp"
 #include "masticstep/net/WorkerPool.hpp"
 #include "masticstep/platform/InMemoryPlatform.hpp"
@@ -72,9 +73,29 @@
   InMemoryPlatform mPlatform;
 };
 
-StoreOptions OptionsFor(std::uint16_t aPort)
+// Names an era of the store with every reply.
+class EraCodec : public HttpObjectCodec
+{
+public:
+  using HttpObjectCodec::HttpObjectCodec;
+  PlatformReply DecodeResponse(const PlatformRequest& aRequest,
+                               const net::HttpResponse& aResponse) const override
+  {
+    PlatformReply reply = HttpObjectCodec::DecodeResponse(aRequest, aResponse);
+    reply.era = era;
+    if (reply.version) {
+      reply.version->era = era;
+    }
+    return reply;
+  }
+
+  std::atomic<std::uint64_t> era = 1;
+};
+
+StoreOptions OptionsFor(std::uint16_t aPort, std::shared_ptr<const ObjectCodec> aCodec = nullptr)
 {
   StoreOptions options;
+  options.codec = std::move(aCodec);
   options.address = { "127.0.0.1", aPort };
   return options;
 }
@@ -82,11 +103,11 @@
 class Fixture
 {
 public:
-  Fixture()
+  explicit Fixture(std::shared_ptr<const ObjectCodec> aCodec = nullptr)
     : handler(std::make_shared<PlatformHandler>())
     , workers(2)
     , server(*net::HttpServer::Create(workers.Context(), { "127.0.0.1", 0 }, {}, handler))
-    , store(workers.Context().get_executor(), OptionsFor(server->Port()))
+    , store(workers.Context().get_executor(), OptionsFor(server->Port(), std::move(aCodec)))
   {
   }
   ~Fixture() { workers.Stop(); }
@@ -125,6 +146,27 @@
              PlatformStatus::Conflict);
 }
 
+// Guards against writes whose condition holds by chance, since a restored store has assigned the
+// version again.
+MASTICSTEP_TEST("conditions on versions of an earlier era are not sent",
+                "[platform_client][restored]")
+{
+  const std::shared_ptr<EraCodec> codec = std::make_shared<EraCodec>("");
+  Fixture fixture(codec);
+  const PlatformReply created = fixture.Call(ConditionalWrite{ kKey, std::nullopt, "x" });
+  codec->era = 2;
+  const PlatformReply read = fixture.Call(ReadRequest{ kKey });
+  CHECK_EQUAL(created.version->value, read.version->value);
+  const PlatformReply outdated = fixture.Call(ConditionalWrite{ kKey, created.version, "y" });
+  CHECK_TRUE(outdated.status == PlatformStatus::Conflict);
+  CHECK_EQUAL(std::uint64_t{ 2 }, outdated.era);
+  CHECK_TRUE(fixture.Call(ConditionalDelete{ kKey, *created.version }).status ==
+             PlatformStatus::Conflict);
+  CHECK_EQUAL(1U, fixture.handler->mPuts.load());
+  CHECK_TRUE(fixture.Call(ConditionalWrite{ kKey, read.version, "y" }).status ==
+             PlatformStatus::Done);
+}
+
 // Guards against leases and orders that still use the old store after its address was changed in
 // the settings.
 MASTICSTEP_TEST("calls after an address change go to the new address", "[platform_client]")
--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -41,6 +41,7 @@
   dispatch::RetryBounds retries;
   dispatch::StagePolicy stages;
   bool enginesCheckFencing = false;
+  bool mayHavePredecessor = false; // see authority::LeaseOptions
 };
 
 // A daemon's connections to the platform.
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -148,6 +148,7 @@
   options.holder = mSettings.host;
   options.processNonce = HexText(RandomSeed());
   options.orderPollInterval = kOrderPollInterval;
+  options.mayHavePredecessor = mSettings.mayHavePredecessor;
   const std::shared_ptr<control::EngineAuthority> authority =
     std::make_shared<control::EngineAuthority>(mContext.get_executor(), std::move(aAccess.store),
                                                std::move(options), std::move(aAccess.orders));
