Do not repeat an order from before a restore of the store

An engine could be ordered back to the stage that it had left, and be out of service for seconds. Cause: an outstanding intent is settled by repeating its order. After a restore, the intents of later orders may be lost, so the order that the old copy names may long be done and superseded. Change: an intent whose fencing number is of an earlier era is replaced by the new order. An engine that does not check fencing numbers is waited for until the deadline of the old intent, as before.

--- a/libs/authority/include/masticstep/authority/EngineOrderStateMachine.hpp
+++ b/libs/authority/include/masticstep/authority/EngineOrderStateMachine.hpp
@@ -121,6 +121,8 @@
   EngineOrderActions OnDone(const LeaseStatus& aLease, Time aNow);
   EngineOrderActions AbandonOrder();
   bool MayAct(const LeaseStatus& aLease, Time aNow) const;
+  // Returns whether the stored intent was written before the store was restored.
+  bool IsOfEarlierEra() const;
   void WaitUntil(Step aStep, Time aUntil);
 
   EngineOptions mOptions;
--- a/libs/authority/src/EngineOrderStateMachine.cpp
+++ b/libs/authority/src/EngineOrderStateMachine.cpp
@@ -114,6 +114,11 @@
   return mFaults.skipsLeaseCheck || IsLeaseValid(aLease, aNow);
 }
 
+bool EngineOrderStateMachine::IsOfEarlierEra() const
+{
+  return mStoredIntent && mVersion && mStoredIntent->fencing <= FencingBeforeEra(mVersion->era);
+}
+
 void EngineOrderStateMachine::WaitUntil(Step aStep, Time aUntil)
 {
   mStep = aStep;
@@ -191,6 +196,12 @@
     WaitUntil(Step::AwaitingIntentDeadline, intentDeadline);
     return {};
   }
+  // The order may have been carried out and followed by others whose intents the store has lost.
+  // Repeating it would take them back.
+  if (IsOfEarlierEra()) {
+    mIntent = { *mRequestedOrder, aLease.fencing, mOptions.timeout, IntentState::Outstanding, "" };
+    return WriteIntent(IntentState::Outstanding, aNow);
+  }
   mIntent = { mStoredIntent->order, aLease.fencing, mOptions.timeout, IntentState::Outstanding,
               "" };
   if (mConfirmedOrderId == mStoredIntent->order.id && !isForeign) {
--- a/libs/authority/tests/EngineOrderStateMachineTests.cpp
+++ b/libs/authority/tests/EngineOrderStateMachineTests.cpp
@@ -73,3 +73,29 @@
   const Lease lease{ HostName{ "h" }, "n-1", 7, Seconds(10) };
   CHECK_TRUE(ParseLease(EncodeLease(lease)) == lease);
 }
+
+// Guards against taking back later orders, whose intents the platform has lost, by repeating an
+// earlier one.
+MASTICSTEP_TEST("an outstanding order from before a restore of the platform is not repeated",
+                "[authority][restored]")
+{
+  InMemoryPlatform store = MakeStoreWithOutstandingIntent();
+  const InMemoryPlatform copy = store;
+  store.RestoreFrom(copy);
+  const LeaseStatus lease{ FencingBeforeEra(store.Era()) + 1, Time{ Seconds(100) } };
+  for (const bool refuses : { true, false }) {
+    EngineOrderStateMachine stateMachine = MakeStateMachine(refuses);
+    EngineOrderActions actions = stateMachine.Start({ "new", "set_role", "prefill" }, lease, kNow);
+    InMemoryPlatform platform = store;
+    Time now = kNow;
+    while (!actions.send && now < kNow + Seconds(30)) {
+      now = actions.request ? now : *stateMachine.NextWakeUp();
+      actions = actions.request
+                  ? stateMachine.OnPlatformReply(platform.Apply(*actions.request), lease, now)
+                  : stateMachine.OnTime(lease, now);
+    }
+    CHECK_EQUAL(std::string("new"), actions.send->order.id);
+    // Copies of the earlier order may reach an engine that does not check fencing tokens.
+    CHECK_EQUAL(refuses ? kNow : kNow + Seconds(10), now);
+  }
+}
