Write quarantined prompt parts again to a store that has lost them

After a restore of the store from an older copy, a daemon that starts would not know which prompt parts are in quarantine. Cause: the store poller takes an entry that it has written once for one that remains, and does not see entries that return with the older copy. Change: the poller reads the entries again in each era of the store, writes those that are missing and removes those of ended quarantines. Running daemons take no part into quarantine because of a returned entry. Result: a test that finds no entry without the change passes; relay_tests.

--- a/libs/relay/src/QuarantineExchange.cpp
+++ b/libs/relay/src/QuarantineExchange.cpp
@@ -211,17 +211,23 @@
   const std::shared_ptr<QuarantineExchange> self = shared_from_this();
   bool isLoaded = false;
   while (true) {
+    // A restored store may have lost entries, and show those of quarantines that have ended.
+    const bool isOutdated = mState->storeSync.storeEra > mStoredEra;
     if (!isLoaded) {
-      isLoaded = co_await Load();
+      isLoaded = co_await ReadEntries();
+      QuarantineEntries();
     } else if (mState->storeSync.isStorePoller) {
       // One daemon of each data centre keeps the entries for all.
-      co_await Store(net::Now());
+      const bool isCurrent = !isOutdated || co_await ReadEntries();
+      if (isCurrent) {
+        co_await Store(net::Now());
+      }
     }
     co_await net::Sleep(kStoreInterval);
   }
 }
 
-net::Task<bool> QuarantineExchange::Load()
+net::Task<bool> QuarantineExchange::ReadEntries()
 {
   platform::PlatformCall list = platform::ListRequest{ kPartPrefix, {} };
   const PlatformReply listed =
@@ -230,6 +236,9 @@
     co_return false;
   }
   const Time now = net::Now();
+  mStoredEra = listed.era;
+  mStored.clear();
+  mRead.clear();
   for (const platform::ObjectChange& entry : listed.items) {
     const std::optional<std::uint64_t> part = PartOf(entry.key);
     if (!part) {
@@ -238,11 +247,18 @@
       continue;
     }
     mStored[*part] = entry.version;
-    mState->quarantine.Quarantine({ *part, now + TimeLeft(entry) }, now);
+    mRead.push_back({ *part, now + TimeLeft(entry) });
   }
   co_return true;
 }
 
+void QuarantineExchange::QuarantineEntries()
+{
+  for (const QuarantinedPart& part : std::exchange(mRead, {})) {
+    mState->quarantine.Quarantine(part, net::Now());
+  }
+}
+
 net::Task<void> QuarantineExchange::Store(Time aNow)
 {
   const std::vector<QuarantinedPart> settled = mState->quarantine.Settled(aNow);
--- a/libs/relay/src/QuarantineExchange.hpp
+++ b/libs/relay/src/QuarantineExchange.hpp
@@ -23,7 +23,8 @@
 
   // Sends new evidence to some peers, and all evidence to one of them now and then.
   net::Task<void> SendEvidence();
-  // Reads the quarantined parts once and then keeps those in the store that this daemon knows.
+  // Reads the quarantined parts at the start and then keeps those in the store that this daemon
+  // knows, also in one that was restored from an older copy.
   net::Task<void> SyncWithStore();
   // Applies a peer's datagram.
   void Apply(std::string_view aDatagram);
@@ -31,7 +32,10 @@
 private:
   void LogChanges(Time aNow);
   void Send(const quarantine::Evidence& aEvidence, Receivers aReceivers, Time aNow);
-  net::Task<bool> Load();
+  // Reads the entries of the store. Returns false if that failed.
+  net::Task<bool> ReadEntries();
+  // Puts the parts of the entries that were read into quarantine.
+  void QuarantineEntries();
   // Writes or removes one entry if the store differs from what this daemon knows.
   net::Task<void> Store(Time aNow);
 
@@ -40,6 +44,8 @@
   const std::shared_ptr<platform::ObjectStore> mStore;
   Random mRandom;
   std::map<std::uint64_t, platform::Version> mStored; // version of the entry by part
+  std::vector<quarantine::QuarantinedPart> mRead;     // parts of the entries that were read
+  std::uint64_t mStoredEra = 0;                       // of the store, in which they were read
   std::vector<quarantine::QuarantinedPart> mLogged;
   std::uint64_t mNextCall = 1;
 };
--- a/libs/relay/tests/QuarantineExchangeTests.cpp
+++ b/libs/relay/tests/QuarantineExchangeTests.cpp
@@ -82,6 +82,27 @@
   CHECK_TRUE(daemon.store->Read(platform::ObjectKey{ kPrefix + "8" }).empty());
 }
 
+// Guards against a part that is sent again after a restart, since the restored store has lost its
+// entry, and against entries of ended quarantines that return with an older copy.
+MASTICSTEP_TEST("a restored store gets the parts that are in quarantine",
+                "[relay][quarantine][restored]")
+{
+  DaemonParts daemon(std::make_shared<SynchronousStore>());
+  daemon.Write("8", R"({"until_ms":4102444800000})");
+  const platform::InMemoryPlatform copy = daemon.store->Copy();
+  daemon.RunSync(Milliseconds(50));
+  daemon.state->quarantine.OnAnswered({ 8 }, net::Now());
+  daemon.state->quarantine.Quarantine({ kPart, net::Now() + Seconds(300) }, net::Now());
+  daemon.context.run_for(Milliseconds(1200));
+  CHECK_TRUE(daemon.store->Read(platform::ObjectKey{ kPrefix + "8" }).empty());
+  daemon.store->RestoreFrom(copy);
+  daemon.state->storeSync.storeEra = 1;
+  daemon.context.run_for(Milliseconds(1200));
+  CHECK_FALSE(daemon.store->Read(platform::ObjectKey{ kPrefix + "dead5" }).empty());
+  CHECK_TRUE(daemon.store->Read(platform::ObjectKey{ kPrefix + "8" }).empty());
+  CHECK_FALSE(daemon.IsQuarantined(8));
+}
+
 // Guards against a malformed datagram that stops a daemon or adds to its evidence.
 MASTICSTEP_TEST("a peer's crash report is applied and a malformed one is not",
                 "[relay][quarantine]")
--- a/libs/relay/tests/SynchronousStore.hpp
+++ b/libs/relay/tests/SynchronousStore.hpp
@@ -25,6 +25,9 @@
     return mPlatform.Apply({ 0, platform::ReadRequest{ aKey } }).body;
   }
 
+  platform::InMemoryPlatform Copy() const { return mPlatform; }
+  void RestoreFrom(const platform::InMemoryPlatform& aCopy) { mPlatform.RestoreFrom(aCopy); }
+
   int writes = 0;
 
 private:
