Register again with a store that has lost a daemon's entry

For up to a minute after a restore of the store, daemons whose entries it has lost would be unknown to the daemons of other data centres, and count neither for the shared retry slack nor for the limits of backend servers. Cause: a daemon takes its entry for one that remains, and reads the entries once a minute. Change: in a new era of the store each daemon reads the entries within a second, at a time of its own, writes its own if it is missing, and reads again 3 s later; the daemons known before remain until then.

--- a/libs/relay/src/WorkReportChannel.cpp
+++ b/libs/relay/src/WorkReportChannel.cpp
@@ -38,6 +38,9 @@
 // Daemons may start at the same time, so the first list may be incomplete.
 constexpr Duration kSecondDiscoveryDelay = Seconds(3);
 constexpr Duration kRetryInterval = Milliseconds(1000);
+// After a restore of the store, all daemons read the entries within this time, not at once.
+constexpr Duration kRediscoverySpread = Milliseconds(1000);
+constexpr Duration kEraCheckInterval = Milliseconds(250);
 constexpr std::size_t kMaximumPeers = 128;
 constexpr IntegerRange kPorts{ 1, 65535 };
 // Two, so that changes are still noticed in time when one loses the store.
@@ -104,6 +107,7 @@
   , mDataCentre(std::move(aDataCentre))
   , mAddress(std::move(aAddress))
   , mSocket(std::move(aSocket))
+  , mRandom(Hash64(mHost.Text()))
 {
 }
 
@@ -256,11 +260,17 @@
 {
   const std::shared_ptr<WorkReportChannel> self = shared_from_this();
   bool isFirst = true;
+  bool isAfterRestore = false;
+  std::uint64_t era = 0; // of the store, in which the entries were read
   while (true) {
     platform::PlatformCall list = platform::ListRequest{ kDaemonPrefix, {} };
     const PlatformReply listed = co_await Call(std::move(list));
     if (listed.status == PlatformStatus::Done) {
-      UpdatePeers(listed.items);
+      // A restored store may have lost entries that their daemons are about to write again.
+      if (!std::exchange(isAfterRestore, false)) {
+        UpdatePeers(listed.items);
+      }
+      era = listed.era;
       mIsRegistered = co_await Register(listed.items);
     }
     const bool isDone = mIsRegistered && listed.status == PlatformStatus::Done;
@@ -270,7 +280,15 @@
     }
     const Duration pause =
       std::exchange(isFirst, false) ? kSecondDiscoveryDelay : kDiscoverInterval;
-    co_await net::Sleep(pause);
+    const Time end = net::Now() + pause;
+    while (net::Now() < end && mState->storeSync.storeEra <= era) {
+      co_await net::Sleep(std::min(kEraCheckInterval, end - net::Now()));
+    }
+    if (mState->storeSync.storeEra > era) {
+      isFirst = true;
+      isAfterRestore = true;
+      co_await net::Sleep(FromSeconds(mRandom.Uniform() * ToSeconds(kRediscoverySpread)));
+    }
   }
 }
 
--- a/libs/relay/src/WorkReportChannel.hpp
+++ b/libs/relay/src/WorkReportChannel.hpp
@@ -78,6 +78,7 @@
   std::vector<Udp::endpoint> mPeers;       // of the data centre
   std::vector<Udp::endpoint> mRemotePeers; // of the other data centres
   std::function<void(std::string_view)> mOnCrashReport = [](std::string_view /*aDatagram*/) {};
+  Random mRandom;
   bool mIsRegistered = false;
   std::uint64_t mNextCall = 1;
 };
--- a/libs/relay/tests/WorkReportChannelTests.cpp
+++ b/libs/relay/tests/WorkReportChannelTests.cpp
@@ -50,3 +50,25 @@
   CHECK_EQUAL(1, store->writes);
   CHECK_TRUE(store->Read(kOwnKey).find("east") != std::string::npos);
 }
+
+// Guards against daemons that forget each other for a minute, and so use too large a share of what
+// the fleet may do together, when the store has lost entries.
+MASTICSTEP_TEST("a daemon registers again with a store that has lost its entry",
+                "[relay][reports][restored]")
+{
+  const std::shared_ptr<SynchronousStore> store = std::make_shared<SynchronousStore>();
+  const platform::InMemoryPlatform copy = store->Copy();
+  boost::asio::io_context context(1);
+  const std::shared_ptr<RelayState> state = std::make_shared<RelayState>(
+    context.get_executor(), std::make_shared<TestDialect>(), dispatch::Locality{}, 1);
+  const std::shared_ptr<WorkReportChannel> workReports = WorkReportChannel::Create(
+    state, store, HostName{ "host-1" }, DataCentreName{ "east" }, { "127.0.0.1", 0 });
+  boost::asio::co_spawn(
+    context, [&workReports] { return workReports->DiscoverPeers(); }, boost::asio::detached);
+  context.poll();
+  store->RestoreFrom(copy);
+  CHECK_TRUE(store->Read(kOwnKey).empty());
+  state->storeSync.storeEra = 1;
+  context.run_for(Milliseconds(1500));
+  CHECK_FALSE(store->Read(kOwnKey).empty());
+}
