Free a released lease only after the least time between two holders

Cause: a stopping holder set its lease to a duration of zero, so a successor acted within a second. Change: a release leaves the lease with the least time between two holders.

--- a/libs/authority/include/masticstep/authority/Lease.hpp
+++ b/libs/authority/include/masticstep/authority/Lease.hpp
@@ -17,7 +17,7 @@
   HostName holder;
   std::string nonce;         // identifies the write, to recognize it after a lost reply
   std::uint64_t fencing = 0; // fencing token; increases with every change of the holder
-  Duration duration{};       // zero after a release
+  Duration duration{};       // after a release, the pause before the next holder
 
   auto operator<=>(const Lease&) const = default;
 };
--- a/libs/authority/include/masticstep/authority/LeaseManager.hpp
+++ b/libs/authority/include/masticstep/authority/LeaseManager.hpp
@@ -19,6 +19,8 @@
   // Whether an earlier process may hold a lease that the store has lost. If so, an absent lease is
   // not taken before it would have expired.
   bool mayHavePredecessor = false;
+  // Time after a release before the next holder may take the lease.
+  Duration pauseAfterRelease{};
 
   auto operator<=>(const LeaseOptions&) const = default;
 };
@@ -41,7 +43,7 @@
                                                            Time aNow);
   std::optional<Time> NextWakeUp() const;
   // Releases the lease at a graceful shutdown, so that the next holder need not wait for its
-  // expiry.
+  // expiry, only for the pause after a release.
   std::optional<platform::PlatformRequest> Release(Time aNow);
 
   // Check the expiry just before each action; the lease may have expired since the last call.
--- a/libs/authority/src/LeaseManager.cpp
+++ b/libs/authority/src/LeaseManager.cpp
@@ -104,7 +104,7 @@
   mLastWriteTime = aNow;
   mLastWriteEra = mEra.value_or(0);
   mLastWrite = { mOptions.holder, mOptions.processNonce + "-" + std::to_string(++mWriteCount),
-                 aFencing, mIsReleasing ? Duration::zero() : mOptions.duration };
+                 aFencing, mIsReleasing ? mOptions.pauseAfterRelease : mOptions.duration };
   return PlatformRequest{ ++mRequestNumber,
                           ConditionalWrite{ mOptions.key, mVersion, EncodeLease(mLastWrite) } };
 }
--- a/libs/authority/tests/LeaseManagerTests.cpp
+++ b/libs/authority/tests/LeaseManagerTests.cpp
@@ -96,3 +96,22 @@
   Run(restarted, empty, kStart + Seconds(10));
   CHECK_TRUE(IsHeld(restarted, kStart + Seconds(10)));
 }
+
+// Guards against two holders whose orders reach an engine shortly after each other at a planned
+// stop.
+MASTICSTEP_TEST("a released lease is taken only after the pause", "[authority][lease]")
+{
+  InMemoryPlatform store;
+  LeaseOptions options = OptionsOf("a");
+  options.pauseAfterRelease = Seconds(3);
+  LeaseManager holder(options);
+  LeaseManager other(OptionsOf("b"));
+  Run(holder, store, kStart);
+  Run(other, store, kStart);
+  const Time released = kStart + Milliseconds(500);
+  holder.OnPlatformReply(store.Apply(*holder.Release(released)), released);
+  Run(other, store, kStart + Milliseconds(3400));
+  CHECK_FALSE(IsHeld(other, kStart + Milliseconds(3400)));
+  Run(other, store, kStart + Milliseconds(6400));
+  CHECK_TRUE(IsHeld(other, kStart + Milliseconds(6400)));
+}
--- a/libs/control/include/masticstep/control/EngineAuthority.hpp
+++ b/libs/control/include/masticstep/control/EngineAuthority.hpp
@@ -24,6 +24,7 @@
   Duration orderTimeout = Seconds(10);
   Duration orderPollInterval = Seconds(1);
   bool mayHavePredecessor = false; // see authority::LeaseOptions
+  Duration pauseAfterRelease{};    // see authority::LeaseOptions
 
   auto operator<=>(const AuthorityOptions&) const = default;
 };
--- a/libs/control/src/EngineAuthorityCore.cpp
+++ b/libs/control/src/EngineAuthorityCore.cpp
@@ -26,7 +26,8 @@
   , mCodec(aCodec ? std::move(aCodec) : std::make_shared<const HttpOrderCodec>())
   , mPool(net::ConnectionPool::Create())
   , mLeaseManager({ authority::LeaseKey(mOptions.dataCentre, mOptions.role), mOptions.holder,
-                    mOptions.processNonce, mOptions.lease, mOptions.mayHavePredecessor })
+                    mOptions.processNonce, mOptions.lease, mOptions.mayHavePredecessor,
+                    mOptions.pauseAfterRelease })
 {
 }
 
--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -42,6 +42,7 @@
   dispatch::StagePolicy stages;
   bool enginesCheckFencing = false;
   bool mayHavePredecessor = false; // see authority::LeaseOptions
+  Duration holderPause{};          // minimum time between orders of successive holders
 };
 
 // A daemon's connections to the platform.
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -149,6 +149,7 @@
   options.processNonce = HexText(RandomSeed());
   options.orderPollInterval = kOrderPollInterval;
   options.mayHavePredecessor = mSettings.mayHavePredecessor;
+  options.pauseAfterRelease = mSettings.holderPause;
   const std::shared_ptr<control::EngineAuthority> authority =
     std::make_shared<control::EngineAuthority>(mContext.get_executor(), std::move(aAccess.store),
                                                std::move(options), std::move(aAccess.orders));
