Log a digest that recognizes a request which comes again

What callers saw: a request ends engine after engine as it comes again (BUDGET). Cause: not confirmed yet. The logs name requests only by the id of the attempt, so they do not tell whether failed attempts were of the same request. Change: 'attempt failed' has request_digest, the same for method, host, target, body and prompt at any daemon. No decision changes.

--- a/libs/relay/src/RoutedRequest.cpp
+++ b/libs/relay/src/RoutedRequest.cpp
@@ -24,6 +24,7 @@
     return Failure(
       NotExecutedRefusal("starting", "no configuration is known yet", kStartingRetryAfter));
   }
+  const std::string source = aRequest.source;
   Result<Call, CallError> call = aState.dialect->ParseCall(std::move(aRequest));
   if (!call) {
     return Failure(Refusal{ 400, "bad_request", call.error().problem, std::nullopt });
@@ -31,6 +32,7 @@
   RoutedRequest routed;
   routed.number = RequestId{ aState.nextRequestId++ };
   routed.call = std::move(*call);
+  routed.digest = DigestOf(routed.call, source);
   routed.table = aState.table;
   routed.route = routed.table->Match(routed.call.host, routed.call.target);
   if (routed.route == nullptr) {
--- a/libs/relay/src/RoutedRequest.hpp
+++ b/libs/relay/src/RoutedRequest.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Refusal.hpp"
+#include "RequestDigest.hpp"
 #include "masticstep/relay/RelayState.hpp"
 
 #include <memory>
@@ -12,6 +13,7 @@
 {
   RequestId number; // unique within this process
   Call call;
+  RequestDigest digest;
   std::shared_ptr<const dispatch::RouteTable> table; // in force on arrival of the request
   const dispatch::Route* route = nullptr;            // points into table
   ServiceName service;
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -167,6 +167,7 @@
                  { { "request_id", mRequest.call.id },
                    { "backend", aBackend.id.Text() },
                    { "problem", aError.detail },
+                   { "request_digest", ToHex({ mRequest.digest.content }) },
                    { "prompt_parts", ToHex(mSharedParts) },
                    { "answer_begun", mResponder.HasStarted() },
                    { "not_run", aError.progress != Progress::Unknown } });
