Show that a request that crashes engines is sent to one after the other

What callers saw: a request ends engine after engine as it comes again (BUDGET). On streams the request's prompt part is quarantined instead, and others that share it are refused. Change: stand-in engines crash on a request by its path, callers send it with the same body and prompt, a check holds the bound. No logic changed.

--- a/libs/relay/tests/PlainSessionTests.cpp
+++ b/libs/relay/tests/PlainSessionTests.cpp
@@ -292,3 +292,33 @@
   }
   CHECK_TRUE(crashes <= kMaximumCrashes);
 }
+
+// Guards against a request that crashes one backend server after the other as its caller sends it
+// again.
+MASTICSTEP_TEST("a request under which backend servers crashed is not sent to more of them",
+                "[relay][plain][failure]")
+{
+  constexpr std::size_t kServers = 12;
+  constexpr std::size_t kMaximumCrashes = 4; // the second request may crash its second server
+  std::atomic<std::size_t> crashes = 0;
+  RelayFixture fixture;
+  std::vector<std::unique_ptr<ScriptedBackend>> servers;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    servers.push_back(std::make_unique<ScriptedBackend>([&crashes](const std::string& aRequest) {
+      if (aRequest.find("/again/7 ") == std::string::npos) {
+        return ScriptedResponse{ SignedResponse(200, "sound"), Then::KeepOpen };
+      }
+      ++crashes;
+      return ScriptedResponse{ {}, Then::Crash };
+    }));
+    fixture.Add("s" + std::to_string(i), "plain", *servers.back());
+  }
+  std::string last;
+  for (std::size_t i = 0; i < kServers / 2; ++i) {
+    CHECK_TRUE(fixture.SendRequest("POST", "/again/8").ends_with("sound"));
+    last = fixture.SendRequest("POST", "/again/7");
+    std::this_thread::sleep_for(Milliseconds(120));
+  }
+  CHECK_TRUE(crashes <= kMaximumCrashes);
+  CHECK_EQUAL(std::string("HTTP/1.1 503"), Status(last));
+}
--- a/libs/relay/tests/PromptSessionTests.cpp
+++ b/libs/relay/tests/PromptSessionTests.cpp
@@ -275,6 +275,37 @@
   CHECK_TRUE(Contains(sound, "data: t3"));
 }
 
+// Guards against blaming a prompt part for a request that crashes engines each time it comes, so
+// that other requests with the part are refused.
+MASTICSTEP_TEST(
+  "a request under which engines crashed is refused and others with its parts are not",
+  "[relay][prompt][failure]")
+{
+  constexpr std::size_t kEngines = 10;
+  constexpr std::size_t kMaximumCrashes = 4;
+  std::atomic<std::size_t> crashes = 0;
+  RelayFixture fixture;
+  std::vector<std::unique_ptr<ScriptedBackend>> engines;
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    engines.push_back(std::make_unique<ScriptedBackend>([&crashes](const std::string& aRequest) {
+      if (!Contains(aRequest, "/stream/crash")) {
+        return ScriptedResponse{ StreamHead() + Events(1, 3) + StreamEnd(), Then::KeepOpen };
+      }
+      ++crashes;
+      return ScriptedResponse{ StreamHead(), Then::Crash };
+    }));
+    fixture.Add("e" + std::to_string(i), "llm", *engines.back());
+  }
+  std::string last;
+  for (std::size_t i = 0; i < kEngines - 2; ++i) {
+    last = fixture.SendRequest("POST", "/stream/crash", "Parts: 1,7,100\r\n");
+    std::this_thread::sleep_for(Milliseconds(120));
+  }
+  CHECK_TRUE(crashes <= kMaximumCrashes);
+  CHECK_TRUE(last.starts_with("HTTP/1.1 503"));
+  CHECK_TRUE(Contains(fixture.SendRequest("POST", "/stream/1", "Parts: 1,7,200\r\n"), "data: t3"));
+}
+
 // Guards against an engine that gets more requests than it has asked for, prefills included.
 MASTICSTEP_TEST("an engine gets no more requests than the limit that it names",
                 "[relay][prompt][failure]")
--- a/tests/soak/Caller.cpp
+++ b/tests/soak/Caller.cpp
@@ -132,6 +132,14 @@
     const std::size_t last = call.promptHeaders.rfind(',');
     call.promptHeaders.insert(last, "," + mShared.crashingPart + ":40");
   }
+  if (MayRepeat(call.kind) && Between(1, kPercent) <= mShared.crashingRequestPercent) {
+    call.isCrashing = true;
+    call.prefix = PrefixOf(call.kind);
+    call.target = call.prefix + kCrashingPath;
+    call.sentBody = kCrashingPath;
+    call.promptHeaders = IsStream(call.kind) ? "m|900,8|a1:600,c4a5:300" : "||";
+    call.events = IsStream(call.kind) ? 8 : 0;
+  }
   call.sentAt = standins::Now();
   call.daemon = mConnection->daemon;
   call.isOnKeptConnection = mConnection->isUsed;
--- a/tests/soak/Caller.hpp
+++ b/tests/soak/Caller.hpp
@@ -20,6 +20,7 @@
 {
   std::string crashingPart;             // id of a prompt part that crashes engines; empty if none
   std::int64_t crashingPartPercent = 0; // share of streams that have it
+  std::int64_t crashingRequestPercent = 0; // share of lookups and reviews that crash engines
   History* history = nullptr;
   bool isOver = false;
   // Returns the daemon for a new connection, chosen as the platform's load balancer would.
--- a/tests/soak/Checks.cpp
+++ b/tests/soak/Checks.cpp
@@ -562,6 +562,52 @@
 
 namespace {
 
+constexpr std::size_t kCrashesOfRequestToNotice = 3;
+
+// Crashes under each request that is always the same, by its target.
+std::map<std::string, std::vector<Time>> RequestCrashes(const History& aHistory)
+{
+  std::map<std::string, std::vector<Time>> crashes;
+  for (const RunRecord& run : aHistory.Runs()) {
+    const CallRecord* call = aHistory.FindCall(run.callId);
+    if (call != nullptr && call->isCrashing && run.hasCrashed) {
+      crashes[call->target].push_back(run.endedAt);
+    }
+  }
+  for (auto& [target, times] : crashes) {
+    std::sort(times.begin(), times.end());
+  }
+  return crashes;
+}
+
+} // namespace
+
+void CheckCrashingRequests(const History& aHistory, const Bounds& aBounds, Findings& aFindings)
+{
+  for (const auto& [target, crashes] : RequestCrashes(aHistory)) {
+    if (crashes.size() < kCrashesOfRequestToNotice) {
+      continue;
+    }
+    const Time noticed = crashes[kCrashesOfRequestToNotice - 1] + aBounds.contact;
+    std::size_t late = 0;
+    for (const ArrivalRecord& arrival : aHistory.Arrivals()) {
+      const CallRecord* call = aHistory.FindCall(arrival.callId);
+      const bool counts =
+        call != nullptr && call->isCrashing && call->target == target && arrival.at > noticed &&
+        aHistory.IsDaemonFaultFree(call->daemon, arrival.at - aBounds.contact, arrival.at);
+      late += counts ? 1 : 0;
+    }
+    if (late > kMaxTolerated) {
+      Add(aFindings, "crashing request",
+          target + " reached engines " + std::to_string(late) + " times after " +
+            std::to_string(kCrashesOfRequestToNotice) + " had ended under it; " +
+            std::to_string(crashes.size()) + " ended in all");
+    }
+  }
+}
+
+namespace {
+
 constexpr Duration kLimitWindow = Seconds(4);
 constexpr double kLimitFactor = 1.5;
 constexpr double kLimitSlack = 5.0; // requests
@@ -658,6 +704,7 @@
   CheckAttempts(aHistory, aBounds, findings);
   CheckRetryBudget(aHistory, aBounds, findings);
   CheckCrashingPrompts(aHistory, aBounds, findings);
+  CheckCrashingRequests(aHistory, aBounds, findings);
   CheckRequestLimits(aHistory, aBounds, findings);
   CheckConfiguration(aHistory, aBounds, findings);
   CheckDrain(aHistory, aBounds, findings);
--- a/tests/soak/Checks.hpp
+++ b/tests/soak/Checks.hpp
@@ -46,6 +46,8 @@
 // Few requests with a prompt part that crashes engines may reach engines once several have ended,
 // and the other requests with the same first part must be served.
 void CheckCrashingPrompts(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
+// A request that crashes engines may reach few of them once some have ended under it.
+void CheckCrashingRequests(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
 // An engine that names a limit must not get more requests from the daemons that it has told, and
 // gets requests again once it names none.
 void CheckRequestLimits(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
--- a/tests/soak/Engine.cpp
+++ b/tests/soak/Engine.cpp
@@ -1,5 +1,7 @@
 #include "Engine.hpp"
 
+#include "Routes.hpp"
+
 #include "common/JsonFields.hpp"
 #include "common/TokenBucket.hpp"
 
@@ -275,10 +277,21 @@
   run.hasCrashed = aHasCrashed;
 }
 
+void Engine::CrashDuring(std::size_t aRun)
+{
+  EndRun(aRun, true);
+  mShared.crash(mOptions.name);
+}
+
 Awaitable<void> Engine::Answer(Exchange& aExchange, Request aRequest)
 {
   const bool isFailure = ShouldInject(mFaults.fails);
   const std::size_t run = BeginRun(aRequest, isFailure ? 500 : 200);
+  if (aExchange.Path().ends_with(kCrashingPath)) {
+    CrashDuring(run);
+    aExchange.Drop();
+    co_return;
+  }
   co_await standins::Pause(kRunTime);
   co_await WaitWhileUnresponsive(aRequest.incarnation);
   EndRun(run, !IsCurrent(aRequest.incarnation));
@@ -331,12 +344,11 @@
   }
   const std::size_t run = BeginRun(aRequest, 200);
   mShared.history->Run(run).usesOtherCallsPrompt = isOtherCalls;
-  if (HasCrashingPart(aExchange)) {
+  if (HasCrashingPart(aExchange) || aExchange.Path().ends_with(kCrashingPath)) {
     // Like the engines of the platform: the head is sent, and the engine ends before an event.
     std::vector<Header> headers = Headers(aRequest, mShared.history->Run(run).stamp);
     co_await aExchange.BeginEvents(std::move(headers));
-    EndRun(run, true);
-    mShared.crash(mOptions.name);
+    CrashDuring(run);
     aExchange.Drop();
     co_return;
   }
--- a/tests/soak/Engine.hpp
+++ b/tests/soak/Engine.hpp
@@ -102,6 +102,8 @@
   bool IsAsSent(const standins::Exchange& aExchange) const;
   bool HasCrashingPart(const standins::Exchange& aExchange) const;
   std::size_t BeginRun(const Request& aRequest, unsigned aStatus);
+  // Ends the run with a crash of the engine.
+  void CrashDuring(std::size_t aRun);
   void EndRun(std::size_t aRun, bool aHasCrashed);
   std::vector<standins::Header> Headers(const Request& aRequest, const std::string& aStamp) const;
   boost::json::value Entry() const;
--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -57,6 +57,7 @@
   mEngineShared.crash = [this](const std::string& aEngine) { CrashByName(aEngine); };
   mCallerShared.crashingPart = mOptions.crashingPart;
   mCallerShared.crashingPartPercent = mOptions.crashingPartPercent;
+  mCallerShared.crashingRequestPercent = mOptions.crashingRequestPercent;
   mCallerShared.chooseDaemon = [this](std::uint64_t aNumber) { return ChooseDaemon(aNumber); };
 }
 
--- a/tests/soak/Fleet.hpp
+++ b/tests/soak/Fleet.hpp
@@ -16,6 +16,7 @@
   std::size_t callers = 16;
   std::string crashingPart{};           // id of a prompt part that crashes engines; empty if none
   std::int64_t crashingPartPercent = 0; // share of streams that have it
+  std::int64_t crashingRequestPercent = 0; // share of lookups and reviews that crash engines
   // The first engines of each service that name a limit, and the limit in requests per second.
   std::size_t limitedEngines = 0;
   double requestLimit = 4.0;
--- a/tests/soak/Records.hpp
+++ b/tests/soak/Records.hpp
@@ -53,6 +53,7 @@
   CallOutcome outcome = CallOutcome::Waiting;
   bool isOnKeptConnection = false;
   bool crashesEngines = false; // has the prompt part that crashes engines
+  bool isCrashing = false;     // is the request, always the same, that crashes engines
   bool hasExtraBytes = false;  // received after the complete response
   unsigned status = 0;
   std::string stamp;
--- a/tests/soak/Routes.hpp
+++ b/tests/soak/Routes.hpp
@@ -5,6 +5,8 @@
 namespace masticstep::soak {
 
 constexpr const char* kHost = "soak.example";
+// Last part of the path of requests that crash engines.
+constexpr const char* kCrashingPath = "crash";
 constexpr const char* kModels = "models"; // service of the streaming engines
 constexpr const char* kOrders = "orders";
 constexpr const char* kArchive = "archive"; // second service for plain calls
