Quarantine requests that crash engines

Cause: failures were remembered for engines, for one attempt, and for the parts of prompts, never for a request. The class is that of the prompt parts: work that kills its worker is handed to the next one, and no bound spans requests and daemons. Change: a request as a whole counts as a part of itself, with and without the address of its caller, in the one quarantine, its evidence, its datagrams and its entries in the store. The narrowest explanation is taken. Each crash under a caller's request counts, since it runs on one engine at a time. An answer, a failure of the application too, clears the request. Broken prefills and streams that had sent events suspect the request, not its parts.

--- a/libs/quarantine/include/masticstep/quarantine/PromptQuarantine.hpp
+++ b/libs/quarantine/include/masticstep/quarantine/PromptQuarantine.hpp
@@ -38,12 +38,13 @@
   bool operator==(const Evidence&) const = default;
 };
 
-// Finds prompt parts that crash engines and keeps requests with them away from the engines.
+// Finds prompt parts and requests that crash engines and keeps them away from the engines.
 //
 // All requests that an engine was answering break off when it crashes, so one crash suspects the
-// parts of many prompts. The part that explains most crashes without a whole answer in between is
-// quarantined, and the crashes that it explains no longer count against other parts. Daemons share
-// their evidence, since few requests of one kind pass through each of them.
+// parts of many requests. A request as a whole counts as a part of it. The part that explains most
+// crashes without a whole answer in between is quarantined, and the crashes that it explains no
+// longer count against other parts. Daemons share their evidence, since few requests of one kind
+// pass through each of them.
 //
 // Performs no I/O. Not thread-safe. Times passed in must not decrease.
 class PromptQuarantine
@@ -99,6 +100,16 @@
 
   void Expire(Time aNow);
   void AddCrash(const EngineCrash& aCrash, Time aNow);
+  // The candidates of one kind that explain most crashes.
+  struct Group
+  {
+    bool (*isMember)(std::uint32_t aPosition) = nullptr;
+    std::size_t threshold = 0;     // moments of crashes
+    std::size_t thresholdTied = 0; // if several candidates explain as many
+    Weight most{};
+    std::size_t tied = 0;
+  };
+
   // Decides anew which parts explain the crashes. Settled quarantines remain.
   void Evaluate(Time aNow);
   // Quarantines the parts that explain most of the remaining crashes. Returns whether there are
--- a/libs/quarantine/src/PromptQuarantine.cpp
+++ b/libs/quarantine/src/PromptQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "masticstep/quarantine/PromptQuarantine.hpp"
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace masticstep::quarantine {
@@ -25,6 +26,26 @@
 constexpr Duration kSoundLifetime = Seconds(3);
 constexpr std::size_t kMaximumAnswered = 8192;
 
+bool IsRequestOfCaller(std::uint32_t aPosition)
+{
+  return aPosition == kRequestOfCaller;
+}
+
+bool IsRequest(std::uint32_t aPosition)
+{
+  return aPosition == kRequest;
+}
+
+bool IsFirstPart(std::uint32_t aPosition)
+{
+  return aPosition == 0;
+}
+
+bool IsLaterPart(std::uint32_t aPosition)
+{
+  return aPosition > 0 && aPosition < kRequestOfCaller;
+}
+
 void Limit(std::unordered_map<std::uint64_t, Time>& aTimes, Time aNow)
 {
   if (aTimes.size() > kMaximumAnswered) {
@@ -166,9 +187,11 @@
   for (auto& [part, count] : counts) {
     std::sort(count.moments.begin(), count.moments.end());
     count.candidate.weight.crashes = count.moments.size();
+    // A caller's request runs on one engine at a time, so each of its crashes is one by itself.
+    const bool areApart = IsRequestOfCaller(count.candidate.position);
     Time latest = Time::min();
     for (const Time moment : count.moments) {
-      if (latest == Time::min() || moment >= latest + kSameMoment) {
+      if (areApart || latest == Time::min() || moment >= latest + kSameMoment) {
         ++count.candidate.weight.moments;
         latest = moment;
       }
@@ -193,29 +216,37 @@
 bool PromptQuarantine::QuarantineNext(Time aNow,
                                       const std::unordered_map<std::uint64_t, Entry>& aBefore)
 {
+  // The narrowest explanation comes first: a request that crashes engines explains as many crashes
+  // as the parts that it shares with others.
+  std::array<Group, 4> groups{
+    Group{ IsRequestOfCaller, kCrashesToQuarantine, kCrashesToQuarantineTied },
+    Group{ IsRequest, kCrashesToQuarantine, kCrashesToQuarantineTied },
+    Group{ IsLaterPart, kCrashesToQuarantine, kCrashesToQuarantineTied },
+    Group{ IsFirstPart, kCrashesToQuarantineFirst, kCrashesToQuarantineFirst },
+  };
   const std::vector<Candidate> candidates = Candidates(aNow);
-  Weight most;
-  Weight mostOfFirst;
-  std::size_t tied = 0;
-  for (const Candidate& candidate : candidates) {
-    if (candidate.position == 0) {
-      mostOfFirst = std::max(mostOfFirst, candidate.weight);
-    } else if (candidate.weight > most) {
-      most = candidate.weight;
-      tied = 1;
-    } else if (candidate.weight == most) {
-      ++tied;
+  const Group* best = nullptr;
+  for (Group& group : groups) {
+    for (const Candidate& candidate : candidates) {
+      if (!group.isMember(candidate.position) || candidate.weight < group.most) {
+        continue;
+      }
+      group.tied = candidate.weight == group.most ? group.tied + 1 : 1;
+      group.most = candidate.weight;
+    }
+    const std::size_t threshold = group.tied > 1 ? group.thresholdTied : group.threshold;
+    const bool explainsMore = best == nullptr || group.most > best->most;
+    // The first part is blamed only if nothing else can be.
+    const bool mayReplace = best == nullptr || group.isMember != IsFirstPart;
+    if (group.most.moments >= threshold && explainsMore && mayReplace) {
+      best = &group;
     }
   }
-  const bool isLater =
-    most.moments >= kCrashesToQuarantineTied || (tied == 1 && most.moments >= kCrashesToQuarantine);
-  const bool isFirst = !isLater && mostOfFirst.moments >= kCrashesToQuarantineFirst;
-  if (!isLater && !isFirst) {
+  if (best == nullptr) {
     return false;
   }
-  const Weight weight = isLater ? most : mostOfFirst;
   for (const Candidate& candidate : candidates) {
-    if ((candidate.position > 0) == isLater && candidate.weight == weight) {
+    if (best->isMember(candidate.position) && candidate.weight == best->most) {
       const auto known = aBefore.find(candidate.part);
       const Time settledAt = aNow + kSettleTime;
       const Entry entry{ aNow, aNow + kDuration, settledAt, settledAt };
--- a/libs/quarantine/tests/PromptQuarantineTests.cpp
+++ b/libs/quarantine/tests/PromptQuarantineTests.cpp
@@ -138,3 +138,75 @@
   quarantine.OnCrash(Crash("a", 0.1, { { 7, 1 } }), At(0.1));
   CHECK_TRUE(IsQuarantined(quarantine, kBad, 0.2));
 }
+
+namespace {
+
+constexpr std::uint64_t kContent = 70; // digest of a request without its caller
+
+std::vector<SuspectPart> RequestOf(std::uint64_t aCaller)
+{
+  return { { aCaller, kRequestOfCaller }, { kContent, kRequest }, { kFirst, 0 }, { kBad, 1 } };
+}
+
+} // namespace
+
+// Guards against blaming a prompt part for a request that always comes with it.
+MASTICSTEP_TEST("a request that crashed engines is quarantined instead of its parts",
+                "[quarantine][request]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 3; ++i) {
+    quarantine.OnCrash(Crash("p" + std::to_string(i), 0.2 * i, RequestOf(80)), At(0.2 * i));
+  }
+  CHECK_TRUE(IsQuarantined(quarantine, 80, 1.0));
+  CHECK_FALSE(IsQuarantined(quarantine, kContent, 1.0));
+  CHECK_FALSE(IsQuarantined(quarantine, kBad, 1.0));
+}
+
+MASTICSTEP_TEST("a request that crashed engines for several callers is quarantined for all",
+                "[quarantine][request]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 3; ++i) {
+    quarantine.OnCrash(Crash("p" + std::to_string(i), 0.2 * i, RequestOf(80U + i)), At(0.2 * i));
+  }
+  CHECK_TRUE(IsQuarantined(quarantine, kContent, 1.0));
+  CHECK_FALSE(IsQuarantined(quarantine, kBad, 1.0));
+}
+
+// Guards against a caller's request that escapes, since others get answers to the same content.
+MASTICSTEP_TEST("answers to other callers do not clear a caller's request", "[quarantine][request]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 3; ++i) {
+    const double at = 0.2 * i;
+    quarantine.OnCrash(Crash("p" + std::to_string(i), at, RequestOf(80)), At(at));
+    quarantine.OnAnswered({ 81, kContent, kFirst, kBad }, At(at + 0.1));
+  }
+  CHECK_TRUE(IsQuarantined(quarantine, 80, 1.0));
+  CHECK_FALSE(IsQuarantined(quarantine, kContent, 1.0));
+}
+
+// Guards against a request that ends all engines of a service with its repeats before it is found.
+MASTICSTEP_TEST("repeats of a request that crash one engine each right away count one by one",
+                "[quarantine][request]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 3; ++i) {
+    quarantine.OnCrash(Crash("p" + std::to_string(i), 0.01 * i, RequestOf(80)), At(0.01 * i));
+  }
+  CHECK_TRUE(IsQuarantined(quarantine, 80, 0.1));
+}
+
+// Guards against quarantine of requests that were on engines which ended for another reason.
+MASTICSTEP_TEST("requests that do not come again are not quarantined", "[quarantine][request]")
+{
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 30; ++i) {
+    const std::uint64_t digest = 1000U + 2U * static_cast<std::uint64_t>(i);
+    quarantine.OnCrash(Crash("p" + std::to_string(i), 0.2 * i,
+                             { { digest, kRequestOfCaller }, { digest + 1, kRequest } }),
+                       At(0.2 * i));
+  }
+  CHECK_TRUE(quarantine.Active(At(6.0)).empty());
+}
--- a/libs/quarantine/tests/QuarantineFleetTests.cpp
+++ b/libs/quarantine/tests/QuarantineFleetTests.cpp
@@ -27,20 +27,37 @@
 constexpr Duration kPrefillTime = Milliseconds(150);
 constexpr Duration kContact = Seconds(4);
 
+// What crashes engines in a simulation.
+struct Fault
+{
+  std::vector<SuspectPart> suspects; // of the requests that crash engines
+  std::uint64_t id = 0;              // the one of them that the daemons must find
+  std::size_t crashesToNotice = 5;
+};
+
+const Fault kBadPart{ { { 1, 0 }, { kBad, 1 } }, kBad, 5 };
+// Its parts are those of sound requests.
+const Fault kBadRequest{
+  { { kBad, kRequestOfCaller }, { kBad + 1, kRequest }, { 1, 0 }, { 100, 1 } },
+  kBad,
+  3
+};
+
 struct Result
 {
   std::size_t crashes = 0;
-  std::size_t late = 0; // sent with the part later than kContact after the fifth crash
+  std::size_t late = 0; // sent with the fault later than kContact after the crashes to notice
   std::size_t refusedSound = 0;
 };
 
-// A fleet of daemons before engines that crash on one prompt part. Sound requests are on each
-// engine that crashes, and most of them are answered.
+// A fleet of daemons before engines that crash on one prompt part or request. Sound requests are on
+// each engine that crashes, and most of them are answered.
 class Simulation
 {
 public:
-  Simulation(std::size_t aDaemons, std::uint64_t aSeed)
-    : mDaemons(aDaemons)
+  Simulation(const Fault& aFault, std::size_t aDaemons, std::uint64_t aSeed)
+    : mFault(aFault)
+    , mDaemons(aDaemons)
     , mRandom(aSeed)
   {
   }
@@ -73,7 +90,8 @@
   void SoundRequest()
   {
     PromptQuarantine& daemon = AnyDaemon();
-    const std::vector<std::uint64_t> parts = SoundParts();
+    std::vector<std::uint64_t> parts = SoundParts();
+    parts.push_back(NextDigest());
     if (daemon.QuarantinedUntil(parts, mNow)) {
       ++mResult.refusedSound;
     } else {
@@ -85,9 +103,9 @@
   {
     PromptQuarantine& daemon = AnyDaemon();
     const bool isSent = mRandom.Chance(kBadRequestsPerSecond * ToSeconds(kStep)) &&
-                        !daemon.QuarantinedUntil({ kBad }, mNow);
+                        !daemon.QuarantinedUntil({ mFault.id }, mNow);
     if (isSent) {
-      mResult.late += mFifthCrash && mNow > *mFifthCrash + kContact ? 1 : 0;
+      mResult.late += mNoticed && mNow > *mNoticed + kContact ? 1 : 0;
       mSent.push({ mNow + kPrefillTime, &daemon });
     }
     while (!mSent.empty() && mSent.front().first <= mNow) {
@@ -99,16 +117,18 @@
   void CrashEngine(PromptQuarantine& aDaemon)
   {
     const std::string process = "engine-" + std::to_string(++mResult.crashes);
-    if (mResult.crashes == 5) {
-      mFifthCrash = mNow;
+    if (mResult.crashes == mFault.crashesToNotice) {
+      mNoticed = mNow;
     }
-    std::vector<SuspectPart> suspects{ { 1 + mRandom.Below(kFirstParts), 0 }, { kBad, 1 } };
-    aDaemon.OnCrash({ process, mNow, suspects }, mNow);
+    aDaemon.OnCrash({ process, mNow, mFault.suspects }, mNow);
     for (int i = 0; i < 3; ++i) {
       const std::vector<std::uint64_t> parts = SoundParts();
       PromptQuarantine& other = AnyDaemon();
       if (!other.IsSound(parts[1], mNow)) {
-        other.OnCrash({ process, mNow, { { parts[0], 0 }, { parts[1], 1 } } }, mNow);
+        other.OnCrash({ process,
+                        mNow,
+                        { { NextDigest(), kRequestOfCaller }, { parts[0], 0 }, { parts[1], 1 } } },
+                      mNow);
       }
     }
   }
@@ -142,19 +162,24 @@
     }
   }
 
+  // Sound requests do not come again.
+  std::uint64_t NextDigest() { return ++mDigest; }
+
+  const Fault mFault;
   std::vector<PromptQuarantine> mDaemons;
   Random mRandom;
+  std::uint64_t mDigest = 1ULL << 40U;
   Time mNow{};
   double mSoundDue = 0.0;
-  std::optional<Time> mFifthCrash;
+  std::optional<Time> mNoticed;
   std::queue<std::pair<Time, PromptQuarantine*>> mSent;
   Result mResult;
 };
 
-void CheckFleet(std::size_t aDaemons, Duration aLength)
+void CheckFleet(const Fault& aFault, std::size_t aDaemons, Duration aLength)
 {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    Simulation simulation(aDaemons, seed);
+    Simulation simulation(aFault, aDaemons, seed);
     const Result result = simulation.Run(aLength);
     CHECK_TRUE(result.crashes >= 3);
     CHECK_TRUE(result.late <= 3);
@@ -168,11 +193,25 @@
 MASTICSTEP_TEST("seven daemons together find the part that crashes engines",
                 "[quarantine][fleet][failure]")
 {
-  CheckFleet(7, Seconds(20));
+  CheckFleet(kBadPart, 7, Seconds(20));
+}
+
+// Guards against a request that keeps crashing engines as it comes again at any daemon, and against
+// blaming the parts that it shares with others.
+MASTICSTEP_TEST("seven daemons together find the request that crashes engines",
+                "[quarantine][fleet][failure]")
+{
+  CheckFleet(kBadRequest, 7, Seconds(20));
+}
+
+MASTICSTEP_TEST("three hundred daemons together find the request that crashes engines",
+                "[quarantine][fleet][failure]")
+{
+  CheckFleet(kBadRequest, 300, Seconds(12));
 }
 
 MASTICSTEP_TEST("three hundred daemons together find the part that crashes engines",
                 "[quarantine][fleet][failure]")
 {
-  CheckFleet(300, Seconds(12));
+  CheckFleet(kBadPart, 300, Seconds(12));
 }
--- a/libs/relay/src/CrashDetector.cpp
+++ b/libs/relay/src/CrashDetector.cpp
@@ -57,26 +57,23 @@
 }
 
 void CrashDetector::OnBrokenAnswer(const dispatch::Backend& aEngine,
-                                   const std::vector<std::uint64_t>& aParts)
+                                   std::vector<SuspectPart> aSuspects)
 {
   const Time now = net::Now();
-  std::vector<SuspectPart> suspects;
-  for (std::size_t i = 0; i < aParts.size(); ++i) {
-    if (!mQuarantine.IsSound(aParts[i], now)) {
-      suspects.push_back({ aParts[i], static_cast<std::uint32_t>(i) });
-    }
-  }
-  if (suspects.empty()) {
+  std::erase_if(aSuspects, [now, this](const SuspectPart& aSuspect) {
+    return mQuarantine.IsSound(aSuspect.id, now);
+  });
+  if (aSuspects.empty()) {
     return;
   }
   const std::string process = ProcessOf(aEngine);
   const auto confirmed = mConfirmed.find(process);
   if (confirmed != mConfirmed.end()) {
-    mQuarantine.OnCrash({ process, confirmed->second, std::move(suspects) }, now);
+    mQuarantine.OnCrash({ process, confirmed->second, std::move(aSuspects) }, now);
     return;
   }
   const auto [it, isNew] = mUnconfirmed.try_emplace(process);
-  it->second.insert(it->second.end(), suspects.begin(), suspects.end());
+  it->second.insert(it->second.end(), aSuspects.begin(), aSuspects.end());
   if (isNew) {
     boost::asio::co_spawn(
       mExecutor,
--- a/libs/relay/src/CrashDetector.hpp
+++ b/libs/relay/src/CrashDetector.hpp
@@ -19,8 +19,10 @@
   CrashDetector(net::Executor aExecutor, std::shared_ptr<net::ConnectionPool> aPool,
                 quarantine::PromptQuarantine& aQuarantine, telemetry::Metrics& aMetrics);
 
-  // Call when an engine has broken off the connection on which it was answering a prompt.
-  void OnBrokenAnswer(const dispatch::Backend& aEngine, const std::vector<std::uint64_t>& aParts);
+  // Call when an engine has broken off the connection on which it was running a request with these
+  // parts.
+  void OnBrokenAnswer(const dispatch::Backend& aEngine,
+                      std::vector<quarantine::SuspectPart> aSuspects);
 
 private:
   // Connects to the engine and records the crash if that fails.
--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -68,9 +68,7 @@
   const bool isError = IsServerError(aHead.status);
   mState->dispatcher.OnDone(aBackend.id, mRequest.number,
                             isError ? Outcome::Failed : Outcome::Answered, net::Now());
-  if (!isError) {
-    mState->quarantine.OnAnswered(mSharedParts, net::Now());
-  }
+  ReportAnswer(isError ? Suspects::WholeRequest : Suspects::All);
   ++mExecutions;
   mPossiblyExecuted = true;
   if (isError && mRequest.route->IsRetryable() && mExecutions < mRequest.route->attempts &&
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -189,6 +189,7 @@
 {
   mState->dispatcher.OnDone(aEngine.id, mRequest.number, OutcomeOf(aError), net::Now());
   LogFailure(aEngine, aError);
+  ReportBrokenAnswer(aEngine, aError, Suspects::WholeRequest);
   mWork.excluded.push_back(aEngine.id);
   const bool mayRetry = aError.progress == Progress::NotSent || TryTakeRetry();
   if (mayRetry && mPrefillAttempts < kMaximumPrefills && !IsCallerGone() && !IsPastDeadline()) {
@@ -273,7 +274,7 @@
   }
   const Time now = net::Now();
   mState->dispatcher.OnDone(aEngine.id, mRequest.number, Outcome::Answered, now);
-  mState->quarantine.OnAnswered(mSharedParts, now);
+  ReportAnswer();
   mState->stageDemand.OnDecoded(mRequest.service, now - mDecodeSentAt, mWork.prompt.maximumOutput,
                                 now);
   co_await mResponder.EndStream();
@@ -346,10 +347,8 @@
   }
   mState->dispatcher.OnDone(aEngine.id, mRequest.number, OutcomeOf(aError), net::Now());
   LogFailure(aEngine, aError);
-  // An engine that has sent events got past the begin of the answer without a crash.
-  if (!mHasEventsOfAttempt) {
-    ReportBrokenAnswer(aEngine, aError);
-  }
+  // An engine that has sent events got past the begin of the answer, where prompt parts do harm.
+  ReportBrokenAnswer(aEngine, aError, mHasEventsOfAttempt ? Suspects::WholeRequest : Suspects::All);
   mWork.excluded.push_back(aEngine.id);
   bool mayRetry = aError.progress == Progress::NotSent;
   if (aError.progress == Progress::NotExecuted) {
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -31,6 +31,20 @@
   return text;
 }
 
+// Suspects that stand for the request as a whole, before those of its prompt.
+constexpr std::size_t kWholeRequestSuspects = 2;
+
+std::vector<quarantine::SuspectPart> SuspectsOf(const RequestDigest& aDigest,
+                                                const std::vector<std::uint64_t>& aSharedParts)
+{
+  std::vector<quarantine::SuspectPart> suspects{ { aDigest.ofCaller, quarantine::kRequestOfCaller },
+                                                 { aDigest.content, quarantine::kRequest } };
+  for (std::size_t i = 0; i < aSharedParts.size(); ++i) {
+    suspects.push_back({ aSharedParts[i], static_cast<std::uint32_t>(i) });
+  }
+  return suspects;
+}
+
 } // namespace
 
 bool IsSuccess(unsigned aStatus)
@@ -49,6 +63,7 @@
   , mRequest(std::move(aRoutedRequest))
   , mResponder(aResponder)
   , mSharedParts(dispatch::SharedParts(mRequest.call.prompt.value_or(dispatch::Prompt{})))
+  , mSuspects(SuspectsOf(mRequest.digest, mSharedParts))
 {
   ++mState->runningRequests;
   mState->retryBudget.OnRequest(mRequest.service, mRequest.arrived);
@@ -135,20 +150,40 @@
 bool Session::IsQuarantined()
 {
   const Time now = net::Now();
-  const std::optional<Time> until = mState->quarantine.QuarantinedUntil(mSharedParts, now);
+  std::vector<std::uint64_t> ids;
+  for (const quarantine::SuspectPart& suspect : mSuspects) {
+    ids.push_back(suspect.id);
+  }
+  const std::optional<Time> until = mState->quarantine.QuarantinedUntil(ids, now);
   if (until) {
     mRetryAfter = *until - now;
   }
   return until.has_value();
 }
 
-void Session::ReportBrokenAnswer(const dispatch::Backend& aBackend, const ExchangeError& aError)
+std::size_t Session::CountOf(Suspects aSuspects) const
+{
+  return aSuspects == Suspects::All ? mSuspects.size() : kWholeRequestSuspects;
+}
+
+void Session::ReportAnswer(Suspects aSuspects)
+{
+  std::vector<std::uint64_t> ids;
+  for (std::size_t i = 0; i < CountOf(aSuspects); ++i) {
+    ids.push_back(mSuspects[i].id);
+  }
+  mState->quarantine.OnAnswered(ids, net::Now());
+}
+
+void Session::ReportBrokenAnswer(const dispatch::Backend& aBackend, const ExchangeError& aError,
+                                 Suspects aSuspects)
 {
   const bool isConnectionLost =
     aError.progress == Progress::Unknown &&
     (aError.kind == net::NetErrorKind::Closed || aError.kind == net::NetErrorKind::Reset);
   if (isConnectionLost) {
-    mState->crashDetector->OnBrokenAnswer(aBackend, mSharedParts);
+    const auto end = mSuspects.begin() + static_cast<std::ptrdiff_t>(CountOf(aSuspects));
+    mState->crashDetector->OnBrokenAnswer(aBackend, { mSuspects.begin(), end });
   }
 }
 
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -13,7 +13,7 @@
 constexpr Duration kMaximumIdleRepeatable = Seconds(5);
 constexpr Duration kMaximumIdleNonRepeatable = Milliseconds(1000);
 
-constexpr const char* kQuarantinedMessage = "engines crashed on a part of the prompt";
+constexpr const char* kQuarantinedMessage = "servers crashed on this request or a part of it";
 
 bool IsSuccess(unsigned aStatus);
 bool IsServerError(unsigned aStatus);
@@ -44,11 +44,21 @@
   net::Task<void> GiveUp(std::string aReason, std::string aMessage);
   // Takes one retry from the service's retry budget. Returns false if the budget is exhausted.
   bool TryTakeRetry();
-  // Returns whether a part of the prompt is in quarantine since it crashes engines. If so, callers
-  // that are refused are told to come back after its end.
+  // Returns whether the request or a part of its prompt is in quarantine since it crashes engines.
+  // If so, callers that are refused are told to come back after its end.
   bool IsQuarantined();
-  // Reports the parts of the prompt as suspects if the backend server may have crashed.
-  void ReportBrokenAnswer(const dispatch::Backend& aBackend, const ExchangeError& aError);
+  // What of the request may have crashed a backend server that was working on it.
+  enum class Suspects : std::uint8_t
+  {
+    All,
+    WholeRequest // not the parts of its prompt
+  };
+  // Reports the request and the parts of its prompt as suspects if the backend server may have
+  // crashed.
+  void ReportBrokenAnswer(const dispatch::Backend& aBackend, const ExchangeError& aError,
+                          Suspects aSuspects = Suspects::All);
+  // Clears the request of suspicion after an answer of the backend server.
+  void ReportAnswer(Suspects aSuspects = Suspects::All);
   void LogFailure(const dispatch::Backend& aBackend, const ExchangeError& aError) const;
   void LogCompletion(std::string_view aOutcome, unsigned aStatus,
                      std::optional<Time> aFirstEvent = std::nullopt) const;
@@ -59,11 +69,14 @@
   // Classifies a failed exchange for the dispatcher's view of the backend server.
   dispatch::Outcome OutcomeOf(const ExchangeError& aError) const;
 
+  std::size_t CountOf(Suspects aSuspects) const;
+
   const std::shared_ptr<RelayState> mState;
   const RoutedRequest mRequest;
   net::HttpResponder& mResponder;
-  const std::vector<std::uint64_t> mSharedParts; // ids; empty for requests without a prompt
-  Exchange* mActiveExchange = nullptr;           // null if none is running
+  const std::vector<std::uint64_t> mSharedParts;        // ids; empty for requests without a prompt
+  const std::vector<quarantine::SuspectPart> mSuspects; // the whole request, then the shared parts
+  Exchange* mActiveExchange = nullptr;                  // null if none is running
   std::optional<Duration> mRetryAfter; // set by the prompt queue if it refused the request
   bool mPossiblyExecuted = false;      // a backend server may have executed the request
   std::uint32_t mExecutions = 0;       // number of attempts that may have been executed
