Charge the retry budget for each message that a resumed stream repeats

Change: the budget is asked for all messages that the next attempt repeats, the prompt too unless its KV cache is still held.

--- a/libs/dispatch/include/masticstep/dispatch/RetryBudget.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/RetryBudget.hpp
@@ -31,10 +31,10 @@
   // Sets the number of daemons that share the slack. Daemons that have left may be included.
   void SetDaemonCount(std::size_t aCount);
   void OnRequest(const ServiceName& aService, Time aNow);
-  // Records one retry if the budget allows it, and returns whether it does.
-  bool TryAcquire(const ServiceName& aService, Time aNow);
-  // Records one retry regardless of the budget.
-  void OnRetry(const ServiceName& aService, Time aNow);
+  // Records retries if the budget allows all of them, and returns whether it does.
+  bool TryAcquire(const ServiceName& aService, Time aNow, std::uint32_t aCount = 1);
+  // Records retries regardless of the budget.
+  void OnRetry(const ServiceName& aService, Time aNow, std::uint32_t aCount = 1);
 
 private:
   struct Bucket
--- a/libs/dispatch/src/RetryBudget.cpp
+++ b/libs/dispatch/src/RetryBudget.cpp
@@ -61,21 +61,21 @@
   ++window.buckets.back().requests;
 }
 
-bool RetryBudget::TryAcquire(const ServiceName& aService, Time aNow)
+bool RetryBudget::TryAcquire(const ServiceName& aService, Time aNow, std::uint32_t aCount)
 {
   const Window& window = WindowOf(aService, aNow);
-  if (static_cast<double>(window.retries) + 1.0 > Allowance(window)) {
+  if (static_cast<double>(window.retries + aCount) > Allowance(window)) {
     return false;
   }
-  OnRetry(aService, aNow);
+  OnRetry(aService, aNow, aCount);
   return true;
 }
 
-void RetryBudget::OnRetry(const ServiceName& aService, Time aNow)
+void RetryBudget::OnRetry(const ServiceName& aService, Time aNow, std::uint32_t aCount)
 {
   Window& window = WindowOf(aService, aNow);
-  ++window.retries;
-  ++window.buckets.back().retries;
+  window.retries += aCount;
+  window.buckets.back().retries += aCount;
 }
 
 } // namespace masticstep::dispatch
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -352,13 +352,13 @@
   mWork.excluded.push_back(aEngine.id);
   bool mayRetry = aError.progress == Progress::NotSent;
   if (aError.progress == Progress::NotExecuted) {
-    mayRetry = TryTakeRetry();
     OnKvTransferRefused();
+    mayRetry = TryTakeRetry(MessagesToRepeat());
   } else if (aError.progress == Progress::Unknown) {
     ++mExecutions;
     mPossiblyExecuted = true;
-    mayRetry =
-      mRequest.route->IsRetryable() && mExecutions < mRequest.route->attempts && TryTakeRetry();
+    mayRetry = mRequest.route->IsRetryable() && mExecutions < mRequest.route->attempts &&
+               TryTakeRetry(MessagesToRepeat());
   }
   const bool mayPrefill = mKvSource || mPrefillAttempts < kMaximumPrefills;
   if (mayRetry && mayPrefill && !IsCallerGone() && !IsPastDeadline()) {
@@ -367,6 +367,12 @@
   co_return co_await Abort("answer_failed", "the engine failed: " + aError.detail);
 }
 
+std::uint32_t PromptSession::MessagesToRepeat() const
+{
+  const bool isPrefilledAgain = !mKvSource && mPrefillAttempts > 0;
+  return isPrefilledAgain ? 2 : 1;
+}
+
 void PromptSession::OnKvTransferRefused()
 {
   if (!mKvSource) {
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -42,6 +42,9 @@
   net::Task<Step> HandlePrefillFailure(const dispatch::Backend& aEngine, ExchangeError aError);
   net::Task<Step> HandleDecodeFailure(const dispatch::Backend& aEngine, ExchangeError aError);
   // Called when a decode engine refused the request; does nothing without a KV cache to transfer.
+  // Returns how many messages engines get if the answer is attempted again: the prompt too, unless
+  // its KV cache is still held.
+  std::uint32_t MessagesToRepeat() const;
   void OnKvTransferRefused();
   // Counts the request for the stage plan, once.
   void RecordDemand(const dispatch::PrefillPlacement& aPlacement, Time aNow);
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -126,9 +126,9 @@
   co_await Refuse(std::move(refusal));
 }
 
-bool Session::TryTakeRetry()
+bool Session::TryTakeRetry(std::uint32_t aMessages)
 {
-  return mState->retryBudget.TryAcquire(mRequest.service, net::Now());
+  return mState->retryBudget.TryAcquire(mRequest.service, net::Now(), aMessages);
 }
 
 dispatch::Outcome Session::OutcomeOf(const ExchangeError& aError) const
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -42,8 +42,9 @@
   // Refuses a request that cannot be served. The refusal guarantees that the request was not
   // executed only if no backend server may have started it.
   net::Task<void> GiveUp(std::string aReason, std::string aMessage);
-  // Takes one retry from the service's retry budget. Returns false if the budget is exhausted.
-  bool TryTakeRetry();
+  // Takes retries from the service's retry budget, one for each message that a backend server gets
+  // again. Returns false if they exceed the budget.
+  bool TryTakeRetry(std::uint32_t aMessages = 1);
   // Returns whether the request or a part of its prompt is in quarantine since it crashes engines.
   // If so, callers that are refused are told to come back after its end.
   bool IsQuarantined();
--- a/libs/relay/tests/PromptSessionTests.cpp
+++ b/libs/relay/tests/PromptSessionTests.cpp
@@ -200,6 +200,30 @@
   CHECK_TRUE(Contains(answer, "data: t3") && answer.ends_with("0\r\n\r\n"));
 }
 
+// Guards against repeats beyond the shared budget: a stream that is taken up at another engine is
+// read again there, so it reaches engines twice more.
+MASTICSTEP_TEST("a stream is not resumed if its repeats exceed the retry budget",
+                "[relay][prompt][failure]")
+{
+  ScriptedBackend prefillEngine(AnswerPrefill);
+  ScriptedBackend decodeEngine([](const std::string&) {
+    return ScriptedResponse{ StreamHead() + Events(1, 2), Then::Close };
+  });
+  for (const double slack : { 0.0, 160.0 }) { // for one repeat, and for two
+    RelayFixture fixture;
+    fixture.SetRetryBounds({ 0.0, slack, Seconds(10) });
+    fixture.Add("r1", "llm", prefillEngine, Stage::Prefill);
+    fixture.Add("w1", "llm", decodeEngine, Stage::Decode);
+    ScriptedBackend other(AnswerWholeStream);
+    fixture.Add("w2", "llm", other, Stage::Decode);
+    const std::size_t before = prefillEngine.Requests().size();
+    fixture.SendRequest("POST", "/resume/");
+    const std::size_t repeats = slack == 0.0 ? 0 : 1;
+    CHECK_EQUAL(before + 1 + repeats, prefillEngine.Requests().size());
+    CHECK_EQUAL(repeats, other.Requests().size());
+  }
+}
+
 // Guards against a stalled stream that stays open since its engine sends a comment now and then.
 MASTICSTEP_TEST("a stream of bytes without events is resumed on another engine",
                 "[relay][prompt][failure]")
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -92,6 +92,8 @@
   std::string SendRequest(const std::string& aMethod, const std::string& aPath,
                           const std::string& aExtraHeaders = {});
   std::unique_ptr<net::RawClient> Connect() const;
+  // Must be called before the first request.
+  void SetRetryBounds(dispatch::RetryBounds aBounds) { mState->retryBudget.SetBounds(aBounds); }
   // Sets and returns the size of the responses that the relay holds in memory.
   void SetBufferedResponseBytes(std::size_t aBytes);
   std::size_t BufferedResponseBytes();
