--- a/libs/relay/tests/PlatformWatcherTests.cpp
+++ b/libs/relay/tests/PlatformWatcherTests.cpp
@@ -116,11 +116,11 @@
 {
   WatcherFixture fixture;
   fixture.feed->lists.push_back(
-    BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), 3 } }, 5 });
+    BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 3 } } }, { 5 } });
   fixture.feed->watches.push_back(
-    BackendUpdate{ { { BackendServerName{ "b" }, MakeBackend("b"), 6 },
-                     { BackendServerName{ "a" }, std::nullopt, 7 } },
-                   7 });
+    BackendUpdate{ { { BackendServerName{ "b" }, MakeBackend("b"), { 6 } },
+                     { BackendServerName{ "a" }, std::nullopt, { 7 } } },
+                   { 7 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
@@ -189,10 +189,10 @@
 {
   for (const FeedErrorKind kind : { FeedErrorKind::Unavailable, FeedErrorKind::HistoryGone }) {
     WatcherFixture fixture;
-    fixture.feed->lists.push_back(BackendUpdate{ {}, 5 });
+    fixture.feed->lists.push_back(BackendUpdate{ {}, { 5 } });
     fixture.feed->watches.push_back(Failure(FeedError{ kind, {} }));
     fixture.feed->lists.push_back(
-      BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), 8 } }, 9 });
+      BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 8 } } }, { 9 } });
     boost::asio::co_spawn(
       fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
       boost::asio::detached);
@@ -206,12 +206,12 @@
 MASTICSTEP_TEST("an older configuration is ignored", "[relay][watcher][config]")
 {
   WatcherFixture fixture;
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(8), 10 });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(8), { 10 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunRouteTableWatch(); },
     boost::asio::detached);
   fixture.RunUntil([&fixture] { return fixture.state->table != nullptr; });
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(7), 12 });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(7), { 12 } });
   fixture.state->storeSync.peersConfigurationVersion = 9;
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunRouteTableResync(); },
@@ -225,7 +225,7 @@
                 "[relay][watcher][failure]")
 {
   WatcherFixture fixture;
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(8), 10 });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(8), { 10 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunRouteTableWatch(); },
     boost::asio::detached);
@@ -235,7 +235,7 @@
   fixture.RunUntil([&fixture] { return fixture.state->table != nullptr; });
   fixture.state->storeSync.isStorePoller = false;
   fixture.state->storeSync.peersConfigurationVersion = 11;
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(11), 14 });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(11), { 14 } });
   fixture.RunUntil([&fixture] { return fixture.state->table->Version() == 11; });
 }
 
@@ -245,9 +245,9 @@
                 "[relay][watcher][failure]")
 {
   WatcherFixture fixture;
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(8), 10 });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(8), { 10 } });
   fixture.feed->reads.push_back(Failure(FeedError{ FeedErrorKind::Unavailable, {} }));
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(11), 14 });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(11), { 14 } });
   fixture.watcher = std::make_shared<PlatformWatcher>(
     fixture.state, fixture.feed, WatchOptions{ Milliseconds(1), Milliseconds(1), 1 });
   boost::asio::co_spawn(
@@ -268,9 +268,10 @@
                 "[relay][watcher][config]")
 {
   WatcherFixture fixture;
-  fixture.feed->lists.push_back(BackendUpdate{ {}, 5 });
+  fixture.feed->lists.push_back(BackendUpdate{ {}, { 5 } });
   const std::shared_ptr<QueuedFeed> next = std::make_shared<QueuedFeed>();
-  next->lists.push_back(BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), 8 } }, 9 });
+  next->lists.push_back(
+    BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 8 } } }, { 9 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
@@ -289,7 +290,7 @@
 {
   WatcherFixture fixture;
   fixture.Follow(net::Now() + Seconds(60));
-  fixture.feed->lists.push_back(BackendUpdate{ {}, 5 });
+  fixture.feed->lists.push_back(BackendUpdate{ {}, { 5 } });
   fixture.state->storeSync.peersBackendChangeRevision = { 5 };
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
@@ -298,7 +299,7 @@
   CHECK_TRUE(fixture.feed->lists.empty());
   CHECK_TRUE(fixture.feed->watched.empty());
   fixture.feed->watches.push_back(
-    BackendUpdate{ { { BackendServerName{ "b" }, MakeBackend("b"), 8 } }, 9 });
+    BackendUpdate{ { { BackendServerName{ "b" }, MakeBackend("b"), { 8 } } }, { 9 } });
   fixture.state->storeSync.peersBackendChangeRevision = { 8 };
   fixture.RunUntil([&fixture] { return fixture.Has("b"); });
   fixture.RunFor(Milliseconds(300));
@@ -310,12 +311,12 @@
 {
   WatcherFixture fixture;
   fixture.Follow(net::Now() + Seconds(60));
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(3), 5 });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(3), { 5 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunRouteTableWatch(); },
     boost::asio::detached);
   fixture.RunUntil([&fixture] { return fixture.state->table != nullptr; });
-  fixture.feed->tables.push_back(RouteTableUpdate{ TableOf(4), 9 });
+  fixture.feed->tables.push_back(RouteTableUpdate{ TableOf(4), { 9 } });
   fixture.RunFor(Milliseconds(300));
   CHECK_EQUAL(std::uint64_t{ 3 }, fixture.state->table->Version());
   fixture.state->storeSync.peersConfigurationVersion = 4;
@@ -329,7 +330,7 @@
 {
   WatcherFixture fixture;
   fixture.Follow(net::Now() - Seconds(1));
-  fixture.feed->lists.push_back(BackendUpdate{ {}, 5 });
+  fixture.feed->lists.push_back(BackendUpdate{ {}, { 5 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
@@ -343,9 +344,9 @@
 {
   WatcherFixture fixture;
   fixture.feed->lists.push_back(
-    BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), 3 } }, 5 });
+    BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 3 } } }, { 5 } });
   fixture.feed->watches.push_back(Failure(FeedError{ FeedErrorKind::HistoryGone, {} }));
-  fixture.feed->lists.push_back(BackendUpdate{ {}, 9 });
+  fixture.feed->lists.push_back(BackendUpdate{ {}, { 9 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
@@ -359,8 +360,8 @@
                 "[relay][watcher][failure]")
 {
   WatcherFixture fixture;
-  fixture.feed->lists.push_back(BackendUpdate{ {}, 5 });
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(3), 5 });
+  fixture.feed->lists.push_back(BackendUpdate{ {}, { 5 } });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(3), { 5 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
@@ -370,7 +371,7 @@
   fixture.RunUntil([&fixture] { return fixture.state->storeSync.storeContact.has_value(); });
   fixture.RunFor(Milliseconds(50));
   const Time before = net::Now();
-  fixture.feed->tables.push_back(RouteTableUpdate{ TableOf(4), 9 });
+  fixture.feed->tables.push_back(RouteTableUpdate{ TableOf(4), { 9 } });
   fixture.RunUntil([&fixture] { return fixture.state->table->Version() == 4; });
   CHECK_TRUE(*fixture.state->storeSync.storeContact < before);
 }
@@ -382,8 +383,8 @@
   WatcherFixture fixture;
   fixture.state->storeSync.isStorePoller = true;
   fixture.state->storeSync.mayHaveFollowers = true;
-  fixture.feed->lists.push_back(BackendUpdate{ {}, 5 });
-  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(3), 5 });
+  fixture.feed->lists.push_back(BackendUpdate{ {}, { 5 } });
+  fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(3), { 5 } });
   boost::asio::co_spawn(
     fixture.context, [&fixture] { return fixture.watcher->RunBackendWatch(); },
     boost::asio::detached);
--- a/libs/relay/tests/RelayDaemonTests.cpp
+++ b/libs/relay/tests/RelayDaemonTests.cpp
@@ -26,22 +26,22 @@
 
   net::Task<Result<BackendUpdate, FeedError>> ListBackends() override
   {
-    co_return BackendUpdate{ { { mBackend.id, mBackend, 1 } }, 1 };
+    co_return BackendUpdate{ { { mBackend.id, mBackend, { 1 } } }, { 1 } };
   }
   net::Task<Result<BackendUpdate, FeedError>> WatchBackends(platform::Version, Duration) override
   {
     co_await net::Sleep(Seconds(3600));
-    co_return BackendUpdate{ {}, 1 };
+    co_return BackendUpdate{ {}, { 1 } };
   }
   net::Task<Result<RouteTableUpdate, FeedError>> ReadRouteTable() override
   {
-    co_return RouteTableUpdate{ mTable, 1 };
+    co_return RouteTableUpdate{ mTable, { 1 } };
   }
   net::Task<Result<RouteTableUpdate, FeedError>> WatchRouteTable(platform::Version,
                                                                  Duration) override
   {
     co_await net::Sleep(Seconds(3600));
-    co_return RouteTableUpdate{ nullptr, 1 };
+    co_return RouteTableUpdate{ nullptr, { 1 } };
   }
 
 private:
