--- a/tests/soak/tests/ChecksTests.cpp
+++ b/tests/soak/tests/ChecksTests.cpp
@@ -294,3 +294,53 @@
   history.Call(2).status = 504;
   CHECK_EQUAL(std::size_t{ 1 }, Count(history, check));
 }
+
+namespace {
+
+// A history in which calls of one kind crash an engine each second from kStart on, and aLate more
+// reach engines 10 s later.
+History Crashes(bool aIsRequest, std::size_t aCrashes, std::size_t aLate)
+{
+  History history;
+  for (std::size_t i = 0; i < aCrashes + aLate; ++i) {
+    const bool isLate = i >= aCrashes;
+    const Time at = kStart + Seconds(static_cast<std::int64_t>(isLate ? aCrashes + 10 : i));
+    CallRecord call = Call("c" + std::to_string(i), CallKind::Lookup);
+    call.isCrashing = aIsRequest;
+    call.crashesEngines = !aIsRequest;
+    call.target = "/p/crash";
+    call.sentAt = at;
+    call.endedAt = at;
+    history.AddCall(call);
+    history.AddArrival(Arrival(call.id, "e", at));
+    RunRecord run = Run(call.id, "e");
+    run.endedAt = at;
+    run.hasCrashed = !isLate;
+    history.AddRun(run);
+  }
+  return history;
+}
+
+std::size_t CountWithBounds(const History& aHistory,
+                            void (*aCheck)(const History&, const Bounds&, Findings&))
+{
+  return Count(aHistory, [aCheck](const History& aRecorded, Findings& aFindings) {
+    aCheck(aRecorded, kBounds, aFindings);
+  });
+}
+
+} // namespace
+
+MASTICSTEP_TEST("a request that still reaches engines after crashes is found", "[soak][checks]")
+{
+  CHECK_EQUAL(std::size_t{ 1 }, CountWithBounds(Crashes(true, 3, 4), CheckCrashingRequests));
+  CHECK_EQUAL(std::size_t{ 0 }, CountWithBounds(Crashes(true, 3, 3), CheckCrashingRequests));
+  CHECK_EQUAL(std::size_t{ 0 }, CountWithBounds(Crashes(true, 2, 9), CheckCrashingRequests));
+}
+
+MASTICSTEP_TEST("a prompt part that still reaches engines after crashes is found", "[soak][checks]")
+{
+  CHECK_EQUAL(std::size_t{ 1 }, CountWithBounds(Crashes(false, 5, 4), CheckCrashingPrompts));
+  CHECK_EQUAL(std::size_t{ 0 }, CountWithBounds(Crashes(false, 5, 3), CheckCrashingPrompts));
+  CHECK_EQUAL(std::size_t{ 0 }, CountWithBounds(Crashes(false, 4, 9), CheckCrashingPrompts));
+}
