Review: a release leaves a software version without an engine that writes

Cause: stages are planned over all software versions of a service, so a version may be left with engines for prefill only while two or more of it serve.

Case: review/4, a script. A release replaces two engines of six, those that write answers; four engines of the older version go on serving.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+PYTHONDONTWRITEBYTECODE=1 exec python3 "$(dirname "$0")/case.py"
