Review: keep the disruptions of the cases inside the limits of the site

Case: cases 1 and 4 have three daemons, of which the store turns one away. A script that is asked to end ends its daemons.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,16 @@
 
 import fleet  # noqa: E402
 
-ZONES = {"regina-east": "regina", "saskatoon-north": "saskatoon"}
+ZONES = {
+    "regina-east": "regina",
+    "saskatoon-north": "saskatoon",
+    "winnipeg-south": "winnipeg",
+}
+STAGES = {
+    "regina-east": ("prefill", "decode"),
+    "saskatoon-north": ("prefill", "decode", "decode"),
+    "winnipeg-south": ("prefill", "decode", "decode"),
+}
 ROUTE = {
     "name": "r-quote",
     "host": "shop.example",
@@ -27,9 +36,10 @@
 STREAMS = 30
 PIECES = 56
 STORE_CUT_S = 9.0  # platform_down, how "nodes busy": for_s 9.0 in the site file
-REPLACED_AFTER_S = 0.1  # the engines of one zone, after the store began to turn the daemon away
-STOPPED_AFTER_S = 0.3  # SIGTERM of the daemon of that zone
-STREAMS_AFTER_S = 0.75
+RELEASE_AFTER_S = 0.05  # in one zone, after the store began to turn the daemon away
+GAP_S = 0.74  # release: x = 1.0, gap_s = 0.74 in the site file
+STOPPED_AFTER_S = 0.9  # SIGTERM of the daemon of that zone
+STREAMS_AFTER_S = 1.3
 CALLER_PATIENCE_S = 3.2  # four times the objective
 DEADLINE_S = 10.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -48,12 +58,12 @@
 
 
 class Balancer:
-    """Gives a caller a daemon of its zone, or of the nearest zone if none is in rotation."""
+    """Gives a caller a daemon of its zone, or of the nearest zones if none is in rotation."""
 
-    def __init__(self, record, own, nearest):
+    def __init__(self, record, own, *nearest):
         self.record = record
         self.own = own
-        self.nearest = nearest
+        self.nearest = nearest  # equally far
         self.misses = 0
 
     async def probe(self):
@@ -63,8 +73,8 @@
                 self.record.add("%s is out of rotation" % self.own.name)
             await asyncio.sleep(1.0)
 
-    def choose(self):
-        return self.own if self.misses < 2 else self.nearest
+    def choose(self, stream):
+        return self.own if self.misses < 2 else self.nearest[stream.number % len(self.nearest)]
 
 
 class Case:
@@ -89,8 +99,8 @@
     async def start(self):
         configuration = fleet.configuration([ROUTE], [fleet.model_service("sign-drafter")])
         self.store.put("config", "main", configuration)
-        for zone in ZONES:
-            for stage in ("prefill", "decode", "decode"):
+        for zone, stages in STAGES.items():
+            for stage in stages:
                 await self.join(zone, stage, "v1")
         for number, zone in enumerate(ZONES):
             door = fleet.Door(self.store, fleet.random_ip())
@@ -132,11 +142,11 @@
 
     async def caller(self, stream):
         end = self.record.now() + DEADLINE_S
-        await self.attempt(stream, self.balancer.choose(), DEADLINE_S)
+        await self.attempt(stream, self.balancer.choose(stream), DEADLINE_S)
         left = end - self.record.now()
         if not stream.is_complete and stream.events and left > 0.5:
             stream.was_taken_up = True
-            stream.went_on = await self.attempt(stream, self.balancer.choose(), left)
+            stream.went_on = await self.attempt(stream, self.balancer.choose(stream), left)
 
     async def callers(self, streams):
         await asyncio.sleep(STREAMS_AFTER_S)
@@ -146,24 +156,23 @@
             await asyncio.sleep(0.015)
         await asyncio.gather(*tasks)
 
-    async def replace_engines(self):
-        """Starts engines of the newer version; those of the older version drain."""
+    async def release(self):
+        """Replaces the engines of one zone one after the other; the new one starts first."""
+        await asyncio.sleep(RELEASE_AFTER_S)
         old = [it for it in self.engines if it.zone == "regina-east"]
-        for stage in ("prefill", "decode", "decode"):
-            await self.join("regina-east", stage, "v2")
-        for engine in old:
+        for engine in sorted(old, key=lambda it: it.stage):
+            await self.join("regina-east", engine.stage, "v2")
             engine.is_leaving = True
             engine.register("draining")
             self.record.add("the store has accepted that %s drains" % engine.id)
+            await asyncio.sleep(GAP_S)
 
     async def cut(self):
         other = self.daemons[1]
         if TROUBLE:
             other.door.shut("busy")
             self.record.add("the store turns %s away" % other.name)
-        await asyncio.sleep(REPLACED_AFTER_S)
-        await self.replace_engines()
-        await asyncio.sleep(STORE_CUT_S - REPLACED_AFTER_S)
+        await asyncio.sleep(STORE_CUT_S)
         if TROUBLE:
             other.door.open()
             self.record.add("the store serves %s" % other.name)
@@ -183,7 +192,7 @@
         streams = [Stream(number) for number in range(STREAMS)]
         self.balancer = Balancer(self.record, *self.daemons)
         probing = asyncio.create_task(self.balancer.probe())
-        await asyncio.gather(self.callers(streams), self.cut(), self.stop_and_start())
+        await asyncio.gather(self.callers(streams), self.cut(), self.release(), self.stop_and_start())
         probing.cancel()
         return self.judge(streams)
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -61,7 +61,7 @@
             await engine.start()
             engine.register()
             self.engines.append(engine)
-        for number in (1, 2):
+        for number in (1, 2, 3):
             door = fleet.Door(self.store, fleet.random_ip())
             await door.start()
             daemon = fleet.Daemon(number, "regina-east", door, self.folder, ZONES, fleet.BOUNDS)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -23,6 +24,10 @@
 NOT_EXECUTED = "Masticstep-Not-Executed"
 
 
+# A script that is asked to end ends its daemons first.
+signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+
+
 class CannotRun(Exception):
     """The case could not be run; says nothing about the rule."""
 
