Hand out the origins of streams also while a service has one version

Cause: while one version was in service a daemon kept to itself which streams it had begun. Records were handed out only once the daemon itself knew of a second version. A daemon that stands still or is gone at that moment never hands them out, and to the others each stream may have begun at either version.

Change: records are always handed out, every 100 ms while there is one version and every 25 ms as before with several; store pollers write them once a second and every 125 ms. The record of a stream exists elsewhere before anybody can need it.

--- a/libs/dispatch/include/masticstep/dispatch/StreamOrigins.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/StreamOrigins.hpp
@@ -51,10 +51,8 @@
 // Knows at which software version the streams of each service began, since a stream may only be
 // resumed there.
 //
-// While all streams of a service began at one version, nothing has to be shared. As soon as a
-// second version appears, the records of this daemon are handed out to others and to the store,
-// with those of the time before, until only one version has been in service for the longest life of
-// a stream.
+// Records are handed out to others and to the store also while a service has one version: a daemon
+// that is lost before the others know of a second version could not hand out its records any more.
 //
 // Performs no I/O. Not thread-safe. Times passed in must not decrease.
 class StreamOrigins
@@ -62,8 +60,8 @@
 public:
   // Longest time from the first event of a stream until a caller resumes it.
   static constexpr Duration kStreamLifetime = Seconds(30);
-  // Daemons see that a version has left at different times, so records are handed out for longer
-  // than they are needed.
+  // Daemons see that a version has left at different times, so it counts for longer than the life
+  // of a stream.
   static constexpr Duration kRecordMargin = Seconds(5);
   // Of each service. A store poller of 74 daemons with 980 streams a second keeps about 30,000.
   static constexpr std::size_t kMaximumStreams = 65536;
@@ -85,6 +83,8 @@
   void OnHistoryRead(const std::vector<ServiceVersion>& aVersions, Time aNow);
 
   StreamOrigin Find(std::string_view aAttemptId, const ServiceName& aService, Time aNow) const;
+  // Returns whether streams of a service may have begun at different versions.
+  bool HasSeveralVersions(Time aNow) const;
   // Returns whether it is known what was in service during the longest life of a stream.
   bool IsHistoryComplete(Time aNow) const;
 
@@ -126,8 +126,6 @@
   };
 
   static std::size_t CountVersions(const Service& aService, Duration aTime, Time aNow);
-  // Returns whether other daemons need the records of the service.
-  static bool MustShare(const Service& aService, Time aNow);
   static void Drop(Service& aService);
   void Add(Service& aService, std::uint64_t aStream, const Record& aRecord);
   void Expire(Time aNow);
--- a/libs/dispatch/src/StreamOrigins.cpp
+++ b/libs/dispatch/src/StreamOrigins.cpp
@@ -144,9 +144,11 @@
     }));
 }
 
-bool StreamOrigins::MustShare(const Service& aService, Time aNow)
+bool StreamOrigins::HasSeveralVersions(Time aNow) const
 {
-  return CountVersions(aService, kStreamLifetime + kRecordMargin, aNow) > 1;
+  return std::any_of(mServices.begin(), mServices.end(), [aNow](const auto& aItem) {
+    return CountVersions(aItem.second, kStreamLifetime + kRecordMargin, aNow) > 1;
+  });
 }
 
 bool StreamOrigins::IsHistoryComplete(Time aNow) const
@@ -182,9 +184,6 @@
   std::vector<StreamGroup> groups;
   std::size_t taken = 0;
   for (auto& [name, service] : mServices) {
-    if (!MustShare(service, aNow)) {
-      continue;
-    }
     const std::size_t count = std::min(service.unsent.size(), aMaximum - taken);
     for (std::size_t i = 0; i < count; ++i) {
       Unsent item = service.unsent.front();
@@ -222,7 +221,7 @@
   std::vector<StreamGroup> groups;
   std::size_t taken = 0;
   for (auto& [name, service] : mServices) {
-    while (MustShare(service, aNow) && !service.unstored.empty() && taken < aMaximum) {
+    while (!service.unstored.empty() && taken < aMaximum) {
       const std::uint64_t stream = service.unstored.front();
       service.unstored.pop_front();
       const auto record = service.records.find(stream);
--- a/libs/relay/src/StreamOriginExchange.cpp
+++ b/libs/relay/src/StreamOriginExchange.cpp
@@ -31,9 +31,12 @@
 // Key prefix of the objects in the store.
 const std::string kOriginPrefix = "masticstep-stream-origins/";
 constexpr Duration kSendInterval = Milliseconds(25);
+// While each service has one version, most records are never needed.
+constexpr Duration kSendIntervalOfOneVersion = Milliseconds(100);
 // 1 KB, so that a report is not fragmented on the way.
 constexpr std::size_t kStreamsPerReport = 120;
 constexpr Duration kStoreInterval = Milliseconds(125);
+constexpr Duration kStoreIntervalOfOneVersion = Seconds(1);
 // Shows that the versions are those of a live process; well below UnchangedObjects::kTime.
 constexpr Duration kRefreshInterval = Seconds(15);
 // Lookups share a read that began this long before them.
@@ -123,9 +126,14 @@
 {
   const std::shared_ptr<StreamOriginExchange> self = shared_from_this();
   std::vector<HostName> receivers;
+  Time sentAt{};
   while (mChannel) {
     co_await net::Sleep(kSendInterval);
     const Time now = net::Now();
+    if (now < sentAt + SendInterval(now)) {
+      continue;
+    }
+    sentAt = now;
     if (receivers != mChannel->StoreWatchers()) {
       receivers = mChannel->StoreWatchers();
       mState->streamOrigins.SendAgain(now);
@@ -138,6 +146,11 @@
   }
 }
 
+Duration StreamOriginExchange::SendInterval(Time aNow) const
+{
+  return mState->streamOrigins.HasSeveralVersions(aNow) ? kSendInterval : kSendIntervalOfOneVersion;
+}
+
 std::optional<SoftwareVersion> StreamOriginExchange::FindKnown(const std::string& aAttemptId,
                                                                const ServiceName& aService) const
 {
@@ -315,7 +328,11 @@
   if (mustRefresh || !HaveSameVersions(versions, mStoredVersions)) {
     co_await StoreVersions();
   }
-  co_await StoreRecords();
+  const bool isHurried = mState->streamOrigins.HasSeveralVersions(now);
+  if (isHurried || now >= mRecordsStoredAt + kStoreIntervalOfOneVersion) {
+    mRecordsStoredAt = now;
+    co_await StoreRecords();
+  }
   if (mustRefresh) {
     co_await ReadAll();
     co_await DeleteUnchanged();
--- a/libs/relay/src/StreamOriginExchange.hpp
+++ b/libs/relay/src/StreamOriginExchange.hpp
@@ -16,10 +16,9 @@
 
 namespace masticstep::relay {
 
-// Makes known to all daemons at which software version streams began, while that is not the same
-// for all (see dispatch::StreamOrigins). Daemons send records to the store watchers of their data
-// centre, whose store poller writes them into the platform's store. Only the store knows them after
-// all daemons were killed.
+// Makes known to all daemons at which software version streams began (see dispatch::StreamOrigins).
+// Daemons send records to the store watchers of their data centre, whose store poller writes them
+// into the platform's store. Only the store knows them after all daemons were killed.
 //
 // Each process writes objects of its own, so that no write depends on another daemon. Objects that
 // have not changed for some time belong to a process that is gone, or to streams that have ended,
@@ -54,6 +53,7 @@
     bool isUncertain = false;                 // the store may have another version
   };
 
+  Duration SendInterval(Time aNow) const; // between datagrams with new records
   // Returns the version if it can be told without the store.
   std::optional<SoftwareVersion> FindKnown(const std::string& aAttemptId,
                                            const ServiceName& aService) const;
@@ -87,6 +87,7 @@
   OwnObject mVersionsObject;
   std::vector<dispatch::ServiceVersion> mStoredVersions;
   Time mVersionsStoredAt{};
+  Time mRecordsStoredAt{};     // latest try
   std::uint64_t mSequence = 0; // of the objects that this process has written
   std::uint64_t mStoredEra = 0;
 
