Tell the origin of a stream without a record only after a new read of the store

Cause: a daemon took the only version that it knew for that of each stream without a record, as long as it or a peer had heard of the store within 15 s, and after a failed read in any case. The stream can have begun at an engine that joined after that contact. Class: a belief is used beyond the age of its evidence.

Change: without a record, only a read of the store that began after the take-up decides; its last part begins 225 ms later, when the store pollers have named a version whose entry was there before the take-up. If the store does not answer, the take-up is refused as not run. Reads that began before the take-up do not count. The first read is of the own data centre only, so that a take-up with a record costs a part of what it did. The log and a counter name what decided.

The test "without the store only certain origins are told" expected the version of a stream without a record from a daemon without the store, which is the fault; the new test expects a refusal there.

--- a/libs/relay/src/StreamOriginExchange.cpp
+++ b/libs/relay/src/StreamOriginExchange.cpp
@@ -39,16 +39,27 @@
 constexpr Duration kStoreIntervalOfOneVersion = Seconds(1);
 // Shows that the versions are those of a live process; well below UnchangedObjects::kTime.
 constexpr Duration kRefreshInterval = Seconds(15);
-// Lookups share a read that began this long before them.
-constexpr Duration kReadReuse = Milliseconds(200);
-// Time from the first event of a stream until the store has its record, unless the store is slow.
+// Time from the first event of a stream until the store has its record, and from the entry of a new
+// version until the store pollers have named it there, unless the store is slow.
 constexpr Duration kRecordDelay = Milliseconds(225);
 constexpr Duration kReadRetryInterval = Milliseconds(250);
 constexpr Duration kReadCheckInterval = Milliseconds(5);
-// A lookup reads again once, for a record that was on its way to the store.
-constexpr int kReadsPerLookup = 2;
-// Store watchers hear from the store at least once a long poll, which takes up to 12 s.
-constexpr Duration kMaximumContactAge = Seconds(15);
+const char* ToText(OriginSource aSource)
+{
+  switch (aSource) {
+    case OriginSource::Memory:
+      return "memory";
+    case OriginSource::Store:
+      return "store";
+    case OriginSource::OnlyVersion:
+      return "only_version";
+    case OriginSource::NoRecord:
+      return "no_record";
+    case OriginSource::StoreNotRead:
+      return "store_not_read";
+  }
+  return "";
+}
 
 std::string HexText(std::uint64_t aNumber)
 {
@@ -98,6 +109,8 @@
   , mDataCentrePrefix(kOriginPrefix + HexText(Hash64(aDataCentre.Text())) + "-")
   , mSeed(aSeed)
   , mElectionEnd(net::Now() + kElectionTime)
+  , mOwnListing{ mDataCentrePrefix }
+  , mFullListing{ kOriginPrefix }
 {
   const std::string processPrefix = mDataCentrePrefix + HexText(aSeed) + "-";
   for (std::size_t i = 0; i < mSlotObjects.size(); ++i) {
@@ -151,133 +164,134 @@
   return mState->streamOrigins.HasSeveralVersions(aNow) ? kSendInterval : kSendIntervalOfOneVersion;
 }
 
-std::optional<SoftwareVersion> StreamOriginExchange::FindKnown(const std::string& aAttemptId,
-                                                               const ServiceName& aService) const
+std::optional<SoftwareVersion> StreamOriginExchange::FindRecord(const std::string& aAttemptId,
+                                                                const ServiceName& aService) const
 {
   const StreamOrigin origin = mState->streamOrigins.Find(aAttemptId, aService, net::Now());
-  if (origin.kind == OriginKind::Known ||
-      (origin.kind == OriginKind::Unambiguous && IsDirectoryCurrent())) {
+  if (origin.kind == OriginKind::Known) {
     return origin.version;
   }
   const std::uint64_t stream = StreamOrigins::StreamId(aAttemptId);
-  for (const StreamGroup& group : mListedGroups) {
-    const bool isListed =
-      group.service == aService &&
-      std::find(group.streams.begin(), group.streams.end(), stream) != group.streams.end();
-    if (isListed) {
-      return group.version;
+  for (const Listing* listing : { &mOwnListing, &mFullListing }) {
+    for (const StreamGroup& group : listing->groups) {
+      const bool isListed =
+        group.service == aService &&
+        std::find(group.streams.begin(), group.streams.end(), stream) != group.streams.end();
+      if (isListed) {
+        return group.version;
+      }
     }
   }
   return std::nullopt;
 }
 
-bool StreamOriginExchange::IsDirectoryCurrent() const
-{
-  const StoreSyncState& sync = mState->storeSync;
-  const std::optional<Time> contact = std::max(sync.storeContact, sync.peersStoreContact);
-  return contact && net::Now() < *contact + kMaximumContactAge &&
-         sync.peersNewestEntryRevision <= sync.newestEntryRevision;
-}
-
-std::optional<SoftwareVersion> StreamOriginExchange::FindOwn(const std::string& aAttemptId,
-                                                             const ServiceName& aService) const
-{
-  const StreamOrigin origin = mState->streamOrigins.Find(aAttemptId, aService, net::Now());
-  return origin.kind == OriginKind::Unknown ? std::nullopt
-                                            : std::optional<SoftwareVersion>(origin.version);
-}
-
 net::Task<std::optional<SoftwareVersion>> StreamOriginExchange::FindOrigin(std::string aAttemptId,
                                                                            ServiceName aService,
                                                                            Time aUntil)
 {
   const std::shared_ptr<StreamOriginExchange> self = shared_from_this();
-  std::optional<SoftwareVersion> version = FindKnown(aAttemptId, aService);
-  const char* source = "memory";
-  if (!version) {
-    version = co_await FindInStore(aAttemptId, aService, aUntil);
-    source = version ? "store" : "none";
+  FoundOrigin found{ FindRecord(aAttemptId, aService), OriginSource::Memory };
+  if (!found.version) {
+    found = co_await FindInStore(aAttemptId, aService, aUntil);
   }
+  const char* const source = ToText(found.source);
   mState->metrics.GetCounter({ "masticstep_stream_origins_total", "source", source })->Add();
-  if (!version) {
-    telemetry::Log(Level::Warning, "origin of a stream is unknown",
-                   { { "stream", aAttemptId }, { "service", aService.Text() } });
-  }
-  co_return version;
+  const Time now = net::Now();
+  telemetry::Log(
+    found.version ? Level::Info : Level::Warning,
+    found.version ? "origin of a stream found" : "origin of a stream is unknown",
+    { { "stream", aAttemptId },
+      { "service", aService.Text() },
+      { "source", source },
+      { "software_version", found.version.value_or(SoftwareVersion{}).Text() },
+      { "several_versions", mState->streamOrigins.HasSeveralVersions(now) },
+      { "store_read_age_ms",
+        mFullListing.readAt == Time{} ? -1.0 : ToSeconds(now - mFullListing.readAt) * 1000.0 } });
+  co_return found.version;
 }
 
-net::Task<std::optional<SoftwareVersion>> StreamOriginExchange::FindInStore(std::string aAttemptId,
-                                                                            ServiceName aService,
-                                                                            Time aUntil)
+net::Task<StreamOriginExchange::FoundOrigin> StreamOriginExchange::FindInStore(
+  std::string aAttemptId, ServiceName aService, Time aUntil)
 {
   const Time begin = net::Now();
-  Time readAfter = begin - kReadReuse;
-  int reads = 0;
-  while (reads < kReadsPerLookup && net::Now() < aUntil) {
-    if (mListedAt >= readAfter) {
-      ++reads;
-      const std::optional<SoftwareVersion> known = FindKnown(aAttemptId, aService);
-      const std::optional<SoftwareVersion> version = known ? known : FindOwn(aAttemptId, aService);
-      if (version) {
-        co_return version;
-      }
-      readAfter = begin + kRecordDelay;
-      co_await net::Sleep(std::min(readAfter, aUntil) - net::Now());
-      continue;
-    }
-    // Without the store, what this daemon has seen itself decides.
-    const bool isStoreLost = mReadFailedAt >= begin;
-    if (isStoreLost && FindOwn(aAttemptId, aService)) {
-      break;
+  // Most callers come back to the same data centre, whose objects are a part of all.
+  co_await AwaitRead(mOwnListing, begin, aUntil);
+  std::optional<SoftwareVersion> version = FindRecord(aAttemptId, aService);
+  if (version) {
+    co_return FoundOrigin{ version, OriginSource::Store };
+  }
+  const Time end = std::min(begin + kRecordDelay, aUntil);
+  co_await net::Sleep(end - net::Now());
+  const bool isRead = co_await AwaitRead(mFullListing, end, aUntil);
+  version = FindRecord(aAttemptId, aService);
+  if (version) {
+    co_return FoundOrigin{ version, OriginSource::Store };
+  }
+  if (!isRead) {
+    co_return FoundOrigin{ std::nullopt, OriginSource::StoreNotRead };
+  }
+  const StreamOrigin origin = mState->streamOrigins.Find(aAttemptId, aService, net::Now());
+  if (origin.kind == OriginKind::Unknown) {
+    co_return FoundOrigin{ std::nullopt, OriginSource::NoRecord };
+  }
+  co_return FoundOrigin{ origin.version, OriginSource::OnlyVersion };
+}
+
+net::Task<bool> StreamOriginExchange::AwaitRead(Listing& aListing, Time aSince, Time aUntil)
+{
+  while (aListing.readAt < aSince) {
+    const Time now = net::Now();
+    if (now >= aUntil || aListing.failedAt >= aSince) {
+      co_return false;
     }
-    StartReading();
-    co_await net::Sleep(std::min(kReadCheckInterval, aUntil - net::Now()));
+    StartReading(aListing);
+    co_await net::Sleep(std::min(kReadCheckInterval, aUntil - now));
   }
-  co_return FindOwn(aAttemptId, aService);
+  co_return true;
 }
 
-void StreamOriginExchange::StartReading()
+void StreamOriginExchange::StartReading(Listing& aListing)
 {
-  if (mIsReading || net::Now() < mReadFailedAt + kReadRetryInterval) {
+  if (aListing.isReading || net::Now() < aListing.failedAt + kReadRetryInterval) {
     return;
   }
   boost::asio::co_spawn(
-    mState->executor, [self = shared_from_this()] { return self->ReadAll(); },
+    mState->executor, [self = shared_from_this(), &aListing] { return self->Read(aListing); },
     boost::asio::detached);
 }
 
-net::Task<void> StreamOriginExchange::ReadAll()
+net::Task<void> StreamOriginExchange::Read(Listing& aListing)
 {
   const std::shared_ptr<StreamOriginExchange> self = shared_from_this();
-  if (std::exchange(mIsReading, true)) {
+  if (std::exchange(aListing.isReading, true)) {
     co_return;
   }
   const Time begin = net::Now();
   std::vector<platform::ObjectChange> objects;
-  platform::ListRequest list{ kOriginPrefix, {} };
+  platform::ListRequest list{ aListing.prefix, {} };
   bool hasMore = true;
   while (hasMore) {
     platform::PlatformCall call = list;
     PlatformReply page = co_await Call(std::move(call));
     if (page.status != PlatformStatus::Done) {
-      mReadFailedAt = net::Now();
-      mIsReading = false;
+      aListing.failedAt = net::Now();
+      aListing.isReading = false;
       co_return;
     }
     hasMore = page.hasMore && !page.items.empty();
     std::move(page.items.begin(), page.items.end(), std::back_inserter(objects));
-    list.after = hasMore ? objects.back().key.Text().substr(kOriginPrefix.size()) : std::string{};
+    list.after = hasMore ? objects.back().key.Text().substr(list.prefix.size()) : std::string{};
   }
-  OnListed(objects, net::Now());
-  mListedAt = begin;
-  mIsReading = false;
+  OnListed(aListing, objects, net::Now());
+  aListing.readAt = begin;
+  aListing.isReading = false;
 }
 
-void StreamOriginExchange::OnListed(const std::vector<platform::ObjectChange>& aObjects, Time aNow)
+void StreamOriginExchange::OnListed(Listing& aListing,
+                                    const std::vector<platform::ObjectChange>& aObjects, Time aNow)
 {
-  mUnchangedObjects.OnListed(aObjects, aNow);
   std::vector<ServiceVersion> versions;
-  mListedGroups.clear();
+  aListing.groups.clear();
   for (const platform::ObjectChange& object : aObjects) {
     Result<StoredOrigins, std::string> origins = DecodeStoredOrigins(object.body);
     if (!origins) {
@@ -285,19 +299,23 @@
                      { { "key", object.key.Text() }, { "problem", origins.error() } });
       continue;
     }
-    std::move(origins->groups.begin(), origins->groups.end(), std::back_inserter(mListedGroups));
+    std::move(origins->groups.begin(), origins->groups.end(), std::back_inserter(aListing.groups));
     versions.insert(versions.end(), origins->versions.begin(), origins->versions.end());
   }
-  mState->streamOrigins.OnHistoryRead(versions, aNow);
+  // The objects of one data centre do not tell all that was in service.
+  if (&aListing == &mFullListing) {
+    mUnchangedObjects.OnListed(aObjects, aNow);
+    mState->streamOrigins.OnHistoryRead(versions, aNow);
+  }
 }
 
 net::Task<void> StreamOriginExchange::SyncWithStore()
 {
   const std::shared_ptr<StreamOriginExchange> self = shared_from_this();
   FeedBackoff backoff(mSeed);
-  while (mListedAt == Time{} && !mState->streamOrigins.IsHistoryComplete(net::Now())) {
-    co_await ReadAll();
-    if (mListedAt == Time{}) {
+  while (mFullListing.readAt == Time{} && !mState->streamOrigins.IsHistoryComplete(net::Now())) {
+    co_await Read(mFullListing);
+    if (mFullListing.readAt == Time{}) {
       co_await net::Sleep(backoff.NextDelay());
     }
   }
@@ -334,7 +352,7 @@
     co_await StoreRecords();
   }
   if (mustRefresh) {
-    co_await ReadAll();
+    co_await Read(mFullListing);
     co_await DeleteUnchanged();
   }
 }
--- a/libs/relay/src/StreamOriginExchange.hpp
+++ b/libs/relay/src/StreamOriginExchange.hpp
@@ -16,6 +16,16 @@
 
 namespace masticstep::relay {
 
+// What told the version at which a stream began, or why it is unknown.
+enum class OriginSource : std::uint8_t
+{
+  Memory,      // a record of this daemon or of a peer
+  Store,       // a record in the store
+  OnlyVersion, // no record, and the store names no other version
+  NoRecord,    // no record, and several versions may have begun the stream
+  StoreNotRead // no record in memory, and the store did not answer in time
+};
+
 // Makes known to all daemons at which software version streams began (see dispatch::StreamOrigins).
 // Daemons send records to the store watchers of their data centre, whose store poller writes them
 // into the platform's store. Only the store knows them after all daemons were killed.
@@ -39,12 +49,28 @@
   // Applies a peer's datagram.
   void Apply(std::string_view aDatagram);
 
-  // Returns the version at which the stream began, or nullopt if no daemon has told it, at the
-  // latest about aUntil. The stream is named by the attempt that brought its first event.
+  // Returns the version at which the stream began, or nullopt if it is not certain, at the latest
+  // about aUntil. Without a record only a read of the store that begins now makes it certain: a
+  // daemon without contact to the store may not know of a version that joined. The stream is named
+  // by the attempt that brought its first event.
   net::Task<std::optional<SoftwareVersion>> FindOrigin(std::string aAttemptId, ServiceName aService,
                                                        Time aUntil);
 
 private:
+  struct FoundOrigin
+  {
+    std::optional<SoftwareVersion> version;
+    OriginSource source = OriginSource::NoRecord;
+  };
+  // Records as read last from the store.
+  struct Listing
+  {
+    std::string prefix; // of the keys
+    std::vector<dispatch::StreamGroup> groups{};
+    Time readAt{};   // begin of the latest read that succeeded
+    Time failedAt{}; // end of the latest read that failed
+    bool isReading = false;
+  };
   // An object that this process writes.
   struct OwnObject
   {
@@ -54,20 +80,18 @@
   };
 
   Duration SendInterval(Time aNow) const; // between datagrams with new records
-  // Returns the version if it can be told without the store.
-  std::optional<SoftwareVersion> FindKnown(const std::string& aAttemptId,
-                                           const ServiceName& aService) const;
-  // Returns the version by the records and the history of this daemon alone.
-  std::optional<SoftwareVersion> FindOwn(const std::string& aAttemptId,
-                                         const ServiceName& aService) const;
-  net::Task<std::optional<SoftwareVersion>> FindInStore(std::string aAttemptId,
-                                                        ServiceName aService, Time aUntil);
-  // Returns whether no other daemon is known to have seen later entries of backend servers.
-  bool IsDirectoryCurrent() const;
-  // Reads all objects unless that is under way.
-  void StartReading();
-  net::Task<void> ReadAll();
-  void OnListed(const std::vector<platform::ObjectChange>& aObjects, Time aNow);
+  // Returns the version of which there is a record in memory or among the objects read last.
+  std::optional<SoftwareVersion> FindRecord(const std::string& aAttemptId,
+                                            const ServiceName& aService) const;
+  // Reads the store anew: what this daemon knows of the versions in service may be older than the
+  // stream.
+  net::Task<FoundOrigin> FindInStore(std::string aAttemptId, ServiceName aService, Time aUntil);
+  // Waits for a read that began at aSince or later. Returns false if it failed or aUntil has come.
+  net::Task<bool> AwaitRead(Listing& aListing, Time aSince, Time aUntil);
+  // Reads the objects unless that is under way, or has failed just now.
+  void StartReading(Listing& aListing);
+  net::Task<void> Read(Listing& aListing);
+  void OnListed(Listing& aListing, const std::vector<platform::ObjectChange>& aObjects, Time aNow);
   net::Task<void> Store();
   net::Task<void> StoreVersions();
   net::Task<void> StoreRecords();
@@ -91,11 +115,9 @@
   std::uint64_t mSequence = 0; // of the objects that this process has written
   std::uint64_t mStoredEra = 0;
 
-  std::vector<dispatch::StreamGroup> mListedGroups; // as read last
+  Listing mOwnListing;  // objects of the own data centre
+  Listing mFullListing; // all objects
   UnchangedObjects mUnchangedObjects;
-  Time mListedAt{}; // begin of the latest read that succeeded
-  Time mReadFailedAt{};
-  bool mIsReading = false;
   std::uint64_t mNextCall = 1;
 };
 
--- a/libs/relay/tests/StreamOriginExchangeTests.cpp
+++ b/libs/relay/tests/StreamOriginExchangeTests.cpp
@@ -182,22 +182,41 @@
   CHECK_EQUAL(kNew, daemon.Find("a"));
 }
 
-// Guards against a lookup that outlasts the time of its caller, and against a stream that goes on
-// without a known origin.
-MASTICSTEP_TEST("without the store only certain origins are told", "[relay][origins][failure]")
+// Guards against streams of two versions at a daemon that the store turns away: it takes the
+// version that it knows for the only one, although another one has joined.
+MASTICSTEP_TEST("without the store only recorded origins are told", "[relay][origins][failure]")
 {
   OriginDaemon daemon(std::make_shared<SynchronousStore>());
-  daemon.store->SetOutage(true);
   daemon.SetVersions({ kOld }, net::Now() - dispatch::StreamOrigins::kStreamLifetime);
-  // Far less than the time of the lookup: one failed read is enough.
+  daemon.state->storeSync.storeContact = net::Now();
+  daemon.store->SetOutage(true);
+  daemon.Begin("recorded", kOld);
+  CHECK_EQUAL(kOld, daemon.Find("recorded"));
+  // Far less than the time of the lookup: the refusal does not wait for the end of an outage.
   const Time begin = net::Now();
-  CHECK_EQUAL(kOld, daemon.Find("a", Seconds(8)));
+  CHECK_EQUAL(SoftwareVersion{}, daemon.Find("unrecorded", Seconds(8)));
   CHECK_TRUE(net::Now() < begin + Seconds(4));
   daemon.SetVersions({ kOld, kNew });
-  CHECK_EQUAL(SoftwareVersion{}, daemon.Find("a", Milliseconds(300)));
+  CHECK_EQUAL(SoftwareVersion{}, daemon.Find("unrecorded", Milliseconds(300)));
   OriginDaemon restarted(daemon.store);
   restarted.SetVersions({ kOld });
-  CHECK_EQUAL(SoftwareVersion{}, restarted.Find("a", Milliseconds(300)));
+  CHECK_EQUAL(SoftwareVersion{}, restarted.Find("unrecorded", Milliseconds(300)));
+}
+
+// Guards against a belief that is older than the version it should know: the daemon has heard of
+// the store a moment ago, but not of the version that has joined since.
+MASTICSTEP_TEST("an origin without a record is told only after a new read of the store",
+                "[relay][origins][failure]")
+{
+  const std::shared_ptr<SynchronousStore> store = std::make_shared<SynchronousStore>();
+  OriginDaemon daemon(store);
+  daemon.SetVersions({ kOld }, net::Now() - dispatch::StreamOrigins::kStreamLifetime);
+  daemon.state->storeSync.storeContact = net::Now();
+  CHECK_EQUAL(kOld, daemon.Find("a"));
+  const StoredOrigins joined{ {}, { { kService, kNew, Duration::zero() } } };
+  Put(*store, "others-versions", EncodeStoredOrigins(joined, 1));
+  daemon.state->storeSync.storeContact = net::Now();
+  CHECK_EQUAL(SoftwareVersion{}, daemon.Find("b"));
 }
 
 // Guards against records that are lost with a store that comes back from an older copy.
