Take new entries of engines as evidence of an origin, and look for late records

- A read of the objects of the store pollers 225 ms after the take-up does not show a version that they have not noticed: after each change they pause their watch for up to a second.
A lookup without a record now reads the list of engines anew; an engine that began the stream has an entry in it.
- While each service has one version, records reach the store only each second, so a lookup in another data centre missed those of the last second.
They are written each half second, and a lookup that finds several versions and no record reads once more after 600 ms.
- A read that began before the take-up and failed after it refused the take-up at once.
What counts is when the failed read began.
- All records of a daemon were handed out again, before its new ones, whenever a peer left.
That is done only for peers that are added, and new records go first.

--- a/libs/dispatch/src/StreamOrigins.cpp
+++ b/libs/dispatch/src/StreamOrigins.cpp
@@ -100,7 +100,8 @@
   aService.order.push_back(aStream);
   aService.unstored.push_back(aStream);
   if (aRecord.isOwn) {
-    aService.unsent.push_back({ aStream, kTimesSent });
+    // Before records that are handed out again.
+    aService.unsent.push_front({ aStream, kTimesSent });
   }
   if (aService.order.size() > kMaximumStreams) {
     Drop(aService);
--- a/libs/relay/src/PlatformWatcher.hpp
+++ b/libs/relay/src/PlatformWatcher.hpp
@@ -37,6 +37,8 @@
   // maximumSilence without a response, on other daemons when a peer reports a newer state.
   net::Task<void> RunBackendResync();
   net::Task<void> RunRouteTableResync();
+  // Reads the whole list of backend servers. Returns false if the store does not answer.
+  net::Task<bool> ListBackends();
   // Removes backend servers whose entries do not reappear after a store outage.
   net::Task<void> RunBackendExpiry();
   // Sets the function that is called after each new configuration.
@@ -61,7 +63,6 @@
     Time peerIsNewerSince{}; // when a peer first reported a newer version; zero if none did
   };
 
-  net::Task<bool> ListBackends();
   net::Task<bool> ReadRouteTable();
   void Apply(const BackendUpdate& aUpdate, bool aIsSnapshot);
   void Apply(const RouteTableUpdate& aUpdate);
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -133,7 +133,8 @@
   mQuarantineExchange =
     std::make_shared<QuarantineExchange>(mState, mWorkReports, access.store, RandomSeed());
   mOriginExchange = std::make_shared<StreamOriginExchange>(
-    mState, mWorkReports, access.store, mSettings.place.dataCentre, RandomSeed());
+    mState, mWorkReports, access.store, mSettings.place.dataCentre, RandomSeed(),
+    [watcher = mWatcher] { return watcher->ListBackends(); });
   mState->streamOriginExchange = mOriginExchange;
   StartStageController(std::move(access));
   StartLoops();
--- a/libs/relay/src/StreamOriginExchange.cpp
+++ b/libs/relay/src/StreamOriginExchange.cpp
@@ -36,14 +36,16 @@
 // 1 KB, so that a report is not fragmented on the way.
 constexpr std::size_t kStreamsPerReport = 120;
 constexpr Duration kStoreInterval = Milliseconds(125);
-constexpr Duration kStoreIntervalOfOneVersion = Seconds(1);
+constexpr Duration kStoreIntervalOfOneVersion = Milliseconds(500);
 // Shows that the versions are those of a live process; well below UnchangedObjects::kTime.
 constexpr Duration kRefreshInterval = Seconds(15);
-// Time from the first event of a stream until the store has its record, and from the entry of a new
-// version until the store pollers have named it there, unless the store is slow.
+// Time from the first event of a stream until the store has its record, unless the store is slow.
 constexpr Duration kRecordDelay = Milliseconds(225);
+// The same while each service has one version.
+constexpr Duration kRecordDelayOfOneVersion = Milliseconds(600);
 constexpr Duration kReadRetryInterval = Milliseconds(250);
 constexpr Duration kReadCheckInterval = Milliseconds(5);
+
 const char* ToText(OriginSource aSource)
 {
   switch (aSource) {
@@ -86,6 +88,13 @@
   return groups;
 }
 
+bool HasAdded(const std::vector<HostName>& aBefore, const std::vector<HostName>& aNow)
+{
+  return std::any_of(aNow.begin(), aNow.end(), [&aBefore](const HostName& aHost) {
+    return std::find(aBefore.begin(), aBefore.end(), aHost) == aBefore.end();
+  });
+}
+
 // Returns whether two lists name the same versions and tell the same of them as in service.
 bool HaveSameVersions(const std::vector<ServiceVersion>& aLeft,
                       const std::vector<ServiceVersion>& aRight)
@@ -102,7 +111,8 @@
 StreamOriginExchange::StreamOriginExchange(std::shared_ptr<RelayState> aState,
                                            std::shared_ptr<WorkReportChannel> aChannel,
                                            std::shared_ptr<platform::ObjectStore> aStore,
-                                           const DataCentreName& aDataCentre, std::uint64_t aSeed)
+                                           const DataCentreName& aDataCentre, std::uint64_t aSeed,
+                                           BackendReader aReadBackends)
   : mState(std::move(aState))
   , mChannel(std::move(aChannel))
   , mStore(std::move(aStore))
@@ -111,6 +121,9 @@
   , mElectionEnd(net::Now() + kElectionTime)
   , mOwnListing{ mDataCentrePrefix }
   , mFullListing{ kOriginPrefix }
+  , mOwnRead{ [this] { return List(mOwnListing); } }
+  , mFullRead{ [this] { return List(mFullListing); } }
+  , mBackendRead{ std::move(aReadBackends) }
 {
   const std::string processPrefix = mDataCentrePrefix + HexText(aSeed) + "-";
   for (std::size_t i = 0; i < mSlotObjects.size(); ++i) {
@@ -147,10 +160,10 @@
       continue;
     }
     sentAt = now;
-    if (receivers != mChannel->StoreWatchers()) {
-      receivers = mChannel->StoreWatchers();
+    if (HasAdded(receivers, mChannel->StoreWatchers())) {
       mState->streamOrigins.SendAgain(now);
     }
+    receivers = mChannel->StoreWatchers();
     const std::vector<StreamGroup> groups =
       mState->streamOrigins.TakeUnsent(kStreamsPerReport, now);
     if (!groups.empty()) {
@@ -197,16 +210,16 @@
   const char* const source = ToText(found.source);
   mState->metrics.GetCounter({ "masticstep_stream_origins_total", "source", source })->Add();
   const Time now = net::Now();
-  telemetry::Log(
-    found.version ? Level::Info : Level::Warning,
-    found.version ? "origin of a stream found" : "origin of a stream is unknown",
-    { { "stream", aAttemptId },
-      { "service", aService.Text() },
-      { "source", source },
-      { "software_version", found.version.value_or(SoftwareVersion{}).Text() },
-      { "several_versions", mState->streamOrigins.HasSeveralVersions(now) },
-      { "store_read_age_ms",
-        mFullListing.readAt == Time{} ? -1.0 : ToSeconds(now - mFullListing.readAt) * 1000.0 } });
+  telemetry::Log(found.version ? Level::Info : Level::Warning,
+                 found.version ? "origin of a stream found" : "origin of a stream is unknown",
+                 { { "stream", aAttemptId },
+                   { "service", aService.Text() },
+                   { "source", source },
+                   { "software_version", found.version.value_or(SoftwareVersion{}).Text() },
+                   { "several_versions", mState->streamOrigins.HasSeveralVersions(now) },
+                   { "store_read_age_ms", mFullRead.succeededAt == Time{}
+                                            ? -1.0
+                                            : ToSeconds(now - mFullRead.succeededAt) * 1000.0 } });
   co_return found.version;
 }
 
@@ -215,58 +228,87 @@
 {
   const Time begin = net::Now();
   // Most callers come back to the same data centre, whose objects are a part of all.
-  co_await AwaitRead(mOwnListing, begin, aUntil);
-  std::optional<SoftwareVersion> version = FindRecord(aAttemptId, aService);
+  std::optional<SoftwareVersion> version =
+    co_await ReadRecord(mOwnRead, aAttemptId, aService, begin, aUntil);
   if (version) {
     co_return FoundOrigin{ version, OriginSource::Store };
   }
-  const Time end = std::min(begin + kRecordDelay, aUntil);
-  co_await net::Sleep(end - net::Now());
-  const bool isRead = co_await AwaitRead(mFullListing, end, aUntil);
-  version = FindRecord(aAttemptId, aService);
+  const Time second = begin + kRecordDelay;
+  version = co_await ReadRecord(mFullRead, aAttemptId, aService, second, aUntil);
   if (version) {
     co_return FoundOrigin{ version, OriginSource::Store };
   }
-  if (!isRead) {
+  // An engine that began a stream before the lookup has an entry by now, whatever the store pollers
+  // have noticed.
+  const bool areBackendsRead = co_await AwaitRead(mBackendRead, begin, aUntil);
+  if (!areBackendsRead || mFullRead.succeededAt < second) {
     co_return FoundOrigin{ std::nullopt, OriginSource::StoreNotRead };
   }
   const StreamOrigin origin = mState->streamOrigins.Find(aAttemptId, aService, net::Now());
-  if (origin.kind == OriginKind::Unknown) {
-    co_return FoundOrigin{ std::nullopt, OriginSource::NoRecord };
+  if (origin.kind != OriginKind::Unknown) {
+    co_return FoundOrigin{ origin.version, OriginSource::OnlyVersion };
+  }
+  version = co_await ReadRecord(mOwnRead, std::move(aAttemptId), std::move(aService),
+                                begin + kRecordDelayOfOneVersion, aUntil);
+  co_return FoundOrigin{ version, version ? OriginSource::Store : OriginSource::NoRecord };
+}
+
+net::Task<std::optional<SoftwareVersion>> StreamOriginExchange::ReadRecord(SharedRead& aRead,
+                                                                           std::string aAttemptId,
+                                                                           ServiceName aService,
+                                                                           Time aAt, Time aUntil)
+{
+  const Time at = std::min(aAt, aUntil);
+  if (at > net::Now()) {
+    co_await net::Sleep(at - net::Now());
   }
-  co_return FoundOrigin{ origin.version, OriginSource::OnlyVersion };
+  co_await AwaitRead(aRead, at, aUntil);
+  // A record may have come as a datagram too.
+  co_return FindRecord(aAttemptId, aService);
 }
 
-net::Task<bool> StreamOriginExchange::AwaitRead(Listing& aListing, Time aSince, Time aUntil)
+net::Task<bool> StreamOriginExchange::AwaitRead(SharedRead& aRead, Time aSince, Time aUntil)
 {
-  while (aListing.readAt < aSince) {
+  while (aRead.succeededAt < aSince) {
     const Time now = net::Now();
-    if (now >= aUntil || aListing.failedAt >= aSince) {
+    if (now >= aUntil || aRead.failedAt >= aSince) {
       co_return false;
     }
-    StartReading(aListing);
+    StartReading(aRead);
     co_await net::Sleep(std::min(kReadCheckInterval, aUntil - now));
   }
   co_return true;
 }
 
-void StreamOriginExchange::StartReading(Listing& aListing)
+void StreamOriginExchange::StartReading(SharedRead& aRead)
 {
-  if (aListing.isReading || net::Now() < aListing.failedAt + kReadRetryInterval) {
+  if (aRead.isReading || net::Now() < aRead.mayReadAt) {
     return;
   }
   boost::asio::co_spawn(
-    mState->executor, [self = shared_from_this(), &aListing] { return self->Read(aListing); },
+    mState->executor, [self = shared_from_this(), &aRead] { return self->Read(aRead); },
     boost::asio::detached);
 }
 
-net::Task<void> StreamOriginExchange::Read(Listing& aListing)
+net::Task<void> StreamOriginExchange::Read(SharedRead& aRead)
 {
   const std::shared_ptr<StreamOriginExchange> self = shared_from_this();
-  if (std::exchange(aListing.isReading, true)) {
+  if (std::exchange(aRead.isReading, true)) {
     co_return;
   }
   const Time begin = net::Now();
+  const bool isRead = co_await aRead.read();
+  if (isRead) {
+    aRead.succeededAt = begin;
+  } else {
+    aRead.failedAt = begin;
+    aRead.mayReadAt = net::Now() + kReadRetryInterval;
+  }
+  aRead.isReading = false;
+}
+
+net::Task<bool> StreamOriginExchange::List(Listing& aListing)
+{
   std::vector<platform::ObjectChange> objects;
   platform::ListRequest list{ aListing.prefix, {} };
   bool hasMore = true;
@@ -274,17 +316,14 @@
     platform::PlatformCall call = list;
     PlatformReply page = co_await Call(std::move(call));
     if (page.status != PlatformStatus::Done) {
-      aListing.failedAt = net::Now();
-      aListing.isReading = false;
-      co_return;
+      co_return false;
     }
     hasMore = page.hasMore && !page.items.empty();
     std::move(page.items.begin(), page.items.end(), std::back_inserter(objects));
     list.after = hasMore ? objects.back().key.Text().substr(list.prefix.size()) : std::string{};
   }
   OnListed(aListing, objects, net::Now());
-  aListing.readAt = begin;
-  aListing.isReading = false;
+  co_return true;
 }
 
 void StreamOriginExchange::OnListed(Listing& aListing,
@@ -313,9 +352,9 @@
 {
   const std::shared_ptr<StreamOriginExchange> self = shared_from_this();
   FeedBackoff backoff(mSeed);
-  while (mFullListing.readAt == Time{} && !mState->streamOrigins.IsHistoryComplete(net::Now())) {
-    co_await Read(mFullListing);
-    if (mFullListing.readAt == Time{}) {
+  while (mFullRead.succeededAt == Time{} && !mState->streamOrigins.IsHistoryComplete(net::Now())) {
+    co_await Read(mFullRead);
+    if (mFullRead.succeededAt == Time{}) {
       co_await net::Sleep(backoff.NextDelay());
     }
   }
@@ -352,7 +391,7 @@
     co_await StoreRecords();
   }
   if (mustRefresh) {
-    co_await Read(mFullListing);
+    co_await Read(mFullRead);
     co_await DeleteUnchanged();
   }
 }
--- a/libs/relay/src/StreamOriginExchange.hpp
+++ b/libs/relay/src/StreamOriginExchange.hpp
@@ -9,6 +9,7 @@
 #include "masticstep/relay/RelayState.hpp"
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,10 +37,14 @@
 class StreamOriginExchange : public std::enable_shared_from_this<StreamOriginExchange>
 {
 public:
+  // Reads all entries of backend servers anew. Returns false if the store does not answer.
+  using BackendReader = std::function<net::Task<bool>()>;
+
   StreamOriginExchange(std::shared_ptr<RelayState> aState,
                        std::shared_ptr<WorkReportChannel> aChannel,
                        std::shared_ptr<platform::ObjectStore> aStore,
-                       const DataCentreName& aDataCentre, std::uint64_t aSeed);
+                       const DataCentreName& aDataCentre, std::uint64_t aSeed,
+                       BackendReader aReadBackends);
 
   // Sends the records of this daemon to the store watchers.
   net::Task<void> SendRecords();
@@ -62,14 +67,20 @@
     std::optional<SoftwareVersion> version;
     OriginSource source = OriginSource::NoRecord;
   };
+  // A read of the store that lookups share.
+  struct SharedRead
+  {
+    BackendReader read;
+    Time succeededAt{}; // begin of the latest read that succeeded
+    Time failedAt{};    // begin of the latest read that failed
+    Time mayReadAt{};   // after a failure
+    bool isReading = false;
+  };
   // Records as read last from the store.
   struct Listing
   {
     std::string prefix; // of the keys
     std::vector<dispatch::StreamGroup> groups{};
-    Time readAt{};   // begin of the latest read that succeeded
-    Time failedAt{}; // end of the latest read that failed
-    bool isReading = false;
   };
   // An object that this process writes.
   struct OwnObject
@@ -86,11 +97,15 @@
   // Reads the store anew: what this daemon knows of the versions in service may be older than the
   // stream.
   net::Task<FoundOrigin> FindInStore(std::string aAttemptId, ServiceName aService, Time aUntil);
+  // Reads the objects at aAt and returns the version of which there is a record then.
+  net::Task<std::optional<SoftwareVersion>> ReadRecord(SharedRead& aRead, std::string aAttemptId,
+                                                       ServiceName aService, Time aAt, Time aUntil);
   // Waits for a read that began at aSince or later. Returns false if it failed or aUntil has come.
-  net::Task<bool> AwaitRead(Listing& aListing, Time aSince, Time aUntil);
-  // Reads the objects unless that is under way, or has failed just now.
-  void StartReading(Listing& aListing);
-  net::Task<void> Read(Listing& aListing);
+  net::Task<bool> AwaitRead(SharedRead& aRead, Time aSince, Time aUntil);
+  // Starts a read unless one is under way, or has failed just now.
+  void StartReading(SharedRead& aRead);
+  net::Task<void> Read(SharedRead& aRead);
+  net::Task<bool> List(Listing& aListing);
   void OnListed(Listing& aListing, const std::vector<platform::ObjectChange>& aObjects, Time aNow);
   net::Task<void> Store();
   net::Task<void> StoreVersions();
@@ -117,6 +132,9 @@
 
   Listing mOwnListing;  // objects of the own data centre
   Listing mFullListing; // all objects
+  SharedRead mOwnRead;
+  SharedRead mFullRead;
+  SharedRead mBackendRead;
   UnchangedObjects mUnchangedObjects;
   std::uint64_t mNextCall = 1;
 };
