Soak: lose daemons in the moment in which a software version joins

Four real daemons in two data centres; two are killed as engines of a second version join, and their streams are taken up at the others.

Tried and left out: a daemon that loses the store before the version joins.

--- a/tests/soak/tests/StreamVersionTests.cpp
+++ b/tests/soak/tests/StreamVersionTests.cpp
@@ -40,7 +40,6 @@
 constexpr std::uint64_t kEvents = 60;
 constexpr Duration kEventInterval = Milliseconds(20);
 constexpr Duration kCallersStart = Seconds(2);
-constexpr Duration kKills[] = { Seconds(5), Seconds(10) };
 constexpr Duration kEnd = Seconds(14);
 constexpr Duration kTakeUpTime = Seconds(4); // until a caller gives a cut stream up
 constexpr Duration kTakeUpPause = Milliseconds(100);
@@ -72,12 +71,21 @@
   return begin == std::string::npos ? 0 : std::strtoull(aBody.c_str() + begin + 4, nullptr, 10);
 }
 
+// When daemons are killed, and the second version joins. Times count from the start of the run.
+struct Scenario
+{
+  std::vector<Duration> kills;
+  std::vector<std::size_t> killed; // daemons
+  Duration secondVersion = Duration::zero();
+};
+
 // Daemons, and engines of two software versions whose names begin with their version.
 class VersionFleet
 {
 public:
-  explicit VersionFleet(std::string aFolder)
-    : mFolder(std::move(aFolder))
+  VersionFleet(std::string aFolder, Scenario aScenario)
+    : mScenario(std::move(aScenario))
+    , mFolder(std::move(aFolder))
     , mNetwork("127." + std::to_string(1 + getpid() % 120) + ".77")
     , mOperator(mHistory, mStore, mCallers, mBounds)
   {
@@ -97,8 +105,9 @@
   {
     mBegin = standins::Now();
     mOperator.WriteInitial();
-    for (const std::unique_ptr<Engine>& engine : mEngines) {
-      Spawn(engine->Start());
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      const bool isOld = i < kEnginesOfVersion;
+      Spawn(StartAt(*mEngines[i], isOld ? Duration::zero() : mScenario.secondVersion));
     }
     for (const std::unique_ptr<Daemon>& daemon : mDaemons) {
       Spawn(daemon->Run());
@@ -170,16 +179,22 @@
     boost::asio::co_spawn(mContext, std::move(aTask), boost::asio::detached);
   }
 
+  Awaitable<void> StartAt(Engine& aEngine, Duration aTime)
+  {
+    co_await standins::Pause(aTime);
+    co_await aEngine.Start();
+  }
+
   Awaitable<void> Play()
   {
     co_await standins::Pause(kCallersStart);
     for (std::size_t i = 0; i < kCallers; ++i) {
       Spawn(CallAgain(i));
     }
-    for (const Duration kill : kKills) {
+    for (const Duration kill : mScenario.kills) {
       co_await standins::Pause(mBegin + kill - standins::Now());
-      for (const std::unique_ptr<Daemon>& daemon : mDaemons) {
-        daemon->Kill();
+      for (const std::size_t killed : mScenario.killed) {
+        mDaemons[killed]->Kill();
       }
     }
     co_await standins::Pause(mBegin + kEnd - standins::Now());
@@ -280,6 +295,7 @@
     co_return answer;
   }
 
+  const Scenario mScenario;
   const std::string mFolder;
   const std::string mNetwork;
   const Bounds mBounds;
@@ -299,27 +315,60 @@
   Time mBegin{};
 };
 
-} // namespace
+// What became of the streams of one run.
+struct Outcome
+{
+  std::size_t cut = 0;
+  std::size_t wentOn = 0;
+  std::size_t joined = 0; // of two versions
+  std::string folder;     // with the output of the processes; kept after a failure
+};
 
-// Guards against streams whose first part is of one software version and whose rest is of another,
-// and against streams that are given up though their version still serves.
-MASTICSTEP_TEST("streams go on at their software version after all daemons were killed",
-                "[soak][versions]")
+Outcome Play(Scenario aScenario)
 {
   std::string folder = (std::filesystem::temp_directory_path() / "masticstep-soak-XXXXXX").string();
   CHECK_TRUE(mkdtemp(folder.data()) != nullptr);
-  VersionFleet fleet(folder);
+  VersionFleet fleet(folder, std::move(aScenario));
   fleet.Run();
-  std::size_t cut = 0;
-  std::size_t wentOn = 0;
+  Outcome result;
+  result.folder = folder;
+  result.joined = fleet.CountJoined();
   for (const StreamHistory& stream : fleet.Streams()) {
-    cut += stream.wasCut ? 1 : 0;
-    wentOn += stream.wentOn ? 1 : 0;
+    result.cut += stream.wasCut ? 1 : 0;
+    result.wentOn += stream.wentOn ? 1 : 0;
   }
   std::printf("%zu streams, %zu cut, %zu went on, %zu joined of two versions, see %s\n",
-              fleet.Streams().size(), cut, wentOn, fleet.CountJoined(), folder.c_str());
-  CHECK_TRUE(cut >= kMinimumTakeUps);
-  CHECK_EQUAL(std::size_t{ 0 }, fleet.CountJoined());
-  CHECK_TRUE(2 * wentOn >= cut);
-  std::filesystem::remove_all(folder);
+              fleet.Streams().size(), result.cut, result.wentOn, result.joined, folder.c_str());
+  return result;
+}
+
+} // namespace
+
+// Guards against streams whose first part is of one software version and whose rest is of another,
+// and against streams that are given up though their version still serves.
+MASTICSTEP_TEST("streams go on at their software version after all daemons were killed",
+                "[soak][versions]")
+{
+  Scenario scenario;
+  scenario.kills = { Seconds(5), Seconds(10) };
+  scenario.killed = { 0, 1, 2, 3 };
+  const Outcome outcome = Play(std::move(scenario));
+  CHECK_TRUE(outcome.cut >= kMinimumTakeUps);
+  CHECK_EQUAL(std::size_t{ 0 }, outcome.joined);
+  CHECK_TRUE(2 * outcome.wentOn >= outcome.cut);
+  std::filesystem::remove_all(outcome.folder);
+}
+
+// Guards against streams that are refused since only the daemon that is lost knew their version.
+MASTICSTEP_TEST("streams of daemons that are lost as a version joins go on", "[soak][versions]")
+{
+  Scenario scenario;
+  scenario.kills = { Seconds(7) };
+  scenario.killed = { 0, 1 };
+  scenario.secondVersion = Seconds(7);
+  const Outcome outcome = Play(std::move(scenario));
+  CHECK_TRUE(outcome.cut >= kMinimumTakeUps);
+  CHECK_EQUAL(std::size_t{ 0 }, outcome.joined);
+  CHECK_TRUE(2 * outcome.wentOn >= outcome.cut);
+  std::filesystem::remove_all(outcome.folder);
 }
