Keep an engine that writes at each software version

Cause: PlanStages counted the decode engines of a data centre over all software versions. Two engines of the newer version met the share, so the older one was left with engines for prefill only. Only engines of the version that began a stream can go on with it, and only decode engines write.

Change: the plan first gives each version a decode engine, in the fleet and beyond the limit on changes; beside other versions, one with four engines or more keeps two, so that the loss of one leaves a writer while the next changes stage. Then each data centre approaches its share and never takes the last settled writer of a version. Changes under way are passed to the plan: they count towards the limit, are not ordered twice, and count as writers only when they are done.

--- a/libs/dispatch/include/masticstep/dispatch/StagePlan.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/StagePlan.hpp
@@ -53,9 +53,15 @@
   std::optional<Time> mDiffersSince; // start of the current deviation
 };
 
+// Engines whose change of stage is under way, with the stage to come.
+using PendingStages = std::map<BackendServerName, Stage>;
+
 // Returns the changes that bring the engines of a service in each data centre in line with the
-// policy. Skips draining engines and engines that run both stages.
+// policy. Each software version keeps or gets at least one engine for decoding in the fleet, even
+// beyond the limit on changes, since no other version can go on with the streams that it began.
+// Skips draining engines, engines with a pending change and engines that run both stages.
 std::vector<StageChange> PlanStages(const std::map<BackendServerName, Backend>& aBackends,
-                                    const ServiceName& aService, const StagePolicy& aPolicy);
+                                    const ServiceName& aService, const StagePolicy& aPolicy,
+                                    const PendingStages& aPending = {});
 
 } // namespace masticstep::dispatch
--- a/libs/dispatch/src/StagePlan.cpp
+++ b/libs/dispatch/src/StagePlan.cpp
@@ -8,24 +8,34 @@
 
 namespace {
 
-struct EngineGroup
+using Engines = std::vector<const Backend*>;
+
+// Engines of one data centre by the stage that they have, or will have after a pending change.
+struct DataCentre
 {
-  std::vector<BackendServerName> prefill;
-  std::vector<BackendServerName> decode;
+  Engines prefill;
+  Engines decode;
+  std::size_t changing = 0;
+
+  std::size_t Total() const { return prefill.size() + decode.size(); }
 };
 
-std::map<DataCentreName, EngineGroup> GroupByDataCentre(
-  const std::map<BackendServerName, Backend>& aBackends, const ServiceName& aService)
+// Engines of one software version in all data centres.
+struct Version
 {
-  std::map<DataCentreName, EngineGroup> groups;
-  for (const auto& [id, backend] : aBackends) {
-    if (backend.isDraining || backend.stage == Stage::Whole || backend.service != aService) {
-      continue;
-    }
-    EngineGroup& group = groups[backend.dataCentre];
-    (backend.stage == Stage::Prefill ? group.prefill : group.decode).push_back(id);
+  std::size_t engines = 0;
+  std::size_t writers = 0;        // engines for decoding
+  std::size_t settledWriters = 0; // those without a pending change
+
+  double WriterShare() const
+  {
+    return static_cast<double>(writers) / static_cast<double>(std::max<std::size_t>(1, engines));
   }
-  return groups;
+};
+
+bool IsPlanned(const Backend& aBackend, const ServiceName& aService)
+{
+  return !aBackend.isDraining && aBackend.stage != Stage::Whole && aBackend.service == aService;
 }
 
 // Limits on the share, since some engines of each stage are always needed.
@@ -42,6 +52,204 @@
 constexpr Duration kChangeInterval = Seconds(8);
 constexpr double kExpectedDecodeSeconds = 1.05;
 constexpr double kExpectedPrefillSeconds = 0.03;
+// Beside other versions, a version with this many engines keeps a second one for decoding. While a
+// version has none, the streams that it began cannot go on, and a change of stage takes seconds.
+constexpr std::size_t kEnginesForSecondWriter = 4;
+
+// Plans the stages of one service. Only engines of the software version that began a stream can go
+// on with it, and only engines for decoding write. So each version keeps engines for decoding in
+// the fleet first; then each data centre approaches its share.
+class StagePlanner
+{
+public:
+  StagePlanner(const std::map<BackendServerName, Backend>& aBackends, const ServiceName& aService,
+               const StagePolicy& aPolicy, const PendingStages& aPending)
+    : mPolicy(aPolicy)
+    , mPending(aPending)
+  {
+    for (const auto& [id, backend] : aBackends) {
+      if (IsPlanned(backend, aService)) {
+        AddEngine(backend);
+      }
+    }
+  }
+
+  std::vector<StageChange> Plan()
+  {
+    for (const auto& [name, version] : mVersions) {
+      while (version.writers < MinimumWriters(version) && AddWriter(name)) {
+      }
+    }
+    for (auto& [name, dataCentre] : mDataCentres) {
+      ApproachShare(dataCentre);
+    }
+    return std::move(mChanges);
+  }
+
+private:
+  bool IsPending(const Backend& aBackend) const { return mPending.contains(aBackend.id); }
+
+  void AddEngine(const Backend& aBackend)
+  {
+    const auto pending = mPending.find(aBackend.id);
+    const bool isPending = pending != mPending.end();
+    const Stage stage = isPending ? pending->second : aBackend.stage;
+    DataCentre& dataCentre = mDataCentres[aBackend.dataCentre];
+    Version& version = mVersions[aBackend.softwareVersion];
+    dataCentre.changing += isPending ? 1 : 0;
+    version.engines += 1;
+    if (stage == Stage::Prefill) {
+      dataCentre.prefill.push_back(&aBackend);
+      return;
+    }
+    dataCentre.decode.push_back(&aBackend);
+    version.writers += 1;
+    version.settledWriters += isPending ? 0 : 1;
+  }
+
+  std::size_t MinimumWriters(const Version& aVersion) const
+  {
+    return mVersions.size() > 1 && aVersion.engines >= kEnginesForSecondWriter ? 2 : 1;
+  }
+
+  std::size_t TargetCount(const DataCentre& aDataCentre) const
+  {
+    const double share = mPolicy.decodeShare * static_cast<double>(aDataCentre.Total());
+    return std::max<std::size_t>(static_cast<std::size_t>(std::lround(share)),
+                                 mPolicy.minimumDecodeEngines);
+  }
+
+  std::size_t ChangeLimit(const DataCentre& aDataCentre) const
+  {
+    const double total = static_cast<double>(aDataCentre.Total());
+    const double limit = std::ceil(std::min(1.0, mPolicy.maximumChangeShare) * total);
+    const std::size_t count = static_cast<std::size_t>(limit);
+    return count - std::min(count, aDataCentre.changing);
+  }
+
+  // Returns by how many engines for decoding the data centre exceeds its share.
+  double Excess(const DataCentre& aDataCentre) const
+  {
+    return static_cast<double>(aDataCentre.decode.size()) -
+           static_cast<double>(TargetCount(aDataCentre));
+  }
+
+  // Makes an engine of the version decode, in the data centre that lacks such engines most. Ignores
+  // the limit on changes. Returns whether there was an engine.
+  bool AddWriter(const SoftwareVersion& aVersion)
+  {
+    DataCentre* best = nullptr;
+    const Backend* engine = nullptr;
+    for (auto& [name, dataCentre] : mDataCentres) {
+      const Backend* candidate = FindPrefillEngine(dataCentre, aVersion);
+      if (candidate != nullptr && (best == nullptr || Excess(dataCentre) < Excess(*best))) {
+        best = &dataCentre;
+        engine = candidate;
+      }
+    }
+    if (engine != nullptr) {
+      ToDecode(*best, *engine);
+    }
+    return engine != nullptr;
+  }
+
+  const Backend* FindPrefillEngine(const DataCentre& aDataCentre,
+                                   const SoftwareVersion& aVersion) const
+  {
+    for (const Backend* engine : aDataCentre.prefill) {
+      if (engine->softwareVersion == aVersion && !IsPending(*engine)) {
+        return engine;
+      }
+    }
+    return nullptr;
+  }
+
+  void ApproachShare(DataCentre& aDataCentre)
+  {
+    const std::size_t target = TargetCount(aDataCentre);
+    std::size_t limit = ChangeLimit(aDataCentre);
+    for (; limit > 0 && aDataCentre.decode.size() > target; --limit) {
+      const Backend* engine = ChooseForPrefill(aDataCentre);
+      if (engine == nullptr) {
+        return;
+      }
+      ToPrefill(aDataCentre, *engine);
+    }
+    // At least one engine must remain for prefill.
+    for (; limit > 0 && aDataCentre.decode.size() < target && aDataCentre.prefill.size() > 1;
+         --limit) {
+      const Backend* engine = ChooseForDecode(aDataCentre);
+      if (engine == nullptr) {
+        return;
+      }
+      ToDecode(aDataCentre, *engine);
+    }
+  }
+
+  // Returns an engine for decoding of the version that can spare one best, or null.
+  const Backend* ChooseForPrefill(const DataCentre& aDataCentre) const
+  {
+    const Backend* best = nullptr;
+    for (const Backend* engine : aDataCentre.decode) {
+      const Version& version = VersionOf(*engine);
+      if (IsPending(*engine) || version.settledWriters <= MinimumWriters(version)) {
+        continue;
+      }
+      if (best == nullptr || version.WriterShare() > VersionOf(*best).WriterShare()) {
+        best = engine;
+      }
+    }
+    return best;
+  }
+
+  // Returns an engine for prefill of the version that lacks engines for decoding most, or null.
+  const Backend* ChooseForDecode(const DataCentre& aDataCentre) const
+  {
+    const Backend* best = nullptr;
+    for (const Backend* engine : aDataCentre.prefill) {
+      const double share = VersionOf(*engine).WriterShare();
+      if (!IsPending(*engine) && (best == nullptr || share < VersionOf(*best).WriterShare())) {
+        best = engine;
+      }
+    }
+    return best;
+  }
+
+  const Version& VersionOf(const Backend& aBackend) const
+  {
+    return mVersions.at(aBackend.softwareVersion);
+  }
+
+  void ToPrefill(DataCentre& aDataCentre, const Backend& aEngine)
+  {
+    std::erase(aDataCentre.decode, &aEngine);
+    Version& version = mVersions.at(aEngine.softwareVersion);
+    version.writers -= 1;
+    version.settledWriters -= 1;
+    aDataCentre.prefill.push_back(&aEngine);
+    AddChange(aDataCentre, aEngine, Stage::Prefill);
+  }
+
+  void ToDecode(DataCentre& aDataCentre, const Backend& aEngine)
+  {
+    std::erase(aDataCentre.prefill, &aEngine);
+    mVersions.at(aEngine.softwareVersion).writers += 1;
+    aDataCentre.decode.push_back(&aEngine);
+    AddChange(aDataCentre, aEngine, Stage::Decode);
+  }
+
+  void AddChange(DataCentre& aDataCentre, const Backend& aEngine, Stage aStage)
+  {
+    aDataCentre.changing += 1;
+    mChanges.push_back({ aEngine.id, aStage });
+  }
+
+  const StagePolicy& mPolicy;
+  const PendingStages& mPending;
+  std::map<DataCentreName, DataCentre> mDataCentres;
+  std::map<SoftwareVersion, Version> mVersions;
+  std::vector<StageChange> mChanges;
+};
 
 } // namespace
 
@@ -55,16 +263,18 @@
 std::optional<double> CurrentDecodeShare(const std::map<BackendServerName, Backend>& aBackends,
                                          const ServiceName& aService)
 {
-  std::size_t prefill = 0;
+  std::size_t all = 0;
   std::size_t decode = 0;
-  for (const auto& [key, group] : GroupByDataCentre(aBackends, aService)) {
-    prefill += group.prefill.size();
-    decode += group.decode.size();
+  for (const auto& [id, backend] : aBackends) {
+    if (IsPlanned(backend, aService)) {
+      all += 1;
+      decode += backend.stage == Stage::Decode ? 1 : 0;
+    }
   }
-  if (prefill + decode == 0) {
+  if (all == 0) {
     return std::nullopt;
   }
-  return static_cast<double>(decode) / static_cast<double>(prefill + decode);
+  return static_cast<double>(decode) / static_cast<double>(all);
 }
 
 DecodeShareController::DecodeShareController(double aStart)
@@ -92,29 +302,10 @@
 }
 
 std::vector<StageChange> PlanStages(const std::map<BackendServerName, Backend>& aBackends,
-                                    const ServiceName& aService, const StagePolicy& aPolicy)
+                                    const ServiceName& aService, const StagePolicy& aPolicy,
+                                    const PendingStages& aPending)
 {
-  std::vector<StageChange> changes;
-  for (const auto& [key, group] : GroupByDataCentre(aBackends, aService)) {
-    const std::size_t total = group.prefill.size() + group.decode.size();
-    const std::size_t share =
-      static_cast<std::size_t>(std::lround(aPolicy.decodeShare * static_cast<double>(total)));
-    const std::size_t targetCount = std::max<std::size_t>(share, aPolicy.minimumDecodeEngines);
-    const std::size_t limit =
-      aPolicy.maximumChangeShare >= 1.0
-        ? total
-        : static_cast<std::size_t>(std::ceil(aPolicy.maximumChangeShare * total));
-    const std::size_t end = std::min(group.decode.size(), targetCount + limit);
-    for (std::size_t i = targetCount; i < end; ++i) {
-      changes.push_back({ group.decode[i], Stage::Prefill });
-    }
-    // At least one engine must remain for prefill.
-    const std::size_t missing = targetCount - std::min(targetCount, group.decode.size());
-    for (std::size_t i = 0; i < std::min(missing, limit) && i + 1 < group.prefill.size(); ++i) {
-      changes.push_back({ group.prefill[i], Stage::Decode });
-    }
-  }
-  return changes;
+  return StagePlanner(aBackends, aService, aPolicy, aPending).Plan();
 }
 
 } // namespace masticstep::dispatch
--- a/libs/relay/src/StageController.cpp
+++ b/libs/relay/src/StageController.cpp
@@ -91,10 +91,8 @@
   // Without requests no capacity is needed, so all engines may change at once.
   policy.maximumChangeShare = measured ? kMaximumChangeShare : 1.0;
   for (const dispatch::StageChange& change :
-       dispatch::PlanStages(backends, aService.name, policy)) {
-    if (!mChanging.contains(change.engine)) {
-      IssueStageChange(change);
-    }
+       dispatch::PlanStages(backends, aService.name, policy, mChanging)) {
+    IssueStageChange(change);
   }
 }
 
@@ -119,7 +117,7 @@
 
 void StageController::IssueStageChange(const dispatch::StageChange& aChange)
 {
-  mChanging.insert(aChange.engine);
+  mChanging.insert_or_assign(aChange.engine, aChange.stage);
   const bool toPrefill = aChange.stage == dispatch::Stage::Prefill;
   telemetry::Log(Level::Info, "stage change begins",
                  { { "engine", aChange.engine.Text() },
--- a/libs/relay/src/StageController.hpp
+++ b/libs/relay/src/StageController.hpp
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace masticstep::relay {
 
@@ -46,7 +45,7 @@
   const bool mEnginesCheckFencing;
   std::map<ServiceName, dispatch::DecodeShareController> mShares;
   std::map<ServiceName, double> mLoggedShares;
-  std::set<BackendServerName> mChanging;
+  dispatch::PendingStages mChanging;
   bool mIsStopped = false;
 };
 
