Let resumed streams wait for an engine of their version to write

Cause: the dispatcher drops engines for prefill at whose version nobody writes, and the prompt queue refuses a prompt without candidates. With one version in service the prompt was read instead, and the answer failed after that.

Change: a resumed stream whose version has engines, all for prefill, stays in the queue until one of them decodes, at most until its caller would leave. All other prompts without an engine are refused at once as before. A request that is bound to a version is no longer read where no engine of it writes, also if that version is the only one.

--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -80,6 +80,9 @@
   // Number of engines that may read a prompt: those for prefill, or all if there are none or the
   // service has several software versions.
   std::size_t PrefillEngineCount(const PromptRequest& aRequest) const;
+  // Returns whether the request is bound to a software version whose engines are all for prefill.
+  // The stage plan makes one of them decode, which takes seconds.
+  bool AwaitsWriter(const PromptRequest& aRequest) const;
   // Other daemons of the data centre with a recent report.
   std::vector<HostName> ActivePeers(Time aNow) const { return mPeers.ActiveHosts(aNow); }
   // Chooses the engine that decodes the answer. aSource holds the KV cache of the prompt, which
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -222,7 +222,7 @@
 {
   std::vector<const BackendState*> candidates =
     Candidates(aRequest.service, aRequest.excluded, aRequest.version, aSupportsStage, aNow);
-  if (HasSeveralVersions(aRequest.service)) {
+  if (HasSeveralVersions(aRequest.service) || aRequest.version) {
     RemoveUnpaired(candidates, aRequest, aNow);
   }
   // Rendezvous hashing: daemons unaware of each other's requests prefer the same engine for a
@@ -301,6 +301,24 @@
   return forPrefill == 0 || HasSeveralVersions(aRequest.service) ? all : forPrefill;
 }
 
+bool Dispatcher::AwaitsWriter(const PromptRequest& aRequest) const
+{
+  bool hasEngine = false;
+  for (const auto& [id, state] : mBackendStates) {
+    const Backend& backend = state.backend;
+    const bool isOther =
+      backend.service != aRequest.service || backend.softwareVersion != aRequest.version;
+    if (isOther || backend.isDraining) {
+      continue;
+    }
+    if (SupportsDecode(backend.stage)) {
+      return false;
+    }
+    hasEngine = true;
+  }
+  return hasEngine;
+}
+
 double Dispatcher::TransferSeconds(const Backend& aSource, const Backend& aTarget,
                                    const PromptRequest& aRequest) const
 {
--- a/libs/dispatch/src/PromptQueue.cpp
+++ b/libs/dispatch/src/PromptQueue.cpp
@@ -112,6 +112,10 @@
     std::optional<PrefillPlacement> placement;
     if (misses < kMaximumMisses) {
       placement = ChooseEngine(prompt, aNow);
+      if (!placement && prompt.isResumption && mDispatcher.AwaitsWriter(prompt.request)) {
+        remaining.push_back(std::move(prompt));
+        continue;
+      }
       if (!placement) {
         released.push_back({ prompt.id, std::nullopt, kMinimumRetryAfter });
         continue;
--- a/libs/dispatch/tests/PromptQueueTests.cpp
+++ b/libs/dispatch/tests/PromptQueueTests.cpp
@@ -48,6 +48,33 @@
   return prompt;
 }
 
+const SoftwareVersion kOldVersion{ "v1" };
+const SoftwareVersion kNewVersion{ "v2" };
+
+// An engine of the older version at the given stage, and one of the newer version that decodes.
+std::map<BackendServerName, Backend> MakeTwoVersions(Stage aOldStage)
+{
+  std::map<BackendServerName, Backend> engines;
+  for (const SoftwareVersion& version : { kOldVersion, kNewVersion }) {
+    Backend engine;
+    engine.id = BackendServerName{ version.Text() };
+    engine.service = kService;
+    engine.slots = 8;
+    engine.stage = version == kOldVersion ? aOldStage : Stage::Decode;
+    engine.softwareVersion = version;
+    engines[engine.id] = engine;
+  }
+  return engines;
+}
+
+QueuedPrompt MakeResumption(std::uint64_t aId, const SoftwareVersion& aVersion)
+{
+  QueuedPrompt resumed = MakePrompt(aId, 1000, 0, kStart, Milliseconds(400));
+  resumed.request.version = aVersion;
+  resumed.isResumption = true;
+  return resumed;
+}
+
 struct Arrival
 {
   Time at;
@@ -372,3 +399,69 @@
   CHECK_EQUAL(std::size_t{ 1 }, released.size());
   CHECK_TRUE(released[0].placement.has_value());
 }
+
+// Guards against begun streams that are refused in the seconds in which an engine of their version
+// changes stage to write them.
+MASTICSTEP_TEST("a resumed stream waits while an engine of its version becomes a writer",
+                "[dispatch][queue][resume]")
+{
+  Dispatcher dispatcher = MakeDispatcher(0);
+  dispatcher.SetBackends(MakeTwoVersions(Stage::Prefill));
+  PromptQueue queue(dispatcher);
+  CHECK_FALSE(queue.Add(MakeResumption(1, kOldVersion), kStart).has_value());
+  CHECK_TRUE(queue.Release(kStart + Milliseconds(1500)).empty());
+  dispatcher.SetBackends(MakeTwoVersions(Stage::Decode));
+  const std::vector<ReleasedPrompt> released = queue.Release(kStart + Milliseconds(1510));
+  CHECK_EQUAL(std::size_t{ 1 }, released.size());
+  CHECK_TRUE(released[0].placement && released[0].placement->engine.softwareVersion == kOldVersion);
+}
+
+// Guards against a caller that leaves without having heard that its stream was not resumed.
+MASTICSTEP_TEST("a resumed stream that finds no writer in time is refused before its caller leaves",
+                "[dispatch][queue][resume][failure]")
+{
+  Dispatcher dispatcher = MakeDispatcher(0);
+  dispatcher.SetBackends(MakeTwoVersions(Stage::Prefill));
+  PromptQueue queue(dispatcher);
+  const QueuedPrompt resumed = MakeResumption(1, kOldVersion);
+  CHECK_FALSE(queue.Add(resumed, kStart).has_value());
+  const std::vector<ReleasedPrompt> released = queue.Release(resumed.callerDeadline);
+  CHECK_EQUAL(std::size_t{ 1 }, released.size());
+  CHECK_FALSE(released[0].placement.has_value());
+}
+
+// Guards against holding a stream that is known to have no engine, and new prompts of which the
+// caller has no event yet.
+MASTICSTEP_TEST("a prompt that no stage change can help is refused immediately",
+                "[dispatch][queue][failure]")
+{
+  Dispatcher dispatcher = MakeDispatcher(0);
+  dispatcher.SetBackends(MakeTwoVersions(Stage::Prefill));
+  PromptQueue queue(dispatcher);
+  CHECK_TRUE(queue.Add(MakeResumption(1, SoftwareVersion{ "gone" }), kStart).has_value());
+  QueuedPrompt fresh = MakeResumption(2, kOldVersion);
+  fresh.isResumption = false;
+  CHECK_FALSE(queue.Add(std::move(fresh), kStart).has_value());
+  QueuedPrompt refusedByWriter = MakeResumption(3, kNewVersion);
+  refusedByWriter.request.excluded = { BackendServerName{ kNewVersion.Text() } };
+  CHECK_FALSE(queue.Add(std::move(refusedByWriter), kStart).has_value());
+  const std::vector<ReleasedPrompt> released = queue.Release(kStart);
+  CHECK_EQUAL(std::size_t{ 2 }, released.size());
+  CHECK_FALSE(released[0].placement.has_value());
+  CHECK_FALSE(released[1].placement.has_value());
+}
+
+// Guards against prompts that are read for nothing: the only version in service has no engine that
+// could write the answer.
+MASTICSTEP_TEST("a resumed stream is not read again while no engine of the service writes",
+                "[dispatch][queue][resume]")
+{
+  std::map<BackendServerName, Backend> engines = MakeTwoVersions(Stage::Prefill);
+  engines.erase(BackendServerName{ kNewVersion.Text() });
+  Dispatcher dispatcher = MakeDispatcher(0);
+  dispatcher.SetBackends(engines);
+  PromptQueue queue(dispatcher);
+  CHECK_FALSE(queue.Add(MakeResumption(1, kOldVersion), kStart).has_value());
+  CHECK_TRUE(queue.Release(kStart).empty());
+  CHECK_EQUAL(std::size_t{ 1 }, queue.Size());
+}
