Send nothing new to backend servers that announce that they leave

Cause: the header was not read; a daemon learned only from the store that a server leaves.

An entry that still says ready, an expired entry that is listed again and a restored store do not take this back. An entry of a later process does; so does a minute in which the store was reachable, the entry did not drain and no further answer announced it, so that a faulty server does not lose its share for good. Answers with status 421 come from another server and announce nothing. Streams under way and KV caches that were made go on being used. Peers do not learn of it yet.

The relay's fixture passes its servers through the directory, as the daemon does, but keeps two entries with one address, which some tests use.

--- a/libs/dispatch/include/masticstep/dispatch/BackendDirectory.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/BackendDirectory.hpp
@@ -16,17 +16,27 @@
 // A store that was restored from an older copy of itself shows entries of servers that have left
 // and takes back that others are draining. What is known about a process of a server therefore only
 // moves forward: from ready to draining to gone.
+//
+// An answer of a server that says that it leaves counts like an entry that says so. Only an entry
+// of a later process ends it, or kAnnouncementLifetime in which no further answer said so.
 class BackendDirectory
 {
 public:
   // Time after the store's recovery within which a backend server must register again.
   static constexpr Duration kReregistrationGrace = Milliseconds(2000);
+  // A server that still answers and is registered as ready this long after it announced that it
+  // leaves is taken for faulty, and gets requests again. Servers leave within seconds.
+  static constexpr Duration kAnnouncementLifetime = Seconds(60);
 
   // Replaces the directory by a complete listing.
   void Replace(std::vector<Backend> aBackends, Time aNow);
   void Set(Backend aBackend, Time aNow);
   // Handles the removal of a store entry.
   void Remove(const BackendServerName& aId, Time aNow);
+  // Handles an answer that announced that its server leaves. aStartedAtMs is the start time in the
+  // entry with which the server was chosen. Returns whether the server is now draining and was not
+  // before.
+  bool OnLeavingAnnounced(const BackendServerName& aId, std::int64_t aStartedAtMs, Time aNow);
 
   // The store became unreachable, or reachable again.
   void OnStoreLost();
@@ -57,7 +67,21 @@
     Time at{};
   };
 
+  // A server that announced in an answer that it leaves.
+  struct Announcement
+  {
+    std::int64_t startedAtMs = 0;
+    Time at{};                    // of the latest such answer
+    bool isEntryDraining = false; // the entry says so, too
+  };
+
   bool MayReregister(Time aNow) const;
+  // Makes the entry drain if its server announced that it leaves. An entry of a later process ends
+  // the announcement.
+  void ApplyAnnouncement(Backend& aBackend);
+  // Ends announcements that are too old. Their time begins anew after an outage of the store, in
+  // which entries prove nothing. Returns whether a server is ready again.
+  bool EndAnnouncements(Time aNow);
   // Returns whether the store may still show entries of servers that are gone.
   bool IsRestoring(Time aNow) const;
   // Returns whether a listed entry may be older than what is known about its server.
@@ -68,6 +92,7 @@
   std::map<BackendServerName, Time> mPendingRemovals; // time at which the entry is dropped
   std::map<BackendServerName, Departure> mDeparted;
   std::map<BackendServerName, Backend> mDoubtful;
+  std::map<BackendServerName, Announcement> mAnnouncements;
   std::optional<Time> mRestoredAt;
   Duration mEntryLifetime = Seconds(4);
   std::optional<Time> mStoreRecoveredAt; // end of the latest outage
--- a/libs/dispatch/src/BackendDirectory.cpp
+++ b/libs/dispatch/src/BackendDirectory.cpp
@@ -66,6 +66,7 @@
   mPendingRemovals.erase(aBackend.id);
   mDeparted.erase(aBackend.id);
   mDoubtful.erase(aBackend.id);
+  ApplyAnnouncement(aBackend);
   const auto known = mBackends.find(aBackend.id);
   // Without a start time, a restarted server looks like the same process.
   const bool mayBeSameProcess = aBackend.startedAtMs != 0 || IsRestoring(aNow);
@@ -109,10 +110,68 @@
     mPendingRemovals.try_emplace(aId, recoveredAt + kReregistrationGrace);
     return;
   }
+  // Without a start time, the next entry under this id may be that of a new process.
+  if (found->second.startedAtMs == 0 && !MayReregister(aNow)) {
+    mAnnouncements.erase(aId);
+  }
   Erase(aId, aNow);
   mPendingRemovals.erase(aId);
 }
 
+bool BackendDirectory::OnLeavingAnnounced(const BackendServerName& aId, std::int64_t aStartedAtMs,
+                                          Time aNow)
+{
+  const auto found = mBackends.find(aId);
+  if (found != mBackends.end() && found->second.startedAtMs > aStartedAtMs) {
+    return false; // from an earlier process
+  }
+  const bool wasDraining = found != mBackends.end() && found->second.isDraining;
+  Announcement& announcement =
+    mAnnouncements.try_emplace(aId, Announcement{ aStartedAtMs, aNow, wasDraining }).first->second;
+  announcement.startedAtMs = std::max(announcement.startedAtMs, aStartedAtMs);
+  announcement.at = aNow;
+  if (found == mBackends.end() || wasDraining) {
+    return false;
+  }
+  found->second.isDraining = true;
+  return true;
+}
+
+void BackendDirectory::ApplyAnnouncement(Backend& aBackend)
+{
+  const auto found = mAnnouncements.find(aBackend.id);
+  if (found == mAnnouncements.end()) {
+    return;
+  }
+  if (aBackend.startedAtMs > found->second.startedAtMs) {
+    mAnnouncements.erase(found);
+    return;
+  }
+  found->second.isEntryDraining = found->second.isEntryDraining || aBackend.isDraining;
+  aBackend.isDraining = true;
+}
+
+bool BackendDirectory::EndAnnouncements(Time aNow)
+{
+  bool isChanged = false;
+  for (auto it = mAnnouncements.begin(); it != mAnnouncements.end();) {
+    if (MayReregister(aNow) || IsRestoring(aNow)) {
+      it->second.at = aNow;
+    }
+    if (aNow < it->second.at + kAnnouncementLifetime) {
+      ++it;
+      continue;
+    }
+    const auto backend = mBackends.find(it->first);
+    if (backend != mBackends.end() && !it->second.isEntryDraining) {
+      backend->second.isDraining = false;
+      isChanged = true;
+    }
+    it = mAnnouncements.erase(it);
+  }
+  return isChanged;
+}
+
 void BackendDirectory::OnStoreLost()
 {
   mIsStoreLost = true;
@@ -136,7 +195,7 @@
 
 bool BackendDirectory::RemoveExpired(Time aNow)
 {
-  bool isChanged = false;
+  bool isChanged = EndAnnouncements(aNow);
   for (auto it = mPendingRemovals.begin(); it != mPendingRemovals.end();) {
     if (it->second > aNow) {
       ++it;
--- a/libs/dispatch/tests/BackendDirectoryTests.cpp
+++ b/libs/dispatch/tests/BackendDirectoryTests.cpp
@@ -164,3 +164,91 @@
   CHECK_TRUE(directory.RemoveExpired(back + BackendDirectory::kReregistrationGrace));
   CHECK_FALSE(Contains(directory, "new"));
 }
+
+// Guards against requests to a server that leaves while the store cannot say so yet or any more.
+MASTICSTEP_TEST("a server that announced that it leaves drains whatever its entry says",
+                "[dispatch][directory][leaving]")
+{
+  const BackendServerName id{ "a" };
+  const Backend ready = StartedAt(MakeBackend("a", 1), 7);
+  BackendDirectory directory;
+  directory.Replace({ ready }, kStart);
+  CHECK_TRUE(directory.OnLeavingAnnounced(id, 7, kStart));
+  CHECK_FALSE(directory.OnLeavingAnnounced(id, 7, kStart));
+  CHECK_TRUE(directory.Backends().at(id).isDraining);
+  directory.Set(ready, kStart + Seconds(1));
+  CHECK_TRUE(directory.Backends().at(id).isDraining);
+  directory.Replace({ ready }, kStart + Seconds(2));
+  CHECK_TRUE(directory.Backends().at(id).isDraining);
+  // The entry expires in an outage and is listed again by a store that was restored from a copy.
+  directory.OnStoreLost();
+  directory.Remove(id, kStart + Seconds(3));
+  directory.OnStoreRestored(kStart + Seconds(9));
+  directory.Replace({ ready }, kStart + Seconds(9));
+  directory.RemoveExpired(kStart + Seconds(30));
+  CHECK_TRUE(directory.Backends().at(id).isDraining);
+}
+
+// Guards against keeping a restarted server out because of what the process before it said.
+MASTICSTEP_TEST("an announcement concerns one process of a server",
+                "[dispatch][directory][leaving]")
+{
+  const BackendServerName id{ "a" };
+  BackendDirectory directory;
+  directory.Replace({ StartedAt(MakeBackend("a", 1), 7) }, kStart);
+  directory.OnLeavingAnnounced(id, 7, kStart);
+  directory.Set(StartedAt(MakeBackend("a", 1), 8), kStart + Seconds(1));
+  CHECK_FALSE(directory.Backends().at(id).isDraining);
+  CHECK_FALSE(directory.OnLeavingAnnounced(id, 7, kStart + Seconds(1)));
+  CHECK_FALSE(directory.Backends().at(id).isDraining);
+
+  // Without start times, the end of the entry separates the processes.
+  BackendDirectory withoutTimes;
+  withoutTimes.Replace({ MakeBackend("a", 1) }, kStart);
+  withoutTimes.OnLeavingAnnounced(id, 0, kStart);
+  withoutTimes.Set(MakeBackend("a", 1), kStart + Seconds(1));
+  CHECK_TRUE(withoutTimes.Backends().at(id).isDraining);
+  withoutTimes.Remove(id, kStart + Seconds(2));
+  withoutTimes.Set(MakeBackend("a", 1), kStart + Seconds(3));
+  CHECK_FALSE(withoutTimes.Backends().at(id).isDraining);
+}
+
+// Guards against a faulty server that loses its share for good, and against a server that leaves
+// and gets requests because of an outage of the store or a late entry.
+MASTICSTEP_TEST("a server that announced that it leaves and stays is used again after a time",
+                "[dispatch][directory][leaving]")
+{
+  const BackendServerName id{ "a" };
+  constexpr Duration kLifetimeOfWord = BackendDirectory::kAnnouncementLifetime;
+  BackendDirectory directory;
+  directory.Replace({ StartedAt(MakeBackend("a", 1), 7) }, kStart);
+  directory.OnLeavingAnnounced(id, 7, kStart);
+  const Time repeated = kStart + Seconds(30);
+  directory.OnLeavingAnnounced(id, 7, repeated);
+  CHECK_FALSE(directory.RemoveExpired(kStart + kLifetimeOfWord));
+  directory.OnStoreLost();
+  const Time back = repeated + kLifetimeOfWord;
+  CHECK_FALSE(directory.RemoveExpired(back));
+  directory.OnStoreRecovered(back);
+  CHECK_FALSE(directory.RemoveExpired(back + kLifetimeOfWord - Milliseconds(1)));
+  CHECK_TRUE(directory.RemoveExpired(back + kLifetimeOfWord));
+  CHECK_FALSE(directory.Backends().at(id).isDraining);
+  directory.Set(StartedAt(MakeBackend("a", 1), 7), back + kLifetimeOfWord);
+  CHECK_FALSE(directory.Backends().at(id).isDraining);
+}
+
+// Guards against using a server again whose entry says that it drains.
+MASTICSTEP_TEST("the end of an announcement does not end what the entry says",
+                "[dispatch][directory][leaving]")
+{
+  const BackendServerName id{ "a" };
+  const Time end = kStart + BackendDirectory::kAnnouncementLifetime;
+  for (const bool isEntryFirst : { true, false }) {
+    BackendDirectory directory;
+    directory.Replace({ StartedAt(MakeBackend("a", 1, isEntryFirst), 7) }, kStart);
+    directory.OnLeavingAnnounced(id, 7, kStart);
+    directory.Set(StartedAt(MakeBackend("a", 1, !isEntryFirst), 7), kStart + Seconds(1));
+    directory.RemoveExpired(end);
+    CHECK_TRUE(directory.Backends().at(id).isDraining);
+  }
+}
--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -28,6 +28,9 @@
              dispatch::Locality aPlace, std::uint64_t aSeed);
   ~RelayState();
 
+  // Passes the backend servers of the directory on. Must be called after each change of it.
+  void ApplyDirectory(Time aNow);
+
   const net::Executor executor;
   const std::shared_ptr<const Dialect> dialect;
   const std::shared_ptr<net::ConnectionPool> pool;
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -80,6 +80,9 @@
   if (!head) {
     co_return Failure(MakeError(Progress::Unknown, head.error()));
   }
+  if (head->isLeaving && head->status != kMisdirectedRequest) {
+    ReportLeaving();
+  }
   LogRequestLimit(*head);
   if (head->requestLimit || head->isSigned || head->notExecuted) {
     mState.dispatcher.OnRequestLimit(mBackend.id, head->requestLimit, net::Now());
@@ -102,6 +105,16 @@
   co_return *head;
 }
 
+void Exchange::ReportLeaving()
+{
+  const Time now = net::Now();
+  if (mState.directory.OnLeavingAnnounced(mBackend.id, mBackend.startedAtMs, now)) {
+    telemetry::Log(telemetry::Level::Info, "backend server announced that it leaves",
+                   { { "request_id", mCallId }, { "backend", mBackend.id.Text() } });
+    mState.ApplyDirectory(now);
+  }
+}
+
 void Exchange::LogRequestLimit(const BackendResponseHead& aHead) const
 {
   if (aHead.requestLimit) {
--- a/libs/relay/src/Exchange.hpp
+++ b/libs/relay/src/Exchange.hpp
@@ -60,6 +60,8 @@
   const dispatch::Backend& Backend() const { return mBackend; }
 
 private:
+  // Takes the backend server out of service for new requests.
+  void ReportLeaving();
   void LogRequestLimit(const BackendResponseHead& aHead) const;
   // Returns whether the answer certainly belongs to this message.
   bool IsOwnAnswer(const BackendResponseHead& aAnswer) const;
--- a/libs/relay/src/PlatformWatcher.cpp
+++ b/libs/relay/src/PlatformWatcher.cpp
@@ -305,8 +305,7 @@
       std::max(mState->storeSync.backendChangeRevision, aUpdate.revision);
   }
   if (aIsSnapshot || !aUpdate.changes.empty()) {
-    mState->dispatcher.SetBackends(mState->directory.Backends());
-    mState->streamOrigins.OnBackends(mState->directory.Backends(), now);
+    mState->ApplyDirectory(now);
   }
 }
 
@@ -316,9 +315,8 @@
   while (true) {
     co_await net::Sleep(kExpiryCheckInterval);
     if (mState->directory.RemoveExpired(net::Now())) {
-      telemetry::Log(Level::Info, "list of backend servers corrected after a platform outage");
-      mState->dispatcher.SetBackends(mState->directory.Backends());
-      mState->streamOrigins.OnBackends(mState->directory.Backends(), net::Now());
+      telemetry::Log(Level::Info, "entries of backend servers dropped or used again");
+      mState->ApplyDirectory(net::Now());
     }
   }
 }
--- a/libs/relay/src/RelayState.cpp
+++ b/libs/relay/src/RelayState.cpp
@@ -27,4 +27,10 @@
 
 RelayState::~RelayState() = default;
 
+void RelayState::ApplyDirectory(Time aNow)
+{
+  dispatcher.SetBackends(directory.Backends());
+  streamOrigins.OnBackends(directory.Backends(), aNow);
+}
+
 } // namespace masticstep::relay
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -124,6 +124,7 @@
   answer.isSigned = !net::FindHeader(aHead.headers, "Signed").empty();
   const std::string limit(net::FindHeader(aHead.headers, "Limit"));
   answer.requestLimit = limit.empty() ? std::nullopt : std::optional<double>(std::stod(limit));
+  answer.isLeaving = !net::FindHeader(aHead.headers, "Leaving").empty();
   answer.notExecuted = !net::FindHeader(aHead.headers, "Not-Run").empty();
   return answer;
 }
@@ -311,6 +312,11 @@
   }
   // On the event loop, which owns the state.
   asio::post(mState->executor, asio::use_future([this, &all] {
+               mState->directory.Replace(mBackends, net::Now());
+               // The directory keeps one server of an address; some tests use one for two stages.
+               for (const auto& [id, known] : mState->directory.Backends()) {
+                 all[id] = known;
+               }
                mState->dispatcher.SetBackends(all);
                mState->streamOrigins.OnBackends(all, net::Now());
              }))
