Drop prefill engines of a lone version only while none of it writes

The previous rule also applied to a bound request whose engines for decoding were only at their request limit or had failed it, and refused it before its prompt was read; before, such a request was read and tried. With several versions in service nothing changes. No test failed with either rule; the dispatch tests have 94 passed, 0 failed.

--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -222,7 +222,7 @@
 {
   std::vector<const BackendState*> candidates =
     Candidates(aRequest.service, aRequest.excluded, aRequest.version, aSupportsStage, aNow);
-  if (HasSeveralVersions(aRequest.service) || aRequest.version) {
+  if (HasSeveralVersions(aRequest.service) || AwaitsWriter(aRequest)) {
     RemoveUnpaired(candidates, aRequest, aNow);
   }
   // Rendezvous hashing: daemons unaware of each other's requests prefer the same engine for a
