Let a bound stream wait for the engine that read its prompt

Callers would see: a resumed stream is read by an engine for prefill while the last engine of its version that could write leaves, and is refused although the plan then makes just that engine decode.

Cause: when no engine can write, the session excludes the engine that read the prompt, so that engines of another version are tried. A request that is bound to a version gains nothing from that, and waits in vain for the excluded engine.

Change: only requests that are bound to no version exclude it. Engines for prefill of a version that nobody writes are not chosen again anyway.

--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -121,8 +121,11 @@
   if (engine) {
     co_return co_await RunDecode(*engine);
   }
-  // Engines of another software version may be able to read the prompt and write the answer.
-  mWork.excluded.push_back(mPrefillEngine->id);
+  // Engines of another software version may be able to read the prompt and write the answer. A
+  // request that is bound to this version may need the engine itself, once it decodes.
+  if (!mWork.version) {
+    mWork.excluded.push_back(mPrefillEngine->id);
+  }
   ReleaseKvCache();
   if (mPrefillAttempts < kMaximumPrefills && TryTakeRetry()) {
     co_return Step::Continue;
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -304,6 +304,16 @@
   ApplyBackends();
 }
 
+void RelayFixture::SetStage(const std::string& aId, dispatch::Stage aStage)
+{
+  for (dispatch::Backend& backend : mBackends) {
+    if (backend.id == BackendServerName{ aId }) {
+      backend.stage = aStage;
+    }
+  }
+  ApplyBackends();
+}
+
 void RelayFixture::ApplyBackends()
 {
   std::map<BackendServerName, dispatch::Backend> all;
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -91,6 +91,7 @@
            dispatch::Stage aStage = dispatch::Stage::Whole,
            const std::string& aSoftwareVersion = "v1");
   void Remove(const std::string& aId);
+  void SetStage(const std::string& aId, dispatch::Stage aStage);
   // Adds a backend server that refuses connections.
   void AddUnreachable(const std::string& aId, const std::string& aService, dispatch::Stage aStage);
   // Sends one request on a new connection and returns all bytes until the relay closes it.
--- a/libs/relay/tests/SoftwareVersionTests.cpp
+++ b/libs/relay/tests/SoftwareVersionTests.cpp
@@ -1,6 +1,9 @@
 #include "RelayFixture.hpp"
 #include "masticstep/testing/Test.hpp"
 
+#include <atomic>
+#include <thread>
+
 using namespace masticstep;
 using namespace masticstep::relay;
 
@@ -148,3 +151,36 @@
   CHECK_TRUE(answer.starts_with("HTTP/1.1 503"));
   CHECK_TRUE(older.Requests().empty() && newer.Requests().empty());
 }
+
+// Guards against refusing a stream that was read when the last engine that could write it left,
+// while the engine that read it becomes a writer.
+MASTICSTEP_TEST("a resumed stream waits for the engine that read it to write the answer",
+                "[relay][version][resume]")
+{
+  RelayFixture fixture;
+  std::atomic<bool> isResumed{ false };
+  std::thread stageChange;
+  ScriptedBackend reader([&](const std::string& aRequest) {
+    if (isResumed && !stageChange.joinable()) {
+      fixture.Remove("w1");
+      stageChange = std::thread([&fixture] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        fixture.SetStage("r1", Stage::Decode);
+      });
+    }
+    return ReadOrWrite(aRequest);
+  });
+  ScriptedBackend writer(Always(WholeStream(1, 2)));
+  ScriptedBackend newer(Always(WholeStream(3, 4)));
+  fixture.Add("r1", "llm", reader, Stage::Prefill, "v1");
+  fixture.Add("w1", "llm", writer, Stage::Decode, "v1");
+  fixture.Add("w2", "llm", newer, Stage::Decode, "v2");
+  fixture.SendRequest("POST", "/resume/");
+  isResumed = true;
+  const std::string answer =
+    fixture.SendRequest("POST", "/resume/", "Last-Event-Id: 2\r\nResumes: c1\r\n");
+  CHECK_TRUE(stageChange.joinable());
+  stageChange.join();
+  CHECK_TRUE(Contains(answer, "id: 4\n") && answer.ends_with("0\r\n\r\n"));
+  CHECK_TRUE(newer.Requests().empty());
+}
