--- a/libs/dispatch/include/masticstep/dispatch/StagePlan.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/StagePlan.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "masticstep/base/Time.hpp"
 #include "masticstep/dispatch/Backend.hpp"
 
 #include <map>
@@ -23,36 +22,16 @@
   // Share of a data centre's engines that decode; the others prefill.
   double decodeShare = 0.4;
   std::uint32_t minimumDecodeEngines = 1; // per data centre
-  // Largest part of a data centre's engines that changes in one plan, at least one engine.
+  // Largest part of a data centre's engines that changes at the same time, at least one engine.
   double maximumChangeShare = 1.0;
 
   bool operator==(const StagePolicy&) const = default;
 };
 
-// Returns the initial share before any request has been measured. Assumes answers of about a second
-// in one of the engine's slots, after a prefill of a few hundredths of a second.
-double InitialDecodeShare(std::uint32_t aSlots);
-
 // Returns the share of a service's engines that decode now, or nothing if it has no engines.
 std::optional<double> CurrentDecodeShare(const std::map<BackendServerName, Backend>& aBackends,
                                          const ServiceName& aService);
 
-// Tracks the measured share with hysteresis, since each change takes an engine out of service for
-// seconds.
-class DecodeShareController
-{
-public:
-  explicit DecodeShareController(double aStart);
-
-  // Returns the share to apply now.
-  double Update(std::optional<double> aMeasured, Time aNow);
-
-private:
-  double mShare;
-  std::optional<Time> mChangedAt;
-  std::optional<Time> mDiffersSince; // start of the current deviation
-};
-
 // Engines whose change of stage is under way, with the stage to come.
 using PendingStages = std::map<BackendServerName, Stage>;
 
--- a/libs/dispatch/src/StagePlan.cpp
+++ b/libs/dispatch/src/StagePlan.cpp
@@ -38,20 +38,6 @@
   return !aBackend.isDraining && aBackend.stage != Stage::Whole && aBackend.service == aService;
 }
 
-// Limits on the share, since some engines of each stage are always needed.
-constexpr double kMinimumDecodeShare = 0.2;
-constexpr double kMaximumDecodeShare = 0.7;
-// Without any measurement, an error in either direction costs about the same.
-constexpr double kMaximumInitialShare = 0.45;
-// Smaller deviations gain less than a change of stage costs.
-constexpr double kGrowthDeadBand = 0.15;
-// Decode engines are given away more reluctantly: with too few of them answers fail and are
-// repeated, with too few prefill engines prompts only wait.
-constexpr double kShrinkDeadBand = 0.2;
-constexpr Duration kConfirmationTime = Seconds(4);
-constexpr Duration kChangeInterval = Seconds(8);
-constexpr double kExpectedDecodeSeconds = 1.05;
-constexpr double kExpectedPrefillSeconds = 0.03;
 // Beside other versions, a version with this many engines keeps a second one for decoding. While a
 // version has none, the streams that it began cannot go on, and a change of stage takes seconds.
 constexpr std::size_t kEnginesForSecondWriter = 4;
@@ -253,13 +239,6 @@
 
 } // namespace
 
-double InitialDecodeShare(std::uint32_t aSlots)
-{
-  const double answer = kExpectedDecodeSeconds / std::max(1U, aSlots);
-  return std::clamp(answer / (answer + kExpectedPrefillSeconds), kMinimumDecodeShare,
-                    kMaximumInitialShare);
-}
-
 std::optional<double> CurrentDecodeShare(const std::map<BackendServerName, Backend>& aBackends,
                                          const ServiceName& aService)
 {
@@ -277,30 +256,6 @@
   return static_cast<double>(decode) / static_cast<double>(all);
 }
 
-DecodeShareController::DecodeShareController(double aStart)
-  : mShare(aStart)
-{
-}
-
-double DecodeShareController::Update(std::optional<double> aMeasured, Time aNow)
-{
-  const bool differs =
-    aMeasured && (*aMeasured > mShare + kGrowthDeadBand || *aMeasured < mShare - kShrinkDeadBand);
-  if (!differs) {
-    mDiffersSince.reset();
-    return mShare;
-  }
-  mDiffersSince = mDiffersSince ? mDiffersSince : aNow;
-  const bool isConfirmed = aNow >= *mDiffersSince + kConfirmationTime;
-  const bool mayChange = !mChangedAt || aNow >= *mChangedAt + kChangeInterval;
-  if (isConfirmed && mayChange) {
-    mShare = std::clamp(*aMeasured, kMinimumDecodeShare, kMaximumDecodeShare);
-    mChangedAt = aNow;
-    mDiffersSince.reset();
-  }
-  return mShare;
-}
-
 std::vector<StageChange> PlanStages(const std::map<BackendServerName, Backend>& aBackends,
                                     const ServiceName& aService, const StagePolicy& aPolicy,
                                     const PendingStages& aPending)
--- a/libs/relay/src/StageController.hpp
+++ b/libs/relay/src/StageController.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticstep/control/EngineAuthority.hpp"
+#include "masticstep/dispatch/DecodeShare.hpp"
 #include "masticstep/dispatch/StagePlan.hpp"
 #include "masticstep/relay/RelayState.hpp"
 
