--- a/libs/relay/src/StageController.hpp
+++ b/libs/relay/src/StageController.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "masticstep/control/EngineAuthority.hpp"
+#include "masticstep/dispatch/DecodeShare.hpp"
 #include "masticstep/dispatch/StagePlan.hpp"
 #include "masticstep/relay/RelayState.hpp"
 
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace masticstep::relay {
 
@@ -46,7 +46,7 @@
   const bool mEnginesCheckFencing;
   std::map<ServiceName, dispatch::DecodeShareController> mShares;
   std::map<ServiceName, double> mLoggedShares;
-  std::set<BackendServerName> mChanging;
+  dispatch::PendingStages mChanging;
   bool mIsStopped = false;
 };
 
