Relay: name the requests that a planned stop cuts

The log line at the end of a planned stop only counted the requests that were cut, so an operator could not tell which callers got no answer. Each of them now has a line "request cut" with its id, and the counter masticstep_shutdown_requests_total{result="cut"} counts them. "shutdown ends" also tells how many connections are left open, which includes uploads that have not ended, and how long the stop took.

--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -97,6 +97,7 @@
   net::Task<void> WaitForSignals();
   net::Task<void> ReloadPeriodically();
   net::Task<void> Shutdown();
+  void LogShutdownEnd(Time aBegin) const;
 
   const RelaySettings mSettings;
   boost::asio::io_context mContext;
--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -13,11 +13,13 @@
 #include "masticstep/telemetry/Metrics.hpp"
 
 #include <memory>
+#include <unordered_set>
 
 namespace masticstep::relay {
 
 class AsyncPromptQueue;
 class CrashDetector;
+class Session;
 class StreamOriginExchange;
 
 // State that the requests of one daemon share. Not thread-safe: the daemon runs on a single thread,
@@ -45,7 +47,7 @@
   StoreSyncState storeSync;
   std::uint64_t nextRequestId = 1;
   std::size_t bufferedResponseBytes = 0; // of responses that are being read or forwarded whole
-  std::size_t runningRequests = 0;       // requests with a session, not yet completed
+  std::unordered_set<Session*> sessions; // of the requests that are not yet completed
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/src/AdminHandler.cpp
+++ b/libs/relay/src/AdminHandler.cpp
@@ -28,7 +28,7 @@
   }
   if (aPath == kMetricsPath) {
     mState->metrics.GetGauge({ "masticstep_relay_running_requests", "", "" })
-      ->Set(static_cast<std::int64_t>(mState->runningRequests));
+      ->Set(static_cast<std::int64_t>(mState->sessions.size()));
     mState->metrics.GetGauge({ "masticstep_relay_waiting_prompts", "", "" })
       ->Set(static_cast<std::int64_t>(mState->promptQueue->WaitingCount()));
     mState->metrics.GetGauge({ "masticstep_relay_configuration_version", "", "" })
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -3,6 +3,7 @@
 #include "AdminHandler.hpp"
 #include "PlatformWatcher.hpp"
 #include "QuarantineExchange.hpp"
+#include "Session.hpp"
 #include "StageController.hpp"
 #include "StreamOriginExchange.hpp"
 #include "WorkReportChannel.hpp"
@@ -256,7 +257,7 @@
     return;
   }
   telemetry::Log(Level::Info, "shutdown begins",
-                 { { "running", static_cast<std::uint64_t>(mState->runningRequests) } });
+                 { { "running", static_cast<std::uint64_t>(mState->sessions.size()) } });
   asio::co_spawn(
     mContext, [this] { return Shutdown(); }, asio::detached);
 }
@@ -269,13 +270,24 @@
   mStageController->Stop();
   co_await net::Sleep(std::min(kBalancerDetectionTime, mSettings.grace / 2));
   mCallerServer->StopAccepting();
-  while ((mState->runningRequests > 0 || mCallerServer->ConnectionCount() > 0) &&
-         net::Now() < end) {
+  while ((!mState->sessions.empty() || mCallerServer->ConnectionCount() > 0) && net::Now() < end) {
     co_await net::Sleep(kDrainCheckInterval);
   }
-  telemetry::Log(mState->runningRequests == 0 ? Level::Info : Level::Warning, "shutdown ends",
-                 { { "cut", static_cast<std::uint64_t>(mState->runningRequests) } });
+  LogShutdownEnd(begin);
   mContext.stop();
 }
 
+void RelayDaemon::LogShutdownEnd(Time aBegin) const
+{
+  for (const Session* session : mState->sessions) {
+    session->LogCut();
+  }
+  const std::size_t connections = mCallerServer->ConnectionCount();
+  const bool isClean = mState->sessions.empty() && connections == 0;
+  telemetry::Log(isClean ? Level::Info : Level::Warning, "shutdown ends",
+                 { { "cut", static_cast<std::uint64_t>(mState->sessions.size()) },
+                   { "open_connections", static_cast<std::uint64_t>(connections) },
+                   { "milliseconds", ToSeconds(net::Now() - aBegin) * 1000.0 } });
+}
+
 } // namespace masticstep::relay
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -65,7 +65,7 @@
   , mSharedParts(dispatch::SharedParts(mRequest.call.prompt.value_or(dispatch::Prompt{})))
   , mSuspects(SuspectsOf(mRequest.digest, mSharedParts))
 {
-  ++mState->runningRequests;
+  mState->sessions.insert(this);
   mState->retryBudget.OnRequest(mRequest.service, mRequest.arrived);
   mResponder.OnGone([this] { OnCallerGone(); });
 }
@@ -73,7 +73,7 @@
 Session::~Session()
 {
   mResponder.OnGone(nullptr);
-  --mState->runningRequests;
+  mState->sessions.erase(this);
 }
 
 bool Session::IsPastDeadline() const
@@ -134,6 +134,18 @@
   return mState->retryBudget.TryAcquire(mRequest.service, net::Now(), aMessages);
 }
 
+void Session::LogCut() const
+{
+  mState->metrics.GetCounter({ "masticstep_shutdown_requests_total", "result", "cut" })->Add();
+  telemetry::Log(Level::Warning, "request cut",
+                 { { "request_id", mRequest.call.id },
+                   { "route", mRequest.route->name },
+                   { "service", mRequest.service.Text() },
+                   { "answer_begun", mResponder.HasStarted() },
+                   { "possibly_run", mPossiblyExecuted || mActiveExchange != nullptr },
+                   { "milliseconds", ToSeconds(net::Now() - mRequest.arrived) * 1000.0 } });
+}
+
 dispatch::Outcome Session::OutcomeOf(const ExchangeError& aError) const
 {
   if (aError.kind == net::NetErrorKind::Cancelled || IsCallerGone() || IsPastDeadline()) {
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -30,6 +30,8 @@
 
   // Answers the request.
   virtual net::Task<void> Run() = 0;
+  // Logs that the process exits before the request is completed.
+  void LogCut() const;
 
 protected:
   // Returns whether the caller has disconnected.
