Net: let a server refuse requests that have not arrived whole

A server that stops could only close idle connections and finish running answers. An upload that had not ended by then was cut without an answer when the process exited. HttpServer::RefuseUnfinished answers such requests with 503, which is true since no handler has got them, and closes their connections. Requests that are being handled go on.

The wait for input of a begun request can now be cancelled without closing the stream, because the refusal is written to it.

--- a/libs/net/include/masticstep/net/HttpServer.hpp
+++ b/libs/net/include/masticstep/net/HttpServer.hpp
@@ -47,6 +47,8 @@
   void CloseAfterAnswers();
   // Ends the acceptor and closes connections without a request.
   void StopAccepting();
+  // Refuses the requests that have not arrived whole with status 503 and closes their connections.
+  void RefuseUnfinished();
   std::size_t ConnectionCount() const;
 
 private:
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -42,7 +42,8 @@
 
   Task<void> Accept();
   Task<void> Serve(Socket aSocket, std::string aSource);
-  void CloseIdleConnections();
+  // Calls a member of each connection, on the connection's executor.
+  void ForEachConnection(void (ServerConnection::*aMember)());
 
   struct Open
   {
@@ -152,13 +153,13 @@
   }
 }
 
-void HttpServer::Core::CloseIdleConnections()
+void HttpServer::Core::ForEachConnection(void (ServerConnection::*aMember)())
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   for (const auto& [key, open] : mOpen) {
-    asio::post(open.executor, [weak = open.connection] {
+    asio::post(open.executor, [weak = open.connection, aMember] {
       if (const std::shared_ptr<ServerConnection> connection = weak.lock()) {
-        connection->CloseIfIdle();
+        (connection.get()->*aMember)();
       }
     });
   }
@@ -172,7 +173,7 @@
     boost::system::error_code ec;
     self->mAcceptor.close(ec);
   });
-  CloseIdleConnections();
+  ForEachConnection(&ServerConnection::CloseIfIdle);
 }
 
 HttpServer::HttpServer(std::shared_ptr<Core> aCore)
@@ -219,6 +220,11 @@
   mCore->Stop();
 }
 
+void HttpServer::RefuseUnfinished()
+{
+  mCore->ForEachConnection(&ServerConnection::RefuseIfUnfinished);
+}
+
 std::size_t HttpServer::ConnectionCount() const
 {
   return mCore->mSources.Total();
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -112,10 +112,18 @@
 
 Task<Result<void, NetError>> ServerConnection::ReadInput(Duration aTimeout)
 {
+  const Time end = Now() + aTimeout;
+  if (!mIsIdle) {
+    // Unlike ReadSome, this can be cancelled without closing the stream.
+    co_await mStream->AwaitInput(std::max(aTimeout, Milliseconds(1)));
+  }
+  if (mIsRefused) {
+    co_return Failure(NetError{ NetErrorKind::Cancelled, "the server stops" });
+  }
   const boost::asio::mutable_buffer space = mBuffer.prepare(kReadSize);
   const std::span<char> target(static_cast<char*>(space.data()), space.size());
   const Result<std::size_t, NetError> n =
-    co_await mStream->ReadSome(target, std::max(aTimeout, Milliseconds(1)));
+    co_await mStream->ReadSome(target, std::max(end - Now(), Milliseconds(1)));
   if (!n) {
     co_return Failure(n.error());
   }
@@ -166,7 +174,7 @@
     }
     const Result<void, NetError> read = co_await ReadInput(end - Now());
     if (!read) {
-      co_return Failure(Refused{ 0, read.error() });
+      co_return Failure(Refused{ mIsRefused ? 503U : 0U, read.error() });
     }
   }
   Incoming incoming;
@@ -212,6 +220,14 @@
   mStream->Close();
 }
 
+void ServerConnection::RefuseIfUnfinished()
+{
+  if (!mIsIdle) {
+    mIsRefused = true;
+    mStream->CancelAwait();
+  }
+}
+
 void ServerConnection::CloseIfIdle()
 {
   // Input may have been taken from the socket already; then the request is answered.
--- a/libs/net/src/ServerConnection.hpp
+++ b/libs/net/src/ServerConnection.hpp
@@ -31,6 +31,8 @@
   Task<void> Run();
   // Closes the connection if no request has begun to arrive.
   void CloseIfIdle();
+  // Refuses a request that has begun to arrive and is not whole.
+  void RefuseIfUnfinished();
   // Answers with a refusal and closes.
   Task<void> RefuseAndClose(unsigned aStatus, NetError aError);
 
@@ -59,6 +61,7 @@
   std::shared_ptr<ServerSwitches> mSwitches;
   boost::beast::flat_buffer mBuffer;
   bool mIsIdle = true;
+  bool mIsRefused = false; // see RefuseIfUnfinished
 };
 
 } // namespace masticstep::net
--- a/libs/net/tests/HttpServerTests.cpp
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -256,6 +256,37 @@
   CHECK_TRUE(answer.find("done") != std::string::npos);
 }
 
+// Guards against uploads that are cut without an answer when the server stops, and against a
+// refusal of a request that is being handled.
+MASTICSTEP_TEST("a stopping server refuses requests that have not arrived whole", "[net][drain]")
+{
+  std::promise<void> begun;
+  std::promise<void> mayFinish;
+  std::shared_future<void> allowed = mayFinish.get_future().share();
+  LoopbackServer server({}, [&](HttpRequest aRequest, HttpResponder& aResponder) -> Task<void> {
+    begun.set_value();
+    while (allowed.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+      co_await Sleep(Milliseconds(5));
+    }
+    co_await AnswerOk(std::move(aRequest), aResponder);
+  });
+  RawClient unfinished(server.Address());
+  unfinished.Send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+  unfinished.ReadUntil("100 Continue\r\n\r\n");
+  RawClient busy(server.Address());
+  busy.Send("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\ndone");
+  begun.get_future().wait();
+  server.Server().StopAccepting();
+  server.Server().RefuseUnfinished();
+  const std::string refusal = unfinished.ReadUntilClosed();
+  CHECK_EQUAL(std::string("HTTP/1.1 503"), Status(refusal));
+  CHECK_TRUE(refusal.find("Connection: close") != std::string::npos);
+  mayFinish.set_value();
+  const std::string answer = busy.ReadUntilClosed();
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), Status(answer));
+  CHECK_TRUE(answer.find("done") != std::string::npos);
+}
+
 // Guards against smuggling a request past the bounds inside another one.
 MASTICSTEP_TEST("a request with two lengths is refused with 400", "[net][bounds]")
 {
