Relay: refuse or answer each request before a planned stop ends

Callers whose uploads ended late in a planned stop were cut without an answer: the daemon passed every request on to a backend server until the end of the grace, whatever time was left, and exited with the requests running.

DrainSchedule, a decision without I/O, now divides the grace: - Until the listener closes (2.5 s, or half of a short grace), requests are passed on as before. - From then on, a request that no backend server has got is passed on only if its deadline is before the final answers. Otherwise it is refused with 503 and a Retry-After of 0.1 s, since the caller's next attempt reaches another daemon. This also holds for prompts in the queue, which are woken when the listener closes, and for requests that every backend server so far has refused. Requests that may run, prompts that an engine has read, and streams go on with their retries. - 0.3 s before the process exits (less if the grace is short), requests that still run are ended: 502 if a backend server may have run them, else 503. The connection to the backend server is closed first. Streams that have begun are left without their end. Uploads that have not ended are refused. Reserve and final answers together take at most a sixth of the grace. Before, the reserve alone was 0.3 s, also of a short grace.

The line "shutdown ends" and masticstep_shutdown_requests_total count the refused, ended and cut requests; each ended one has its line "request finished" with the outcome "stopping".

--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -97,6 +97,8 @@
   net::Task<void> WaitForSignals();
   net::Task<void> ReloadPeriodically();
   net::Task<void> Shutdown();
+  // Waits until no request and no connection of a caller is left, or until aEnd.
+  net::Task<void> WaitUntilIdle(Time aEnd);
   void LogShutdownEnd(Time aBegin) const;
 
   const RelaySettings mSettings;
--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -2,6 +2,7 @@
 
 #include "masticstep/dispatch/BackendDirectory.hpp"
 #include "masticstep/dispatch/Dispatcher.hpp"
+#include "masticstep/dispatch/DrainSchedule.hpp"
 #include "masticstep/dispatch/RetryBudget.hpp"
 #include "masticstep/dispatch/RouteTable.hpp"
 #include "masticstep/dispatch/StageDemand.hpp"
@@ -13,6 +14,7 @@
 #include "masticstep/telemetry/Metrics.hpp"
 
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace masticstep::relay {
@@ -47,7 +49,8 @@
   StoreSyncState storeSync;
   std::uint64_t nextRequestId = 1;
   std::size_t bufferedResponseBytes = 0; // of responses that are being read or forwarded whole
-  std::unordered_set<Session*> sessions; // of the requests that are not yet completed
+  std::optional<dispatch::DrainSchedule> drain; // set once the planned stop has begun
+  std::unordered_set<Session*> sessions;        // of the requests that are not yet completed
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -22,6 +22,10 @@
     co_await GiveUp("deadline", "the deadline has passed");
     co_return Step::Done;
   }
+  if (IsRefusedByShutdown()) {
+    co_await RefuseForShutdown();
+    co_return Step::Done;
+  }
   if (IsQuarantined()) {
     co_await GiveUp("quarantined", kQuarantinedMessage);
     co_return Step::Done;
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -64,7 +64,10 @@
 
 net::Task<PromptSession::Step> PromptSession::FindVersion()
 {
-  const Time until = std::min(net::Now() + kOriginTimeout, mRequest.deadline);
+  Time until = std::min(net::Now() + kOriginTimeout, mRequest.deadline);
+  if (mState->drain) {
+    until = std::min(until, mState->drain->FinalAnswers());
+  }
   std::string attempt = mRequest.call.resumedCallId;
   ServiceName service = mRequest.service;
   mWork.version = co_await FindStreamOrigin(*mState, std::move(attempt), std::move(service), until);
@@ -86,6 +89,9 @@
   if (IsCallerGone() || IsPastDeadline()) {
     co_return co_await Abort("deadline", "the deadline has passed");
   }
+  if (IsStoppedByShutdown()) {
+    co_return co_await AbortForShutdown();
+  }
   if (IsQuarantined()) {
     co_return co_await Abort("quarantined", kQuarantinedMessage);
   }
@@ -93,6 +99,9 @@
     dispatch::QueuedPrompt waiting = MakeWaitingPrompt();
     const Result<dispatch::PrefillPlacement, NoEngineError> placement =
       co_await mState->promptQueue->WaitForEngine(std::move(waiting));
+    if (!placement && IsStoppedByShutdown()) {
+      co_return co_await AbortForShutdown();
+    }
     if (!placement) {
       mRetryAfter = placement.error().retryAfter;
       co_return co_await Abort("no_engine", "no engine of the service can start in time");
@@ -146,10 +155,17 @@
   return waiting;
 }
 
-void PromptSession::OnCallerGone()
+void PromptSession::StopWaiting()
 {
   mState->promptQueue->Cancel(mRequest.number);
-  Session::OnCallerGone();
+  Session::StopWaiting();
+}
+
+void PromptSession::OnListenerEnd()
+{
+  if (IsStoppedByShutdown()) {
+    mState->promptQueue->Cancel(mRequest.number);
+  }
 }
 
 net::Task<PromptSession::Step> PromptSession::RunPrefill(
@@ -334,6 +350,9 @@
 
 net::Task<PromptSession::Step> PromptSession::Abort(std::string aReason, std::string aMessage)
 {
+  if (mIsEnding) {
+    co_return co_await AbortForShutdown();
+  }
   if (mResponder.HasStarted() && !IsCallerGone()) {
     LogCutStream(aReason);
   }
@@ -341,6 +360,15 @@
   co_return Step::Done;
 }
 
+net::Task<PromptSession::Step> PromptSession::AbortForShutdown()
+{
+  if (mResponder.HasStarted() && !IsCallerGone()) {
+    LogCutStream(kStoppingReason);
+  }
+  co_await RefuseForShutdown();
+  co_return Step::Done;
+}
+
 void PromptSession::ReleaseKvCache()
 {
   if (!mKvSource) {
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -21,9 +21,10 @@
   ~PromptSession() override;
 
   net::Task<void> Run() override;
+  void OnListenerEnd() override;
 
 protected:
-  void OnCallerGone() override;
+  void StopWaiting() override;
 
 private:
   enum class Step
@@ -100,9 +101,14 @@
   void OnKvTransferRefused();
   // Counts the request for the stage plan, once.
   void RecordDemand(const dispatch::PrefillPlacement& aPlacement, Time aNow);
+  // Returns whether the request must not be sent to an engine because the daemon is stopping. A
+  // prompt that an engine has read may be answered.
+  bool IsStoppedByShutdown() const { return mIsEnding || (!mKvSource && IsRefusedByShutdown()); }
   // Refuses the request, or leaves a response stream that has started without its terminating
   // chunk.
   net::Task<Step> Abort(std::string aReason, std::string aMessage);
+  // As Abort, because the daemon is stopping.
+  net::Task<Step> AbortForShutdown();
   // Logs that a response stream is left without its end, with what tells the causes apart.
   void LogCutStream(const std::string& aReason) const;
   // Releases a KV cache that no engine will fetch.
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -53,6 +53,10 @@
       hasEnded = part->empty();
     }
     const bool isCallerConnected = co_await RelayEvents(events, silence, aExchange, aHead);
+    if (mIsEnding && !hasEnded) {
+      ExchangeError error{ Progress::Unknown, net::NetErrorKind::Cancelled, kStoppingMessage };
+      co_return co_await HandleDecodeFailure(aEngine, std::move(error));
+    }
     if (events.HasOversizedEvent()) {
       ExchangeError error{ Progress::Unknown, net::NetErrorKind::BodyTooLarge, "event has no end" };
       co_return co_await HandleDecodeFailure(aEngine, std::move(error));
--- a/libs/relay/src/Refusal.hpp
+++ b/libs/relay/src/Refusal.hpp
@@ -19,6 +19,12 @@
   bool operator==(const Refusal&) const = default;
 };
 
+// Refusal of requests that a stopping daemon does not pass on or ends.
+constexpr const char* kStoppingReason = "stopping";
+constexpr const char* kStoppingMessage = "the daemon is being stopped";
+// The caller's next attempt reaches another daemon, so there is nothing to wait for.
+constexpr Duration kStoppingRetryAfter = Milliseconds(100);
+
 // Refusal that guarantees that the request was not executed and never will be.
 Refusal NotExecutedRefusal(std::string aReason, std::string aMessage, Duration aRetryAfter);
 // Refusal of a request that may have been executed.
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -32,11 +32,6 @@
 
 constexpr Duration kReloadInterval = Seconds(2);
 constexpr Duration kDrainCheckInterval = Milliseconds(20);
-// The load balancer probes readiness once a second and stops sending requests after two failed
-// probes.
-constexpr Duration kBalancerDetectionTime = Milliseconds(2500);
-// The process exits this long before the platform kills it.
-constexpr Duration kGraceReserve = Milliseconds(300);
 // High, since the load balancer connects from few addresses.
 constexpr std::size_t kConnectionsPerSource = 4096;
 constexpr Duration kSlowReaderTimeout = Seconds(5);
@@ -265,27 +260,48 @@
 net::Task<void> RelayDaemon::Shutdown()
 {
   const Time begin = net::Now();
-  const Time end = begin + std::max(mSettings.grace - kGraceReserve, Duration::zero());
+  const dispatch::DrainSchedule schedule = dispatch::DrainSchedule::Create(begin, mSettings.grace);
+  mState->drain = schedule;
   mCallerServer->CloseAfterAnswers();
   mStageController->Stop();
-  co_await net::Sleep(std::min(kBalancerDetectionTime, mSettings.grace / 2));
+  co_await net::Sleep(schedule.ListenerEnd() - begin);
   mCallerServer->StopAccepting();
-  while ((!mState->sessions.empty() || mCallerServer->ConnectionCount() > 0) && net::Now() < end) {
-    co_await net::Sleep(kDrainCheckInterval);
+  for (Session* session : mState->sessions) {
+    session->OnListenerEnd();
+  }
+  co_await WaitUntilIdle(schedule.FinalAnswers());
+  for (Session* session : mState->sessions) {
+    session->EndForShutdown();
   }
+  mCallerServer->RefuseUnfinished();
+  co_await WaitUntilIdle(schedule.Exit());
   LogShutdownEnd(begin);
   mContext.stop();
 }
 
+net::Task<void> RelayDaemon::WaitUntilIdle(Time aEnd)
+{
+  while ((!mState->sessions.empty() || mCallerServer->ConnectionCount() > 0) && net::Now() < aEnd) {
+    co_await net::Sleep(kDrainCheckInterval);
+  }
+}
+
 void RelayDaemon::LogShutdownEnd(Time aBegin) const
 {
   for (const Session* session : mState->sessions) {
     session->LogCut();
   }
+  const auto countOf = [this](const char* aResult) {
+    return mState->metrics.GetCounter({ "masticstep_shutdown_requests_total", "result", aResult })
+      ->Value();
+  };
   const std::size_t connections = mCallerServer->ConnectionCount();
   const bool isClean = mState->sessions.empty() && connections == 0;
   telemetry::Log(isClean ? Level::Info : Level::Warning, "shutdown ends",
-                 { { "cut", static_cast<std::uint64_t>(mState->sessions.size()) },
+                 { { "refused", countOf("refused") },
+                   { "ended", countOf("ended") },
+                   { "streams_cut", countOf("stream_cut") },
+                   { "cut", countOf("cut") },
                    { "open_connections", static_cast<std::uint64_t>(connections) },
                    { "milliseconds", ToSeconds(net::Now() - aBegin) * 1000.0 } });
 }
--- a/libs/relay/src/RelayHandler.cpp
+++ b/libs/relay/src/RelayHandler.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// The server refuses requests with it that have not arrived whole when it stops.
+constexpr unsigned kUnavailable = 503;
+
 std::unique_ptr<Session> MakeSession(std::shared_ptr<RelayState> aState,
                                      RoutedRequest aRoutedRequest, net::HttpResponder& aResponder)
 {
@@ -48,6 +51,10 @@
 
 net::HttpResponse RelayHandler::Refuse(unsigned aStatus, const net::NetError& aError)
 {
+  if (aStatus == kUnavailable) {
+    return ToResponse(
+      NotExecutedRefusal(kStoppingReason, net::ToString(aError), kStoppingRetryAfter));
+  }
   return ToResponse(Refusal{ aStatus, "bad_request", net::ToString(aError), std::nullopt });
 }
 
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -67,7 +67,7 @@
 {
   mState->sessions.insert(this);
   mState->retryBudget.OnRequest(mRequest.service, mRequest.arrived);
-  mResponder.OnGone([this] { OnCallerGone(); });
+  mResponder.OnGone([this] { StopWaiting(); });
 }
 
 Session::~Session()
@@ -81,13 +81,28 @@
   return net::Now() >= mRequest.deadline;
 }
 
-void Session::OnCallerGone()
+void Session::StopWaiting()
 {
   if (mActiveExchange != nullptr) {
     mActiveExchange->Close();
   }
 }
 
+void Session::EndForShutdown()
+{
+  mIsEnding = true;
+  StopWaiting();
+}
+
+bool Session::IsRefusedByShutdown() const
+{
+  if (mIsEnding || !mState->drain) {
+    return mIsEnding;
+  }
+  const bool mayGoOn = mPossiblyExecuted || mResponder.HasStarted();
+  return !mayGoOn && !mState->drain->MayBegin(net::Now(), mRequest.deadline);
+}
+
 Duration Session::RetryAfter() const
 {
   if (mRetryAfter) {
@@ -117,6 +132,10 @@
 
 net::Task<void> Session::GiveUp(std::string aReason, std::string aMessage)
 {
+  if (mIsEnding) {
+    co_await RefuseForShutdown();
+    co_return;
+  }
   Refusal refusal = mPossiblyExecuted
                       ? PossiblyExecutedRefusal(std::move(aReason), std::move(aMessage))
                       : NotExecutedRefusal(std::move(aReason), std::move(aMessage), RetryAfter());
@@ -126,9 +145,23 @@
   co_await Refuse(std::move(refusal));
 }
 
+net::Task<void> Session::RefuseForShutdown()
+{
+  const bool hasEvents = mResponder.HasStarted();
+  const char* const endedResult = hasEvents ? "stream_cut" : "ended";
+  mState->metrics
+    .GetCounter({ "masticstep_shutdown_requests_total", "result",
+                  mPossiblyExecuted ? endedResult : "refused" })
+    ->Add();
+  Refusal refusal = mPossiblyExecuted
+                      ? PossiblyExecutedRefusal(kStoppingReason, kStoppingMessage)
+                      : NotExecutedRefusal(kStoppingReason, kStoppingMessage, kStoppingRetryAfter);
+  co_await Refuse(std::move(refusal));
+}
+
 bool Session::TryTakeRetry(std::uint32_t aMessages)
 {
-  if (IsCallerGone() || IsPastDeadline()) {
+  if (IsCallerGone() || IsPastDeadline() || mIsEnding) {
     return false;
   }
   return mState->retryBudget.TryAcquire(mRequest.service, net::Now(), aMessages);
@@ -148,7 +181,8 @@
 
 dispatch::Outcome Session::OutcomeOf(const ExchangeError& aError) const
 {
-  if (aError.kind == net::NetErrorKind::Cancelled || IsCallerGone() || IsPastDeadline()) {
+  const bool isStopped = IsCallerGone() || IsPastDeadline() || mIsEnding;
+  if (aError.kind == net::NetErrorKind::Cancelled || isStopped) {
     return dispatch::Outcome::Abandoned;
   }
   switch (aError.progress) {
@@ -194,7 +228,7 @@
                                  Suspects aSuspects)
 {
   const bool isConnectionLost =
-    aError.progress == Progress::Unknown &&
+    !mIsEnding && aError.progress == Progress::Unknown &&
     (aError.kind == net::NetErrorKind::Closed || aError.kind == net::NetErrorKind::Reset);
   if (isConnectionLost) {
     const auto end = mSuspects.begin() + static_cast<std::ptrdiff_t>(CountOf(aSuspects));
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -30,6 +30,11 @@
 
   // Answers the request.
   virtual net::Task<void> Run() = 0;
+  // Called when the listener of a stopping daemon closes. A request that waits for its first
+  // backend server is refused.
+  virtual void OnListenerEnd() {}
+  // Ends the request with an answer, since the daemon is about to exit.
+  void EndForShutdown();
   // Logs that the process exits before the request is completed.
   void LogCut() const;
 
@@ -37,8 +42,12 @@
   // Returns whether the caller has disconnected.
   bool IsCallerGone() const { return mResponder.IsGone(); }
   bool IsPastDeadline() const;
-  // Called when the caller disconnects.
-  virtual void OnCallerGone();
+  // Stops what the request waits for: its caller has disconnected or the daemon is about to exit.
+  virtual void StopWaiting();
+  // Returns whether the request must not be passed on, since the daemon is stopping and no backend
+  // server has got the request, or since the daemon is about to exit.
+  bool IsRefusedByShutdown() const;
+  net::Task<void> RefuseForShutdown();
   // Logs the refusal and sends it, unless the caller has disconnected or a response has started.
   net::Task<void> Refuse(Refusal aRefusal);
   // Refuses a request that cannot be served. The refusal guarantees that the request was not
@@ -81,6 +90,7 @@
   const std::vector<quarantine::SuspectPart> mSuspects; // the whole request, then the shared parts
   Exchange* mActiveExchange = nullptr;                  // null if none is running
   std::optional<Duration> mRetryAfter; // set by the prompt queue if it refused the request
+  bool mIsEnding = false;              // the daemon is about to exit
   bool mPossiblyExecuted = false;      // a backend server may have executed the request
   std::uint32_t mExecutions = 0;       // number of attempts that may have been executed
   dispatch::BackendNames mExcluded;
