Relay tests: let a second backend server receive a late retry

"a request refused by a backend server is not passed on late in a planned stop" registered two backend servers at one address, of which the daemon keeps one, so the second send that the test guards against could not happen. It now uses two servers and checks the reason of the refusal. Without the check in PlainSession::Attempt it fails: both servers get the request, the second one 3 s after the stop. With it: 1 passed.

--- a/libs/relay/tests/PlannedStopTests.cpp
+++ b/libs/relay/tests/PlannedStopTests.cpp
@@ -283,20 +283,22 @@
 MASTICSTEP_TEST("a request refused by a backend server is not passed on late in a planned stop",
                 "[relay][daemon][drain]")
 {
-  ScriptedBackend refusing([](const std::string&) {
+  const ScriptedBackend::Script refuse = [](const std::string&) {
     return ScriptedResponse{ .text = {},
                              .silence = Seconds(3),
                              .afterSilence = kNotExecutedResponse };
-  });
-  DaemonFixture daemon(
-    Seconds(8), Routes(),
-    { MakeBackend("b1", "plain", refusing), MakeBackend("b2", "plain", refusing) });
+  };
+  ScriptedBackend first(refuse);
+  ScriptedBackend second(refuse);
+  DaemonFixture daemon(Seconds(8), Routes(),
+                       { MakeBackend("b1", "plain", first), MakeBackend("b2", "plain", second) });
   const Time stop = net::Now();
   DaemonFixture::StopAll();
   Uploader caller(daemon, "c1", "/once/", stop);
   CHECK_TRUE(caller.GetOutcome() == CallOutcome::Refused);
+  CPPUNIT_ASSERT_MESSAGE(caller.Answer(), Contains(caller.Answer(), R"("reason":"stopping")"));
   CHECK_TRUE(caller.AnsweredAt() < stop + Seconds(3) + kTolerance);
-  CHECK_EQUAL(std::size_t{ 1 }, refusing.Requests().size());
+  CHECK_EQUAL(std::size_t{ 1 }, first.Requests().size() + second.Requests().size());
 }
 
 // Guards against requests that a stopping daemon cuts without an answer when its grace ends, and
