--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -2,6 +2,7 @@
 
 #include "masticstep/dispatch/BackendDirectory.hpp"
 #include "masticstep/dispatch/Dispatcher.hpp"
+#include "masticstep/dispatch/DrainSchedule.hpp"
 #include "masticstep/dispatch/RetryBudget.hpp"
 #include "masticstep/dispatch/RouteTable.hpp"
 #include "masticstep/dispatch/StageDemand.hpp"
@@ -13,11 +14,14 @@
 #include "masticstep/telemetry/Metrics.hpp"
 
 #include <memory>
+#include <optional>
+#include <unordered_set>
 
 namespace masticstep::relay {
 
 class AsyncPromptQueue;
 class CrashDetector;
+class Session;
 class StreamOriginExchange;
 
 // State that the requests of one daemon share. Not thread-safe: the daemon runs on a single thread,
@@ -48,7 +52,8 @@
   StoreSyncState storeSync;
   std::uint64_t nextRequestId = 1;
   std::size_t bufferedResponseBytes = 0; // of responses that are being read or forwarded whole
-  std::size_t runningRequests = 0;       // requests with a session, not yet completed
+  std::optional<dispatch::DrainSchedule> drain; // set once the planned stop has begun
+  std::unordered_set<Session*> sessions;        // of the requests that are not yet completed
 };
 
 } // namespace masticstep::relay
