net: decide every end of a caller's connection in one place

What callers saw: whole requests and parts of requests that ended without an answer. A kept connection kept the idle deadline of the old limits after a configuration had raised them, and a request that was taken from the socket while its connection heard of the deadline was dropped. A caller that ended its sending side after its request counted as gone. A head or body that came too slowly, or ended early, closed the connection in silence. A refusal before the whole request was read could be destroyed by the reset that closing a socket with unread bytes causes.

Cause: the deadline, the end of input and a stop each closed the connection without a look at what had been read or waits to be read.

Reads of a server use TryReadSome, which leaves the stream open after a time-out. The idle limit is looked up again when it has passed; a shorter one holds from the next idle time. Late requests get 408 and requests that end early 400; after a refusal the server ends its sending side and reads and drops at most 1 MiB for at most 1 s.

After the end of input with a request under way the server writes the first bytes of the status line in three steps 100 ms apart, or leading zeros of the next chunk's size within a chunked answer. A caller that closed fully answers with a reset, which a later step finds; one that still reads gets one valid answer. A TLS connection is treated as before. A handler that began an answer but wrote none of it now gives 500 too, so that a status line is always completed.

HttpHandler::OnConnectionEnd tells of each connection that ends with a request or a part of one.

The test "idle connections and unfinished requests are closed" expected no bytes for an unfinished request, which was the fault. It now expects 408 and the close, which is as strict.

--- a/libs/net/include/masticstep/net/ByteStream.hpp
+++ b/libs/net/include/masticstep/net/ByteStream.hpp
@@ -18,6 +18,13 @@
 // Default limit of SetUnacknowledgedLimit for connections that Connect opens.
 constexpr Duration kUnacknowledgedLimit = Seconds(3);
 
+// How the sending side of the peer ended.
+enum class PeerEnd
+{
+  EndOfInput, // nothing more comes; the peer may still read
+  Broken      // reset, or a TLS connection without its closing message
+};
+
 // TCP connection, plain or with TLS. All members must be used on the executor that the stream is
 // attached to. A stream that timed out or failed is closed and stays closed.
 class ByteStream
@@ -28,19 +35,31 @@
   // Reads at least one byte and returns the number read; fails with Closed at the end of input.
   virtual Task<Result<std::size_t, NetError>> ReadSome(std::span<char> aBuffer,
                                                        Duration aTimeout) = 0;
+  // Like ReadSome, but the stream stays open after a time-out or CancelRead, and input that was
+  // taken from the socket by then is returned.
+  virtual Task<Result<std::size_t, NetError>> TryReadSome(std::span<char> aBuffer,
+                                                          Duration aTimeout) = 0;
   // Returns true once ReadSome would not have to wait: for input, the end of input or a failure.
   // Returns false when the time has passed or CancelAwait was called; the stream stays open. Must
   // not be used during ReadSome.
   virtual Task<bool> AwaitInput(Duration aTimeout) = 0;
   virtual void CancelAwait() = 0;
   virtual Task<Result<void, NetError>> WriteAll(std::string_view aBytes, Duration aTimeout) = 0;
+  // Writes what fits without waiting and returns the number of bytes, which is 0 for TLS. Must not
+  // be used during WriteAll.
+  virtual Result<std::size_t, NetError> WriteNow(std::string_view aBytes) = 0;
+  // Sends the end of input; reading goes on.
+  virtual void EndWriting() = 0;
+  // Returns whether the kernel has noted an error, such as the reset with which a closed peer
+  // answers bytes that are sent to it.
+  virtual bool IsBroken() = 0;
   // Sets how long written bytes may wait without being taken by the other side before the kernel
   // gives up the connection. The kernel does not distinguish a host that has vanished from a
   // process that does not read while its receive buffer is full.
   virtual void SetUnacknowledgedLimit(Duration aLimit) = 0;
-  // Calls aCallback once when the other side closes the connection, until StopWatch. Must not be
-  // used during ReadSome.
-  virtual void WatchForClose(std::function<void()> aCallback) = 0;
+  // Calls aCallback once when the sending side of the peer ends, until StopWatch. Must not be used
+  // during ReadSome.
+  virtual void WatchForEnd(std::function<void(PeerEnd)> aCallback) = 0;
   virtual void StopWatch() = 0;
   // Fails a read that waits for input with Cancelled. A read that has taken input is not affected.
   virtual void CancelRead() = 0;
--- a/libs/net/include/masticstep/net/HttpHandler.hpp
+++ b/libs/net/include/masticstep/net/HttpHandler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticstep/base/Result.hpp"
+#include "masticstep/net/ConnectionEnd.hpp"
 #include "masticstep/net/HttpMessage.hpp"
 #include "masticstep/net/NetError.hpp"
 #include "masticstep/net/Task.hpp"
@@ -42,6 +43,9 @@
   virtual Task<void> Handle(HttpRequest aRequest, HttpResponder& aResponder) = 0;
   // Returns the answer to a request that could not be read, or to a connection over the limit.
   virtual HttpResponse Refuse(unsigned aStatus, const NetError& aError) = 0;
+  // Called when a connection ends that holds a request or a part of one without the answer of
+  // Handle.
+  virtual void OnConnectionEnd(const ConnectionEnd& /*aEnd*/) {}
 };
 
 } // namespace masticstep::net
--- a/libs/net/include/masticstep/net/HttpServer.hpp
+++ b/libs/net/include/masticstep/net/HttpServer.hpp
@@ -41,7 +41,8 @@
 
   std::uint16_t Port() const;
   // Takes new limits over, except connectionsPerSource; they hold from each connection's next
-  // request.
+  // request. A longer idleTimeout holds for connections that are idle as well, a shorter one from
+  // their next idle time, because their callers may not know of it yet.
   void SetLimits(const ServerLimits& aLimits);
   // From now on every answer asks the caller to close the connection.
   void CloseAfterAnswers();
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -1,11 +1,15 @@
 #include "ServerConnection.hpp"
 
+#include "CallerProbe.hpp"
 #include "StreamResponder.hpp"
 #include "masticstep/net/Clock.hpp"
 
+#include <boost/asio/this_coro.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
+#include <array>
 #include <exception>
 #include <span>
 #include <utility>
@@ -18,6 +22,10 @@
 
 constexpr std::size_t kReadSize = 4096;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// Closing a socket with unread bytes resets the connection, which destroys an answer that the
+// caller has not read yet. These bound how long and how much of such input is read.
+constexpr Duration kDropTime = Seconds(1);
+constexpr std::size_t kDropBytes = 1048576;
 
 using Parser = http::request_parser<http::string_body>;
 
@@ -81,6 +89,32 @@
   return {};
 }
 
+EndCause CauseOf(NetErrorKind aKind)
+{
+  switch (aKind) {
+    case NetErrorKind::Closed:
+      return EndCause::EndOfInput;
+    case NetErrorKind::TimedOut:
+      return EndCause::TimedOut;
+    case NetErrorKind::Cancelled:
+      return EndCause::Stopped;
+    default:
+      return EndCause::Reset;
+  }
+}
+
+// Says in words why a request is refused that was not read whole.
+NetError ErrorOf(EndCause aCause, const NetError& aError)
+{
+  if (aCause == EndCause::EndOfInput) {
+    return { NetErrorKind::Malformed, "request ended early" };
+  }
+  if (aCause == EndCause::TimedOut) {
+    return { NetErrorKind::TimedOut, "request was not sent in time" };
+  }
+  return aError;
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(std::unique_ptr<ByteStream> aStream, std::string aSource,
@@ -97,42 +131,87 @@
 Task<void> ServerConnection::Run()
 {
   bool goesOn = true;
-  while (goesOn && !mSwitches->isStopped) {
+  while (goesOn && MayReadNext()) {
     Result<Incoming, Refused> incoming = co_await ReadRequest();
     if (!incoming) {
-      if (incoming.error().status != 0) {
-        co_await RefuseAndClose(incoming.error().status, incoming.error().error);
+      const Refused& refused = incoming.error();
+      if (refused.decision.action == EndAction::Refuse) {
+        co_await RefuseAndClose(refused.decision.status, refused.error);
       }
       break;
     }
     goesOn = co_await Answer(std::move(*incoming));
   }
-  mStream->Close();
+  co_await Close();
+}
+
+bool ServerConnection::MayReadNext()
+{
+  if (!mSwitches->isStopped || mBuffer.size() > 0) {
+    return true;
+  }
+  return Decide(EndCause::Stopped, mStream->HasInput()).action == EndAction::Continue;
 }
 
-Task<Result<void, NetError>> ServerConnection::ReadInput(Duration aTimeout)
+EndDecision ServerConnection::Decide(EndCause aCause, bool aHasInput)
+{
+  const EndDecision decision = DecideEnd(mStage, aCause, aHasInput);
+  const bool isEnd = decision.action == EndAction::Refuse || decision.action == EndAction::Close;
+  if (isEnd && mStage != RequestStage::None) {
+    mHandler->OnConnectionEnd({ mStage, aCause, decision.status });
+  }
+  return decision;
+}
+
+ServerConnection::Refused ServerConnection::Reject(unsigned aStatus, NetError aError)
+{
+  mHandler->OnConnectionEnd({ mStage, EndCause::Invalid, aStatus });
+  return { { EndAction::Refuse, aStatus }, std::move(aError) };
+}
+
+Task<Result<void, ServerConnection::Refused>> ServerConnection::ReadInput(Time aEnd)
 {
   const boost::asio::mutable_buffer space = mBuffer.prepare(kReadSize);
   const std::span<char> target(static_cast<char*>(space.data()), space.size());
-  const Result<std::size_t, NetError> n =
-    co_await mStream->ReadSome(target, std::max(aTimeout, Milliseconds(1)));
-  if (!n) {
-    co_return Failure(n.error());
+  while (true) {
+    const Result<std::size_t, NetError> n =
+      co_await mStream->TryReadSome(target, std::max(aEnd - Now(), Milliseconds(1)));
+    if (n) {
+      mBuffer.commit(*n);
+      co_return Result<void, Refused>{};
+    }
+    const EndCause cause = CauseOf(n.error().kind);
+    const EndDecision decision = Decide(cause, mStream->HasInput());
+    if (decision.action != EndAction::Continue) {
+      co_return Failure(Refused{ decision, ErrorOf(cause, n.error()) });
+    }
+  }
+}
+
+Task<Result<void, ServerConnection::Refused>> ServerConnection::ReadFirstInput()
+{
+  const Time begin = Now();
+  while (true) {
+    const Time end = begin + mSwitches->limits.load()->idleTimeout;
+    Result<void, Refused> read = co_await ReadInput(end);
+    // A caller may use the connection for as long as the newest limit says.
+    const bool isExtended = Now() < begin + mSwitches->limits.load()->idleTimeout;
+    if (read || read.error().error.kind != NetErrorKind::TimedOut || !isExtended) {
+      co_return read;
+    }
   }
-  mBuffer.commit(*n);
-  co_return Result<void, NetError>{};
 }
 
 Task<Result<ServerConnection::Incoming, ServerConnection::Refused>> ServerConnection::ReadRequest()
 {
-  mIsIdle = mBuffer.size() == 0;
-  if (mIsIdle) {
-    const Result<void, NetError> begun = co_await ReadInput(mSwitches->limits.load()->idleTimeout);
+  mStage = RequestStage::None;
+  if (mBuffer.size() == 0) {
+    const Result<void, Refused> begun = co_await ReadFirstInput();
     if (!begun) {
-      co_return Failure(Refused{ 0, begun.error() });
+      co_return Failure(begun.error());
     }
-    mIsIdle = false;
   }
+  mStage = RequestStage::Head;
   // The limits may have changed while the connection was idle.
   mLimits = *mSwitches->limits.load();
   Parser parser;
@@ -140,23 +219,22 @@
   parser.header_limit(static_cast<std::uint32_t>(mLimits.headerBytes));
   parser.body_limit(mLimits.bodyBytes);
   bool hasContinued = false;
-  bool isInBody = false;
   Time end = Now() + mLimits.headerTimeout;
   while (true) {
     const boost::system::error_code ec = ParseWaiting(parser, mBuffer);
     if (ec) {
       const unsigned status = StatusOf(ec);
-      co_return Failure(Refused{ status, { KindOf(status), ec.message() } });
+      co_return Failure(Reject(status, { KindOf(status), ec.message() }));
     }
     if (parser.is_header_done() && HasAmbiguousLength(parser.get())) {
       co_return Failure(
-        Refused{ 400, { NetErrorKind::Malformed, "transfer encoding is not supported" } });
+        Reject(400, { NetErrorKind::Malformed, "transfer encoding is not supported" }));
     }
     if (parser.is_done()) {
       break;
     }
-    if (parser.is_header_done() && !isInBody) {
-      isInBody = true;
+    if (parser.is_header_done() && mStage == RequestStage::Head) {
+      mStage = RequestStage::Body;
       end = Now() + mLimits.idleTimeout;
     }
     if (parser.is_header_done() && !hasContinued &&
@@ -164,11 +242,12 @@
       hasContinued = true;
       co_await mStream->WriteAll(kContinue, mLimits.slowReaderTimeout);
     }
-    const Result<void, NetError> read = co_await ReadInput(end - Now());
+    const Result<void, Refused> read = co_await ReadInput(end);
     if (!read) {
-      co_return Failure(Refused{ 0, read.error() });
+      co_return Failure(read.error());
     }
   }
+  mStage = RequestStage::Whole;
   Incoming incoming;
   incoming.keepsAlive = parser.keep_alive();
   incoming.isVersion10 = parser.get().version() < 11;
@@ -186,7 +265,23 @@
   options.isHeadRequest = aIncoming.request.method == "HEAD";
   options.closes = [this, keepsAlive] { return !keepsAlive || mSwitches->closesAfterAnswers; };
   StreamResponder responder(*mStream, std::move(options));
-  mStream->WatchForClose([&responder] { responder.SetGone(); });
+  const Executor executor = co_await boost::asio::this_coro::executor;
+  std::shared_ptr<CallerProbe> probe;
+  mStream->WatchForEnd([&](PeerEnd aEnd) {
+    const EndCause cause = aEnd == PeerEnd::EndOfInput ? EndCause::EndOfInput : EndCause::Reset;
+    if (DecideEnd(mStage, cause, false).action != EndAction::Probe) {
+      responder.SetGone();
+      return;
+    }
+    if (mBuffer.size() == 0) {
+      responder.RequireClose();
+    }
+    probe = std::make_shared<CallerProbe>(executor, [&responder] {
+      responder.Probe();
+      return !responder.IsGone();
+    });
+    probe->Start();
+  });
   std::exception_ptr failure;
   try {
     co_await mHandler->Handle(std::move(aIncoming.request), responder);
@@ -194,12 +289,36 @@
     failure = std::current_exception();
   }
   mStream->StopWatch();
-  if ((failure || !responder.HasStarted()) && !responder.IsGone() && !responder.HasStarted()) {
-    NetError error{ NetErrorKind::Cancelled, "handler gave no answer" };
-    co_await RefuseAndClose(500, std::move(error));
+  if (probe) {
+    probe->Stop();
+  }
+  if (responder.HasWritten()) {
+    mStage = RequestStage::Answering;
+  }
+  if (responder.IsGone()) {
+    if (!responder.HasEnded()) {
+      Decide(EndCause::Reset, false);
+    }
+    co_return false;
+  }
+  if (failure || !responder.HasEnded()) {
+    const EndDecision decision = Decide(EndCause::HandlerFailed, false);
+    if (decision.action == EndAction::Refuse) {
+      NetError error{ NetErrorKind::Cancelled, "handler gave no answer" };
+      co_await SendRefusal(responder, decision.status, std::move(error));
+    }
     co_return false;
   }
-  co_return responder.MayContinue() && !failure;
+  mStage = RequestStage::None;
+  co_return responder.MayContinue();
+}
+
+Task<void> ServerConnection::SendRefusal(StreamResponder& aResponder, unsigned aStatus,
+                                         NetError aError)
+{
+  mIsRefused = true;
+  aResponder.RequireClose();
+  co_await aResponder.Send(mHandler->Refuse(aStatus, aError));
 }
 
 Task<void> ServerConnection::RefuseAndClose(unsigned aStatus, NetError aError)
@@ -208,14 +327,45 @@
   options.slowReaderTimeout = mLimits.slowReaderTimeout;
   options.closes = [] { return true; };
   StreamResponder responder(*mStream, std::move(options));
-  co_await responder.Send(mHandler->Refuse(aStatus, aError));
+  co_await SendRefusal(responder, aStatus, std::move(aError));
+  co_await Close();
+}
+
+Task<void> ServerConnection::Close()
+{
+  if (!mStream->IsOpen()) {
+    co_return;
+  }
+  std::size_t dropped = mBuffer.size();
+  if (mIsRefused || mStream->HasInput()) {
+    mStream->EndWriting();
+    dropped += co_await DropInput();
+  }
+  if (mStage == RequestStage::None && !mIsRefused && dropped > 0) {
+    mHandler->OnConnectionEnd({ RequestStage::Head, EndCause::AnswerCloses, 0 });
+  }
   mStream->Close();
 }
 
+Task<std::size_t> ServerConnection::DropInput()
+{
+  const Time end = Now() + kDropTime;
+  std::array<char, kReadSize> buf{};
+  std::size_t dropped = 0;
+  while (dropped < kDropBytes && Now() < end) {
+    const Result<std::size_t, NetError> n = co_await mStream->TryReadSome(buf, end - Now());
+    if (!n) {
+      break;
+    }
+    dropped += *n;
+  }
+  co_return dropped;
+}
+
 void ServerConnection::CloseIfIdle()
 {
   // Input may have been taken from the socket already; then the request is answered.
-  if (mIsIdle && mStream->IsOpen() && !mStream->HasInput()) {
+  if (mStage == RequestStage::None && mStream->IsOpen() && !mStream->HasInput()) {
     mStream->CancelRead();
   }
 }
--- a/libs/net/src/ServerConnection.hpp
+++ b/libs/net/src/ServerConnection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EndDecision.hpp"
 #include "masticstep/net/ByteStream.hpp"
 #include "masticstep/net/HttpServer.hpp"
 
@@ -19,7 +20,10 @@
   std::atomic<std::shared_ptr<const ServerLimits>> limits;
 };
 
-// Reads the requests of one connection one after another and has them answered.
+class StreamResponder;
+
+// Reads the requests of one connection one after another and has them answered. Every event that
+// may end the connection goes through DecideEnd.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
@@ -43,14 +47,28 @@
   };
   struct Refused
   {
-    unsigned status = 0; // 0: close without an answer
+    EndDecision decision;
     NetError error;
   };
 
   Task<Result<Incoming, Refused>> ReadRequest();
-  // Reads some bytes into the buffer.
-  Task<Result<void, NetError>> ReadInput(Duration aTimeout);
+  // Waits for the first bytes of a request.
+  Task<Result<void, Refused>> ReadFirstInput();
+  // Reads some bytes into the buffer until aEnd, or what waits already after it.
+  Task<Result<void, Refused>> ReadInput(Time aEnd);
+  // Returns whether another request may follow.
   Task<bool> Answer(Incoming aIncoming);
+  Task<void> SendRefusal(StreamResponder& aResponder, unsigned aStatus, NetError aError);
+  // Reports and returns the refusal of a request that breaks the protocol or a limit.
+  Refused Reject(unsigned aStatus, NetError aError);
+  // Decides and reports the end.
+  EndDecision Decide(EndCause aCause, bool aHasInput);
+  // Returns whether the next request should be read although the server stops.
+  bool MayReadNext();
+  // Closes in a way that does not destroy the last answer.
+  Task<void> Close();
+  // Reads and drops input for a bounded time. Returns the number of bytes.
+  Task<std::size_t> DropInput();
 
   std::unique_ptr<ByteStream> mStream;
   std::string mSource;
@@ -58,7 +76,8 @@
   std::shared_ptr<HttpHandler> mHandler;
   std::shared_ptr<ServerSwitches> mSwitches;
   boost::beast::flat_buffer mBuffer;
-  bool mIsIdle = true;
+  RequestStage mStage = RequestStage::None;
+  bool mIsRefused = false;
 };
 
 } // namespace masticstep::net
--- a/libs/net/src/SocketStream.cpp
+++ b/libs/net/src/SocketStream.cpp
@@ -41,7 +41,7 @@
 struct SocketStream<Next>::Watch
 {
   asio::cancellation_signal signal;
-  std::function<void()> callback;
+  std::function<void(PeerEnd)> callback;
   bool isWaiting = false;
 };
 
@@ -133,10 +133,31 @@
   co_return n;
 }
 
+template <class Next>
+Task<Result<std::size_t, NetError>> SocketStream<Next>::TryReadSome(std::span<char> aBuffer,
+                                                                    Duration aTimeout)
+{
+  mIsTrying = true;
+  mDeadline->Start(aTimeout);
+  const auto [ec, n] =
+    co_await mNext.async_read_some(asio::buffer(aBuffer.data(), aBuffer.size()), kAsResult);
+  mDeadline->Stop();
+  mIsTrying = false;
+  if (!ec) {
+    mDeadline->Forgive();
+    co_return n;
+  }
+  const NetError error = ErrorOf(ec);
+  mDeadline->Forgive();
+  co_return Failure(error);
+}
+
 template <class Next>
 void SocketStream<Next>::OnTimeout()
 {
-  if (mIsAwaiting) {
+  if (mIsTrying) {
+    CancelRead();
+  } else if (mIsAwaiting) {
     mDeadline->Forgive();
     CancelAwait();
   } else {
@@ -194,6 +215,43 @@
   co_return Result<void, NetError>{};
 }
 
+template <class Next>
+Result<std::size_t, NetError> SocketStream<Next>::WriteNow(std::string_view aBytes)
+{
+  if constexpr (std::is_same_v<Next, TlsSocket>) {
+    return 0;
+  } else {
+    boost::system::error_code ec;
+    mNext.non_blocking(true, ec);
+    const std::size_t n = mNext.write_some(asio::buffer(aBytes.data(), aBytes.size()), ec);
+    if (ec && ec != asio::error::would_block) {
+      return Failure(ErrorOf(ec));
+    }
+    return n;
+  }
+}
+
+template <class Next>
+void SocketStream<Next>::EndWriting()
+{
+  boost::system::error_code ec;
+  Lowest().shutdown(Socket::shutdown_send, ec);
+}
+
+template <class Next>
+bool SocketStream<Next>::IsBroken()
+{
+  // After the end of input a peek reports only that end.
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (getsockopt(Lowest().native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+      error != 0) {
+    return true;
+  }
+  const boost::system::error_code ec = Peek(Lowest()).first;
+  return ec && ec != asio::error::would_block && ec != asio::error::eof;
+}
+
 template <class Next>
 Task<Result<void, NetError>> SocketStream<Next>::Handshake(bool aIsServer, Duration aTimeout)
 {
@@ -223,7 +281,7 @@
 }
 
 template <class Next>
-void SocketStream<Next>::WatchForClose(std::function<void()> aCallback)
+void SocketStream<Next>::WatchForEnd(std::function<void(PeerEnd)> aCallback)
 {
   StopWatch();
   mWatch = std::make_shared<Watch>();
@@ -245,7 +303,9 @@
     if (hasByte || ec == asio::error::would_block) {
       return;
     }
-    std::exchange(watch->callback, nullptr)();
+    const bool isTls = std::is_same_v<Next, TlsSocket>;
+    const bool hasEnded = ec == asio::error::eof && !isTls;
+    std::exchange(watch->callback, nullptr)(hasEnded ? PeerEnd::EndOfInput : PeerEnd::Broken);
   };
   Lowest().async_wait(Socket::wait_read,
                       asio::bind_cancellation_slot(
--- a/libs/net/src/SocketStream.hpp
+++ b/libs/net/src/SocketStream.hpp
@@ -26,11 +26,16 @@
   SocketStream& operator=(const SocketStream&) = delete;
 
   Task<Result<std::size_t, NetError>> ReadSome(std::span<char> aBuffer, Duration aTimeout) override;
+  Task<Result<std::size_t, NetError>> TryReadSome(std::span<char> aBuffer,
+                                                  Duration aTimeout) override;
   Task<bool> AwaitInput(Duration aTimeout) override;
   void CancelAwait() override;
   Task<Result<void, NetError>> WriteAll(std::string_view aBytes, Duration aTimeout) override;
+  Result<std::size_t, NetError> WriteNow(std::string_view aBytes) override;
+  void EndWriting() override;
+  bool IsBroken() override;
   void SetUnacknowledgedLimit(Duration aLimit) override;
-  void WatchForClose(std::function<void()> aCallback) override;
+  void WatchForEnd(std::function<void(PeerEnd)> aCallback) override;
   void StopWatch() override;
   void CancelRead() override;
   void Close() override;
@@ -58,6 +63,7 @@
   Executor mExecutor;
   std::shared_ptr<Deadline> mDeadline;
   std::shared_ptr<Watch> mWatch;
+  bool mIsTrying = false;         // TryReadSome reads
   bool mIsAwaiting = false;       // AwaitInput waits for input
   bool mHasEndedAwaiting = false; // without input
   std::optional<Duration> mUnacknowledgedLimit;
--- a/libs/net/src/StreamResponder.cpp
+++ b/libs/net/src/StreamResponder.cpp
@@ -1,6 +1,7 @@
 #include "StreamResponder.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace masticstep::net {
@@ -11,6 +12,13 @@
 // answer as long as it makes progress.
 constexpr std::size_t kPieceSize = 65536;
 
+// A probe ends at each of these sizes of the bytes that begin the status line of every answer.
+constexpr std::string_view kStatusLineStart = "HTTP/1.1 ";
+constexpr std::array<std::size_t, 3> kProbeEnds{ 5, 8, kStatusLineStart.size() };
+// The size of a chunk may have leading zeros. One for each chunk and probe keeps it short.
+constexpr std::string_view kLeadingZero = "0";
+constexpr std::size_t kMaximumLeadingZeros = 3;
+
 } // namespace
 
 StreamResponder::StreamResponder(ByteStream& aStream, Options aOptions)
@@ -21,23 +29,31 @@
 
 Task<Result<void, NetError>> StreamResponder::Write(std::string_view aBytes)
 {
+  if (!mHasWritten) {
+    mHasWritten = true;
+    aBytes.remove_prefix(mStatusLineProbe);
+  }
+  mChunkProbe = 0;
+  mIsWriting = true;
   while (!aBytes.empty()) {
     const std::string_view piece = aBytes.substr(0, kPieceSize);
     const Result<void, NetError> done =
       co_await mStream.WriteAll(piece, mOptions.slowReaderTimeout);
     if (!done) {
+      mIsWriting = false;
       SetGone();
       co_return done;
     }
     aBytes.remove_prefix(piece.size());
   }
+  mIsWriting = false;
   co_return Result<void, NetError>{};
 }
 
 Task<Result<void, NetError>> StreamResponder::Send(HttpResponse aResponse)
 {
   mHasStarted = true;
-  mCloses = mOptions.closes();
+  mCloses = mMustClose || mOptions.closes();
   const HttpResponseHead head{ aResponse.status, std::move(aResponse.headers) };
   std::string text = ResponseHeadText(head, BodyFraming::Length, aResponse.body.size(), mCloses);
   if (!mOptions.isHeadRequest) {
@@ -51,7 +67,7 @@
 void StreamResponder::StartStream(HttpResponseHead aHead)
 {
   mHasStarted = true;
-  mCloses = mOptions.closes() || mOptions.isVersion10;
+  mCloses = mMustClose || mOptions.closes() || mOptions.isVersion10;
   mFraming = mOptions.isVersion10 ? BodyFraming::UntilClose : BodyFraming::Chunked;
   mPending = ResponseHeadText(aHead, mFraming, 0, mCloses);
 }
@@ -82,6 +98,35 @@
   co_return done;
 }
 
+std::string_view StreamResponder::NextProbe() const
+{
+  if (!mHasWritten) {
+    const std::size_t* const end =
+      std::upper_bound(kProbeEnds.begin(), kProbeEnds.end(), mStatusLineProbe);
+    return end == kProbeEnds.end()
+             ? std::string_view()
+             : kStatusLineStart.substr(mStatusLineProbe, *end - mStatusLineProbe);
+  }
+  const bool mayAddZero = mFraming == BodyFraming::Chunked && mChunkProbe < kMaximumLeadingZeros;
+  return mayAddZero ? kLeadingZero : std::string_view();
+}
+
+void StreamResponder::Probe()
+{
+  // A write that goes on is a probe itself.
+  if (mIsGone || mHasEnded || mIsWriting) {
+    return;
+  }
+  const std::string_view bytes = NextProbe();
+  const Result<std::size_t, NetError> n =
+    bytes.empty() ? Result<std::size_t, NetError>(0) : mStream.WriteNow(bytes);
+  if (!n || mStream.IsBroken()) {
+    SetGone();
+    return;
+  }
+  (mHasWritten ? mChunkProbe : mStatusLineProbe) += *n;
+}
+
 void StreamResponder::SetGone()
 {
   mIsGone = true;
--- a/libs/net/src/StreamResponder.hpp
+++ b/libs/net/src/StreamResponder.hpp
@@ -35,17 +35,33 @@
   void OnGone(std::function<void()> aCallback) override { mOnGone = std::move(aCallback); }
 
   void SetGone();
+  // Has the answer say that the connection closes, and the connection close after it.
+  void RequireClose() { mMustClose = true; }
+  // Returns whether any byte of the answer was written, beside those of Probe.
+  bool HasWritten() const { return mHasWritten; }
+  // Writes a few bytes with which every further answer goes on, since only a write tells a caller
+  // that left from one that sends no more: the first sets off a reset, which a later one finds.
+  void Probe();
+  // Returns whether the whole answer was written.
+  bool HasEnded() const { return mHasEnded; }
   // Returns true if the answer is complete and another request may follow.
   bool MayContinue() const { return mHasEnded && !mCloses && !mIsGone; }
 
 private:
   Task<Result<void, NetError>> Write(std::string_view aBytes);
+  // Returns the bytes of the next probe, none if there is none to send.
+  std::string_view NextProbe() const;
 
   ByteStream& mStream;
   Options mOptions;
   std::function<void()> mOnGone;
   std::string mPending; // head that waits for the first chunk; then scratch space for chunks
   BodyFraming mFraming = BodyFraming::Length;
+  std::size_t mStatusLineProbe = 0; // bytes of the status line that Probe wrote
+  std::size_t mChunkProbe = 0;      // zeros before the size of the next chunk that Probe wrote
+  bool mIsWriting = false;
+  bool mHasWritten = false;
+  bool mMustClose = false;
   bool mHasStarted = false;
   bool mHasEnded = false;
   bool mCloses = false;
--- a/libs/net/tests/HttpClientConnectionTests.cpp
+++ b/libs/net/tests/HttpClientConnectionTests.cpp
@@ -35,6 +35,11 @@
     }
     co_return part.copy(aBuffer.data(), aBuffer.size());
   }
+  Task<Result<std::size_t, NetError>> TryReadSome(std::span<char> aBuffer,
+                                                  Duration aTimeout) override
+  {
+    return ReadSome(aBuffer, aTimeout);
+  }
   Task<bool> AwaitInput(Duration aTimeout) override
   {
     if (mParts.empty()) {
@@ -48,7 +53,10 @@
   {
     co_return Result<void, NetError>{};
   }
-  void WatchForClose(std::function<void()>) override {}
+  Result<std::size_t, NetError> WriteNow(std::string_view aBytes) override { return aBytes.size(); }
+  void EndWriting() override {}
+  bool IsBroken() override { return false; }
+  void WatchForEnd(std::function<void(PeerEnd)>) override {}
   void StopWatch() override {}
   void CancelRead() override {}
   void Close() override { mIsOpen = false; }
--- a/libs/net/tests/HttpServerTests.cpp
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -71,7 +71,7 @@
   CHECK_EQUAL(std::string(), silent.ReadUntilClosed());
   RawClient unfinished(server.Address());
   unfinished.Send("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
-  CHECK_EQUAL(std::string(), unfinished.ReadUntilClosed());
+  CHECK_EQUAL(std::string("HTTP/1.1 408"), Status(unfinished.ReadUntilClosed()));
 }
 
 // Guards against a new configuration whose limits end a request that is being served, or a kept
--- a/libs/net/tests/LoopbackServer.cpp
+++ b/libs/net/tests/LoopbackServer.cpp
@@ -54,6 +54,7 @@
 {
   boost::system::error_code ec;
   asio::write(mSocket, asio::buffer(aText), ec);
+  Note(ec);
 }
 
 std::string RawClient::ReadUntil(const std::string& aText)
@@ -65,6 +66,7 @@
     const std::size_t n = mSocket.read_some(asio::buffer(buf), ec);
     text.append(buf.data(), n);
   }
+  Note(ec);
   return text;
 }
 
@@ -78,6 +80,16 @@
   mSocket.close();
 }
 
+void RawClient::Note(boost::system::error_code aError)
+{
+  mWasReset |= aError == asio::error::connection_reset || aError == asio::error::broken_pipe;
+}
+
+void RawClient::EndSending()
+{
+  mSocket.shutdown(tcp::socket::shutdown_send);
+}
+
 void RawClient::LimitReceiveBuffer()
 {
   mSocket.set_option(asio::socket_base::receive_buffer_size(4096));
--- a/libs/net/tests/LoopbackServer.hpp
+++ b/libs/net/tests/LoopbackServer.hpp
@@ -57,13 +57,20 @@
   // Reads until the text has arrived or the server closes.
   std::string ReadUntil(const std::string& aText);
   std::string ReadUntilClosed();
+  // Returns whether the server reset the connection, which may destroy an answer on its way.
+  bool WasReset() const { return mWasReset; }
   void Close();
+  // Ends the sending side; answers can still be read.
+  void EndSending();
   // Makes the kernel take few bytes for this client.
   void LimitReceiveBuffer();
 
 private:
+  void Note(boost::system::error_code aError);
+
   boost::asio::io_context mContext;
   boost::asio::ip::tcp::socket mSocket;
+  bool mWasReset = false;
 };
 
 // Server that answers the n-th connection's requests with raw text. The connection is closed
--- a/libs/net/tests/ServerConnectionTests.cpp
+++ b/libs/net/tests/ServerConnectionTests.cpp
@@ -11,6 +11,9 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 
+#include <functional>
+#include <thread>
+
 using namespace masticstep;
 using namespace masticstep::net;
 
@@ -40,8 +43,9 @@
 class ConnectionBed
 {
 public:
-  ConnectionBed()
-    : mExecutor(asio::make_strand(mContext))
+  explicit ConnectionBed(const ServerLimits& aLimits = {}, int aThreads = 1)
+    : mContext(aThreads)
+    , mExecutor(asio::make_strand(mContext))
     , mClient(mContext)
     , mSwitches(std::make_shared<ServerSwitches>())
     , mHandler(std::make_shared<CountingHandler>())
@@ -50,7 +54,7 @@
     mClient.connect(acceptor.local_endpoint());
     std::unique_ptr<ByteStream> stream =
       std::make_unique<SocketStream<Socket>>(acceptor.accept(mExecutor), mExecutor, nullptr);
-    mSwitches->limits = std::make_shared<const ServerLimits>();
+    mSwitches->limits = std::make_shared<const ServerLimits>(aLimits);
     mConnection =
       std::make_shared<ServerConnection>(std::move(stream), "127.0.0.1", mHandler, mSwitches);
     asio::co_spawn(
@@ -59,6 +63,21 @@
   }
 
   void Send(const std::string& aBytes) { asio::write(mClient, asio::buffer(aBytes)); }
+  void SetLimits(const ServerLimits& aLimits)
+  {
+    mSwitches->limits = std::make_shared<const ServerLimits>(aLimits);
+  }
+  // Lets the time pass without turning the loop, as when the process stands still.
+  void StandStill(Duration aTime) { std::this_thread::sleep_for(aTime); }
+  void Turn() { mContext.poll(); }
+  // Runs the loop on two threads; one is held up by the function on the executor of the connection.
+  void RunWhileHeldUp(const std::function<void()>& aFunction)
+  {
+    asio::post(mExecutor, aFunction);
+    std::thread other([this] { mContext.run_for(Milliseconds(400)); });
+    mContext.run_for(Milliseconds(400));
+    other.join();
+  }
   // Does what a server does to its connections when it stops. Input that waits now is taken from
   // the socket before, but the connection hears of it afterwards.
   void StopServer()
@@ -80,7 +99,7 @@
   int HandledCount() const { return mHandler->count; }
 
 private:
-  asio::io_context mContext{ 1 };
+  asio::io_context mContext;
   Executor mExecutor;
   tcp::socket mClient;
   std::shared_ptr<ServerSwitches> mSwitches;
@@ -110,3 +129,39 @@
   CHECK_EQUAL(std::string("HTTP/1.1 200"), answer.substr(0, 12));
   CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
 }
+
+// Guards against requests that were dropped after the idle limit had been raised, since their
+// connections kept the deadline of the old limit.
+MASTICSTEP_TEST("a raised idle limit holds for connections that are idle", "[net][end]")
+{
+  ServerLimits limits;
+  limits.idleTimeout = Milliseconds(50);
+  ConnectionBed bed(limits);
+  limits.idleTimeout = Seconds(60);
+  bed.SetLimits(limits);
+  bed.StandStill(Milliseconds(100));
+  bed.Turn();
+  bed.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  bed.Turn();
+  CHECK_EQUAL(1, bed.HandledCount());
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), bed.ReadUntilClosed().substr(0, 12));
+}
+
+// Guards against a request that was dropped because its connection heard of the deadline between
+// the read and its end.
+MASTICSTEP_TEST("a request that was taken before the idle deadline is answered", "[net][end]")
+{
+  ServerLimits limits;
+  limits.idleTimeout = Milliseconds(50);
+  constexpr int kThreads = 2;
+  ConnectionBed bed(limits, kThreads);
+  // The deadline passes, and then the request is taken from the socket, while the connection waits
+  // for its turn.
+  bed.RunWhileHeldUp([&bed] {
+    std::this_thread::sleep_for(Milliseconds(100));
+    bed.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(Milliseconds(100));
+  });
+  CHECK_EQUAL(1, bed.HandledCount());
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), bed.ReadUntilClosed().substr(0, 12));
+}
