relay, gateway: log and count connections that end with a request

Nothing told of a connection that ended with a request or a part of one in it. Each one is now logged as "connection ended with a request" with stage, cause and status, and counted in masticstep_connection_ends_total{reason}.

--- a/libs/gateway/src/CallerHandler.cpp
+++ b/libs/gateway/src/CallerHandler.cpp
@@ -4,6 +4,7 @@
 #include "CompletionSession.hpp"
 #include "HealthPages.hpp"
 #include "PlainSession.hpp"
+#include "masticstep/telemetry/Log.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -94,4 +95,14 @@
   return ToResponse(refusal, mParts->names.Next().text);
 }
 
+void CallerHandler::OnConnectionEnd(const net::ConnectionEnd& aEnd)
+{
+  telemetry::Log(telemetry::Level::Info, "connection ended with a request",
+                 { { "stage", net::ToString(aEnd.stage) },
+                   { "cause", net::ToString(aEnd.cause) },
+                   { "status", aEnd.status } });
+  mParts->metrics->GetCounter({ "masticstep_connection_ends_total", "reason", net::ReasonOf(aEnd) })
+    ->Add();
+}
+
 } // namespace masticstep::gateway
--- a/libs/gateway/src/CallerHandler.hpp
+++ b/libs/gateway/src/CallerHandler.hpp
@@ -16,6 +16,7 @@
 
   net::Task<void> Handle(net::HttpRequest aRequest, net::HttpResponder& aResponder) override;
   net::HttpResponse Refuse(unsigned aStatus, const net::NetError& aError) override;
+  void OnConnectionEnd(const net::ConnectionEnd& aEnd) override;
 
 private:
   Result<net::HttpResponse, Refusal> ListModels(const net::HttpRequest& aRequest) const;
--- a/libs/relay/include/masticstep/relay/RelayHandler.hpp
+++ b/libs/relay/include/masticstep/relay/RelayHandler.hpp
@@ -15,6 +15,7 @@
 
   net::Task<void> Handle(net::HttpRequest aRequest, net::HttpResponder& aResponder) override;
   net::HttpResponse Refuse(unsigned aStatus, const net::NetError& aError) override;
+  void OnConnectionEnd(const net::ConnectionEnd& aEnd) override;
 
 private:
   const std::shared_ptr<RelayState> mState;
--- a/libs/relay/src/RelayHandler.cpp
+++ b/libs/relay/src/RelayHandler.cpp
@@ -51,4 +51,14 @@
   return ToResponse(Refusal{ aStatus, "bad_request", net::ToString(aError), std::nullopt });
 }
 
+void RelayHandler::OnConnectionEnd(const net::ConnectionEnd& aEnd)
+{
+  telemetry::Log(telemetry::Level::Info, "connection ended with a request",
+                 { { "stage", net::ToString(aEnd.stage) },
+                   { "cause", net::ToString(aEnd.cause) },
+                   { "status", aEnd.status } });
+  mState->metrics.GetCounter({ "masticstep_connection_ends_total", "reason", net::ReasonOf(aEnd) })
+    ->Add();
+}
+
 } // namespace masticstep::relay
