net: reset an unfinished answer that ends with its connection

A caller of HTTP/1.0 gets streamed answers without a length, so that the end of the connection is their end. When the handler did not end such an answer, the connection was closed in the usual way and the part looked complete.

Now the server resets the connection.

--- a/libs/net/include/masticstep/net/ByteStream.hpp
+++ b/libs/net/include/masticstep/net/ByteStream.hpp
@@ -65,6 +65,8 @@
   virtual void CancelRead() = 0;
   // Fails operations that wait with Cancelled.
   virtual void Close() = 0;
+  // Like Close, but resets the connection, so that the peer sees a failure and no end of input.
+  virtual void Abort() = 0;
   virtual bool IsOpen() const = 0;
   // Returns true if input or the end of input waits to be read.
   virtual bool HasInput() = 0;
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -306,6 +306,8 @@
     if (decision.action == EndAction::Refuse) {
       NetError error{ NetErrorKind::Cancelled, "handler gave no answer" };
       co_await SendRefusal(responder, decision.status, std::move(error));
+    } else if (!responder.HasEnded() && responder.EndsWithConnection()) {
+      mStream->Abort(); // a plain close would make the answer look complete
     }
     co_return false;
   }
--- a/libs/net/src/SocketStream.cpp
+++ b/libs/net/src/SocketStream.cpp
@@ -339,6 +339,15 @@
   Lowest().close(ec);
 }
 
+template <class Next>
+void SocketStream<Next>::Abort()
+{
+  constexpr int kNoTime = 0;
+  boost::system::error_code ec;
+  Lowest().set_option(asio::socket_base::linger(true, kNoTime), ec);
+  Close();
+}
+
 template <class Next>
 bool SocketStream<Next>::IsOpen() const
 {
--- a/libs/net/src/SocketStream.hpp
+++ b/libs/net/src/SocketStream.hpp
@@ -39,6 +39,7 @@
   void StopWatch() override;
   void CancelRead() override;
   void Close() override;
+  void Abort() override;
   bool IsOpen() const override;
   bool HasInput() override;
   void Attach(Executor aExecutor) override;
--- a/libs/net/src/StreamResponder.hpp
+++ b/libs/net/src/StreamResponder.hpp
@@ -44,6 +44,8 @@
   void Probe();
   // Returns whether the whole answer was written.
   bool HasEnded() const { return mHasEnded; }
+  // Returns whether only the end of the connection marks the end of the answer.
+  bool EndsWithConnection() const { return mFraming == BodyFraming::UntilClose; }
   // Returns true if the answer is complete and another request may follow.
   bool MayContinue() const { return mHasEnded && !mCloses && !mIsGone; }
 
--- a/libs/net/tests/HttpClientConnectionTests.cpp
+++ b/libs/net/tests/HttpClientConnectionTests.cpp
@@ -60,6 +60,7 @@
   void StopWatch() override {}
   void CancelRead() override {}
   void Close() override { mIsOpen = false; }
+  void Abort() override { Close(); }
   bool IsOpen() const override { return mIsOpen; }
   bool HasInput() override { return !mParts.empty(); }
   void Attach(Executor) override {}
--- a/libs/net/tests/HttpServerTests.cpp
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -227,6 +227,26 @@
   CHECK_TRUE(answer.find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against a truncated answer that looks complete because its end is the end of the
+// connection.
+MASTICSTEP_TEST("an answer to HTTP/1.0 that is not ended ends with a reset", "[net][end]")
+{
+  for (const bool isEnded : { false, true }) {
+    LoopbackServer server({}, [&](const HttpRequest&, HttpResponder& aResponder) -> Task<void> {
+      HttpResponseHead head;
+      aResponder.StartStream(std::move(head));
+      co_await aResponder.WriteChunk("part");
+      if (isEnded) {
+        co_await aResponder.EndStream();
+      }
+    });
+    RawClient client(server.Address());
+    client.Send("GET / HTTP/1.0\r\n\r\n");
+    client.ReadUntilClosed();
+    CHECK_EQUAL(!isEnded, client.WasReset());
+  }
+}
+
 // Guards against a planned stop that cuts a running answer or keeps idle connections.
 MASTICSTEP_TEST("stopping closes idle connections and finishes running answers", "[net][drain]")
 {
--- a/libs/net/tests/ServerConnectionEndTests.cpp
+++ b/libs/net/tests/ServerConnectionEndTests.cpp
@@ -98,6 +98,7 @@
   void StopWatch() override {}
   void CancelRead() override {}
   void Close() override { mIsOpen = false; }
+  void Abort() override { Close(); }
   bool IsOpen() const override { return mIsOpen; }
   bool HasInput() override
   {
--- a/libs/net/tests/TlsTests.cpp
+++ b/libs/net/tests/TlsTests.cpp
@@ -4,6 +4,10 @@
 #include "masticstep/testing/Test.hpp"
 #include "masticstep/testing/TestAuthority.hpp"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/write.hpp>
+
 #include <atomic>
 
 using namespace masticstep;
@@ -137,3 +141,25 @@
   CHECK_EQUAL(0, server.requests.load());
   CHECK_TRUE(CallNow(server, FilesOf(authority, "caller"), "{}").has_value());
 }
+
+// Guards against a caller that gets no answer, or a server that fails, because the caller sends its
+// closing message of TLS right after its request.
+MASTICSTEP_TEST("a TLS caller that ended its sending side gets its answer", "[net][tls][end]")
+{
+  namespace asio = boost::asio;
+  const TestAuthority authority;
+  const EchoServer server(authority);
+  const std::shared_ptr<TlsContext> tls = *TlsContext::CreateClient(FilesOf(authority, "caller"));
+  asio::io_context context;
+  asio::ssl::stream<asio::ip::tcp::socket> caller(context, tls->Native());
+  const HostPort address = server.server.Address();
+  caller.lowest_layer().connect({ asio::ip::make_address(address.host), address.port });
+  caller.handshake(asio::ssl::stream_base::client);
+  asio::write(caller, asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\none")));
+  SSL_shutdown(caller.native_handle());
+  std::string answer;
+  boost::system::error_code ec;
+  asio::read(caller, asio::dynamic_buffer(answer), ec);
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), answer.substr(0, 12));
+  CHECK_TRUE(answer.ends_with("\r\n\r\none"));
+}
