--- a/libs/net/src/EndDecision.cpp
+++ b/libs/net/src/EndDecision.cpp
@@ -14,8 +14,7 @@
                           : EndDecision{ EndAction::Refuse, 500 };
     case EndCause::Stopped:
     case EndCause::AnswerCloses:
-      return { EndAction::Continue, 0 };
-    case EndCause::Invalid: // what follows the request
+    case EndCause::Invalid: // found in what follows the request
       return { EndAction::Continue, 0 };
     case EndCause::Reset:
     case EndCause::TimedOut: // the caller does not read its answer
