--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -341,6 +341,12 @@
     .get();
 }
 
+std::uint64_t RelayFixture::ConnectionEnds(const std::string& aReason)
+{
+  return mState->metrics.GetCounter({ "masticstep_connection_ends_total", "reason", aReason })
+    ->Value();
+}
+
 std::size_t RelayFixture::BufferedResponseBytes()
 {
   return asio::post(mState->executor,
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -104,6 +104,8 @@
   // Sets and returns the size of the responses that the relay holds in memory.
   void SetBufferedResponseBytes(std::size_t aBytes);
   std::size_t BufferedResponseBytes();
+  // Returns how many connections of callers ended with a request for this reason.
+  std::uint64_t ConnectionEnds(const std::string& aReason);
   static std::string RequestText(const std::string& aMethod, const std::string& aPath,
                                  const std::string& aExtraHeaders = {});
 
