Net: do not parse bytes that no request asked for

CrashDetector opens a connection to see whether an engine is alive and called ReadHead on it without having sent a request. The parser is created by Send, so an empty optional was used.

Reading an answer without a request now fails with Malformed, and the detector waits with AwaitUnrequested, which parses nothing.

--- a/libs/net/include/masticstep/net/HttpClientConnection.hpp
+++ b/libs/net/include/masticstep/net/HttpClientConnection.hpp
@@ -50,6 +50,11 @@
   // the next one. The connection is not reusable afterwards.
   Task<Result<void, NetError>> SkipAnswer(Duration aTimeout);
 
+  // Waits for bytes of a server to which nothing was sent. Fails with Closed or Reset if the server
+  // ends the connection, and with TimedOut if it stays open without a byte. The connection is not
+  // reusable afterwards.
+  Task<Result<void, NetError>> AwaitUnrequested(Duration aTimeout);
+
   // The connection is not reusable from now on.
   void PreventReuse();
   // Returns true if the last answer was read in full and the server keeps the connection open.
--- a/libs/net/src/HttpClientConnection.cpp
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -151,6 +151,10 @@
 Task<Result<void, NetError>> HttpClientConnection::State::ReadUntil(Predicate aIsEnough,
                                                                     Duration aTimeout)
 {
+  if (!parser) {
+    stream->Close();
+    co_return Failure(NetError{ NetErrorKind::Malformed, "answer without a request" });
+  }
   const Time end = Now() + aTimeout;
   while (true) {
     Result<void, NetError> parsed = Parse(false);
@@ -239,6 +243,9 @@
 {
   State& state = *mState;
   state.isAwaitCancelled = false;
+  if (!state.parser) {
+    co_return BodyState::Broken;
+  }
   const Time end = Now() + aTimeout;
   while (true) {
     const Result<void, NetError> parsed = state.Parse(false);
@@ -271,7 +278,7 @@
   State& state = *mState;
   state.isReusePrevented = true;
   const Time end = Now() + aTimeout;
-  while (!state.parser->is_done()) {
+  while (!state.parser || !state.parser->is_done()) {
     const Result<std::string, NetError> part = co_await ReadBodySome(end - Now());
     if (!part) {
       co_return Failure(part.error());
@@ -282,6 +289,12 @@
   co_return Result<void, NetError>{};
 }
 
+Task<Result<void, NetError>> HttpClientConnection::AwaitUnrequested(Duration aTimeout)
+{
+  mState->isReusePrevented = true;
+  co_return co_await mState->Fill(aTimeout);
+}
+
 void HttpClientConnection::PreventReuse()
 {
   mState->isReusePrevented = true;
--- a/libs/net/tests/HttpClientConnectionTests.cpp
+++ b/libs/net/tests/HttpClientConnectionTests.cpp
@@ -85,3 +85,28 @@
   CHECK_TRUE(Await<BodyState>(workers, wait) == BodyState::Waiting);
   CHECK_TRUE(Now() - begin < kLongWait / 2);
 }
+
+// Guards against undefined behaviour when a server greets a connection on which nothing was sent:
+// there is no request whose answer could be parsed.
+MASTICSTEP_TEST("bytes that no request asked for are not parsed as an answer", "[net]")
+{
+  const auto connect = [] {
+    std::unique_ptr<ScriptedStream> stream = std::make_unique<ScriptedStream>(
+      std::deque<std::string>{ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" });
+    return HttpClientConnection(std::move(stream), { "127.0.0.1", 1 });
+  };
+  WorkerPool workers(1);
+  const std::function<Task<Result<HttpResponseHead, NetError>>()> readHead =
+    [&connect]() -> Task<Result<HttpResponseHead, NetError>> {
+    HttpClientConnection connection = connect();
+    co_return co_await connection.ReadHead(kLongWait);
+  };
+  const Result<HttpResponseHead, NetError> head =
+    Await<Result<HttpResponseHead, NetError>>(workers, readHead);
+  CHECK_TRUE(!head && head.error().kind == NetErrorKind::Malformed);
+  const std::function<Task<BodyState>()> awaitBody = [&connect]() -> Task<BodyState> {
+    HttpClientConnection connection = connect();
+    co_return co_await connection.AwaitBody(kLongWait);
+  };
+  CHECK_TRUE(Await<BodyState>(workers, awaitBody) == BodyState::Broken);
+}
--- a/libs/relay/src/CrashDetector.cpp
+++ b/libs/relay/src/CrashDetector.cpp
@@ -31,12 +31,11 @@
   if (!lease) {
     co_return lease.error();
   }
-  const Result<net::HttpResponseHead, net::NetError> head =
-    co_await (*lease)->ReadHead(kStaysOpenTime);
+  const Result<void, net::NetError> greeting = co_await (*lease)->AwaitUnrequested(kStaysOpenTime);
   (*lease)->Close();
-  const bool isClosed = !head && (head.error().kind == net::NetErrorKind::Closed ||
-                                  head.error().kind == net::NetErrorKind::Reset);
-  co_return isClosed ? std::optional<net::NetError>(head.error()) : std::nullopt;
+  const bool isClosed = !greeting && (greeting.error().kind == net::NetErrorKind::Closed ||
+                                      greeting.error().kind == net::NetErrorKind::Reset);
+  co_return isClosed ? std::optional<net::NetError>(greeting.error()) : std::nullopt;
 }
 
 std::string ProcessOf(const dispatch::Backend& aEngine)
