Net: write large chunks and bodies without copying them

An answer that waits for a slow caller was kept twice, since StreamResponder copied the whole chunk or body behind its head, and the copy kept its capacity until the end of the stream.

--- a/libs/net/src/HttpText.cpp
+++ b/libs/net/src/HttpText.cpp
@@ -73,15 +73,12 @@
   return text;
 }
 
-void AppendChunk(std::string& aOutput, std::string_view aBytes)
+void AppendChunkHeader(std::string& aOutput, std::size_t aSize)
 {
   std::array<char, 16> size{};
-  const std::to_chars_result end =
-    std::to_chars(size.data(), size.data() + size.size(), aBytes.size(), 16);
+  const std::to_chars_result end = std::to_chars(size.data(), size.data() + size.size(), aSize, 16);
   aOutput.append(size.data(), end.ptr);
   aOutput += kLineEnd;
-  aOutput += aBytes;
-  aOutput += kLineEnd;
 }
 
 } // namespace masticstep::net
--- a/libs/net/src/HttpText.hpp
+++ b/libs/net/src/HttpText.hpp
@@ -21,7 +21,7 @@
 std::string ResponseHeadText(const HttpResponseHead& aHead, BodyFraming aFraming,
                              std::size_t aBodySize, bool aCloses);
 
-// Appends one chunk of a chunked body.
-void AppendChunk(std::string& aOutput, std::string_view aBytes);
+// Appends the line before the bytes of a chunk of a chunked body.
+void AppendChunkHeader(std::string& aOutput, std::size_t aSize);
 
 } // namespace masticstep::net
--- a/libs/net/src/StreamResponder.hpp
+++ b/libs/net/src/StreamResponder.hpp
@@ -40,11 +40,13 @@
 
 private:
   Task<Result<void, NetError>> Write(std::string_view aBytes);
+  // Writes what is pending and then the bytes and their end.
+  Task<Result<void, NetError>> WritePending(std::string_view aBytes, std::string_view aEnd);
 
   ByteStream& mStream;
   Options mOptions;
   std::function<void()> mOnGone;
-  std::string mPending; // head that waits for the first chunk; then scratch space for chunks
+  std::string mPending; // head that waits for the first chunk; then scratch space for small chunks
   BodyFraming mFraming = BodyFraming::Length;
   bool mHasStarted = false;
   bool mHasEnded = false;
