Relay: bound the bytes of all answers of backend servers together

Seen: 250 streams at once with engines that send one event without end took 264 MB of the 260 MB of a machine; whole events of 500 KB 258 MB.

Cause: each stream may keep 1 MiB of an unfinished event, beside its copies on the way to the caller, and nothing counted them together; only answers that are read whole had a common bound. That bound failed any answer while it was exceeded, of sound engines too. While a stream was offered to another engine, an unfinished event had no bound at all.

Change: a net::ByteBudget of 48 MiB for each daemon. A connection of the pool charges its read buffer, its parser, the head and what its reader says that it holds (Exchange::ReadAll, Fetch, unfinished events, events on the way to a slow caller). 32 KB of each exchange are always granted. Growth beyond the budget fails that exchange with BodyTooLarge and closes its connection; it is logged with the bytes in use and the bound and counted in masticstep_oversized_answers_total. Large buffers are released when their bytes are gone, and the allocator returns them to the system at once.

--- a/libs/net/include/masticstep/net/ConnectionPool.hpp
+++ b/libs/net/include/masticstep/net/ConnectionPool.hpp
@@ -44,7 +44,9 @@
     bool mIsFresh;
   };
 
-  static std::shared_ptr<ConnectionPool> Create(PoolLimits aLimits = {});
+  // All answers that are read over the pool's connections share the budget, if there is one.
+  static std::shared_ptr<ConnectionPool> Create(PoolLimits aLimits = {},
+                                                std::shared_ptr<ByteBudget> aBudget = nullptr);
 
   // Returns an idle connection or opens one, for use on the current executor. A connection that was
   // idle for longer than aMaximumIdle is not used.
@@ -69,7 +71,7 @@
     Time since;
   };
 
-  explicit ConnectionPool(PoolLimits aLimits);
+  ConnectionPool(PoolLimits aLimits, std::shared_ptr<ByteBudget> aBudget);
   void Return(HttpClientConnection aConnection);
   // Takes the connections out that have been idle for too long. The mutex must be held.
   std::vector<Idle> TakeExpired(Time aNow);
@@ -77,6 +79,7 @@
                                                  const ConnectionIds& aExcluded);
 
   const PoolLimits mLimits;
+  const std::shared_ptr<ByteBudget> mBudget;
   mutable std::mutex mMutex;
   std::map<HostPort, std::vector<Idle>> mIdle;
   Time mNextSweep;
--- a/libs/net/include/masticstep/net/HttpClientConnection.hpp
+++ b/libs/net/include/masticstep/net/HttpClientConnection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticstep/net/ByteBudget.hpp"
 #include "masticstep/net/ByteStream.hpp"
 #include "masticstep/net/HttpMessage.hpp"
 
@@ -25,11 +26,14 @@
 };
 
 // One connection to an HTTP server, used for one exchange at a time: Send, ReadHead, then
-// ReadBodySome until it returns an empty string.
+// ReadBodySome until it returns an empty string. What it and its reader keep of an answer is taken
+// from a budget; an answer that the budget does not allow fails with BodyTooLarge.
 class HttpClientConnection
 {
 public:
-  HttpClientConnection(std::unique_ptr<ByteStream> aStream, HostPort aAddress);
+  // Without a budget, answers may be of any size.
+  HttpClientConnection(std::unique_ptr<ByteStream> aStream, HostPort aAddress,
+                       std::shared_ptr<ByteBudget> aBudget = nullptr);
   ~HttpClientConnection();
   HttpClientConnection(HttpClientConnection&&) noexcept;
   HttpClientConnection& operator=(HttpClientConnection&&) noexcept;
@@ -50,6 +54,10 @@
   // the next one. The connection is not reusable afterwards.
   Task<Result<void, NetError>> SkipAnswer(Duration aTimeout);
 
+  // Accounts what the reader keeps of the answer, beside what the connection itself keeps, until
+  // the next Send. Closes the connection and fails if the budget does not allow it.
+  Result<void, NetError> Hold(std::size_t aBytes);
+
   // Waits for bytes of a server to which nothing was sent. Fails with Closed or Reset if the server
   // ends the connection, and with TimedOut if it stays open without a byte. The connection is not
   // reusable afterwards.
--- a/libs/net/src/ConnectionPool.cpp
+++ b/libs/net/src/ConnectionPool.cpp
@@ -24,14 +24,16 @@
   }
 }
 
-ConnectionPool::ConnectionPool(PoolLimits aLimits)
+ConnectionPool::ConnectionPool(PoolLimits aLimits, std::shared_ptr<ByteBudget> aBudget)
   : mLimits(aLimits)
+  , mBudget(std::move(aBudget))
 {
 }
 
-std::shared_ptr<ConnectionPool> ConnectionPool::Create(PoolLimits aLimits)
+std::shared_ptr<ConnectionPool> ConnectionPool::Create(PoolLimits aLimits,
+                                                       std::shared_ptr<ByteBudget> aBudget)
 {
-  return std::shared_ptr<ConnectionPool>(new ConnectionPool(aLimits));
+  return std::shared_ptr<ConnectionPool>(new ConnectionPool(aLimits, std::move(aBudget)));
 }
 
 Task<Result<ConnectionPool::Lease, NetError>> ConnectionPool::Acquire(HostPort aAddress,
@@ -62,7 +64,7 @@
   if (!stream) {
     co_return Failure(stream.error());
   }
-  HttpClientConnection connection(std::move(*stream), std::move(aAddress));
+  HttpClientConnection connection(std::move(*stream), std::move(aAddress), mBudget);
   co_return Lease(shared_from_this(), std::move(connection), true);
 }
 
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -36,6 +36,10 @@
       co_return response;
     }
     response.body += *part;
+    const Result<void, NetError> held = connection.Hold(response.body.capacity());
+    if (!held) {
+      co_return Failure(FetchError{ held.error(), true });
+    }
     if (response.body.size() > aLimits.bodyBytes) {
       connection.Close();
       co_return Failure(FetchError{ { NetErrorKind::BodyTooLarge, {} }, true });
--- a/libs/net/src/HttpClientConnection.cpp
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -55,6 +55,15 @@
   return ConnectionId{ ++last };
 }
 
+std::size_t SizeOf(const HttpHeaders& aHeaders)
+{
+  std::size_t size = aHeaders.capacity() * sizeof(HttpHeader);
+  for (const HttpHeader& header : aHeaders) {
+    size += header.name.capacity() + header.value.capacity();
+  }
+  return size;
+}
+
 HttpHeaders HeadersOf(const http::fields& aFields)
 {
   HttpHeaders headers;
@@ -70,6 +79,11 @@
 {
   using Parser = http::response_parser<http::string_body>;
 
+  explicit State(std::shared_ptr<ByteBudget> aBudget)
+    : charge(std::move(aBudget))
+  {
+  }
+
   // Reads and parses until aIsEnough holds or the message ends.
   template <class Predicate>
   Task<Result<void, NetError>> ReadUntil(Predicate aIsEnough, Duration aTimeout);
@@ -83,6 +97,9 @@
   }
   // Starts to parse a new answer.
   void ExpectAnswer();
+  // Accounts what is kept now. Closes the connection and drops what it keeps if the budget does not
+  // allow it.
+  Result<void, NetError> Charge();
 
   const ConnectionId id = NextConnectionId();
   std::unique_ptr<ByteStream> stream;
@@ -90,6 +107,9 @@
   std::string host;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
+  ByteCharge charge;
+  std::size_t headBytes = 0; // of the head that the reader keeps
+  std::size_t heldBytes = 0; // of the body that the reader keeps
   std::optional<NetError> readFailure;
   bool isAwaitCancelled = false;
   bool isExchanging = false;
@@ -98,8 +118,9 @@
   Duration maximumIdle = Duration::max();
 };
 
-HttpClientConnection::HttpClientConnection(std::unique_ptr<ByteStream> aStream, HostPort aAddress)
-  : mState(std::make_unique<State>())
+HttpClientConnection::HttpClientConnection(std::unique_ptr<ByteStream> aStream, HostPort aAddress,
+                                           std::shared_ptr<ByteBudget> aBudget)
+  : mState(std::make_unique<State>(std::move(aBudget)))
 {
   mState->stream = std::move(aStream);
   mState->host = ToString(aAddress);
@@ -140,6 +161,7 @@
 
 void HttpClientConnection::State::ExpectAnswer()
 {
+  headBytes = 0;
   parser.emplace();
   parser->eager(true);
   parser->header_limit(kMaximumHead);
@@ -147,6 +169,24 @@
   parser->skip(isHeadRequest);
 }
 
+Result<void, NetError> HttpClientConnection::State::Charge()
+{
+  if (buffer.size() == 0 && buffer.capacity() > kReadSize) {
+    buffer = {};
+  }
+  const std::size_t bodyBytes = parser ? parser->get().body().capacity() : 0;
+  if (charge.TryResize(buffer.capacity() + bodyBytes + headBytes + heldBytes)) {
+    return {};
+  }
+  stream->Close();
+  buffer = {};
+  if (parser) {
+    parser->get().body() = {};
+  }
+  readFailure = NetError{ NetErrorKind::BodyTooLarge, "answers use up their memory" };
+  return Failure(*readFailure);
+}
+
 template <class Predicate>
 Task<Result<void, NetError>> HttpClientConnection::State::ReadUntil(Predicate aIsEnough,
                                                                     Duration aTimeout)
@@ -158,9 +198,13 @@
   const Time end = Now() + aTimeout;
   while (true) {
     Result<void, NetError> parsed = Parse(false);
-    if (!parsed || aIsEnough() || parser->is_done()) {
+    if (!parsed) {
       co_return parsed;
     }
+    Result<void, NetError> charged = Charge();
+    if (!charged || aIsEnough() || parser->is_done()) {
+      co_return charged;
+    }
     if (buffer.size() > kMaximumUnparsed) {
       stream->Close();
       co_return Failure(NetError{ NetErrorKind::Malformed, "line without end" });
@@ -200,6 +244,7 @@
                                                         Duration aTimeout)
 {
   mState->isExchanging = true;
+  mState->heldBytes = 0;
   mState->isHeadRequest = aRequest.method == "HEAD";
   mState->ExpectAnswer();
   const std::string text = RequestText(aRequest, mState->host);
@@ -217,10 +262,18 @@
   if (!done) {
     co_return Failure(done.error());
   }
-  const http::response<http::string_body>& message = state.parser->get();
+  http::response<http::string_body>& message = state.parser->get();
   const boost::beast::string_view keepAlive = message[http::field::keep_alive];
   state.maximumIdle = IdleTimeOf({ keepAlive.data(), keepAlive.size() });
-  co_return HttpResponseHead{ message.result_int(), HeadersOf(message) };
+  HttpResponseHead head{ message.result_int(), HeadersOf(message) };
+  // The parser does not use the fields again; without this, a head would be kept twice.
+  message.base().clear();
+  state.headBytes = SizeOf(head.headers);
+  const Result<void, NetError> charged = state.Charge();
+  if (!charged) {
+    co_return Failure(charged.error());
+  }
+  co_return head;
 }
 
 Task<Result<std::string, NetError>> HttpClientConnection::ReadBodySome(Duration aTimeout)
@@ -231,8 +284,7 @@
   if (!done) {
     co_return Failure(done.error());
   }
-  std::string text = std::move(state.parser->get().body());
-  state.parser->get().body().clear();
+  std::string text = std::exchange(state.parser->get().body(), std::string{});
   if (text.empty() && state.parser->is_done()) {
     state.isExchanging = false;
   }
@@ -248,7 +300,13 @@
   }
   const Time end = Now() + aTimeout;
   while (true) {
-    const Result<void, NetError> parsed = state.Parse(false);
+    Result<void, NetError> parsed = state.Parse(false);
+    if (parsed) {
+      parsed = state.Charge();
+    }
+    if (!parsed && parsed.error().kind == NetErrorKind::BodyTooLarge) {
+      co_return BodyState::Broken;
+    }
     if (state.parser->is_done() || !state.parser->get().body().empty()) {
       co_return BodyState::Ready;
     }
@@ -289,6 +347,16 @@
   co_return Result<void, NetError>{};
 }
 
+Result<void, NetError> HttpClientConnection::Hold(std::size_t aBytes)
+{
+  const std::size_t before = std::exchange(mState->heldBytes, aBytes);
+  Result<void, NetError> charged = mState->Charge();
+  if (!charged) {
+    mState->heldBytes = before;
+  }
+  return charged;
+}
+
 Task<Result<void, NetError>> HttpClientConnection::AwaitUnrequested(Duration aTimeout)
 {
   mState->isReusePrevented = true;
@@ -327,6 +395,13 @@
 
 void HttpClientConnection::Detach()
 {
+  // An idle connection keeps nothing of its last answer.
+  mState->headBytes = 0;
+  mState->heldBytes = 0;
+  if (mState->parser) {
+    mState->parser->get().base().clear();
+  }
+  mState->Charge();
   mState->stream->Detach();
 }
 
--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -30,8 +30,10 @@
 
   const net::Executor executor;
   const std::shared_ptr<const Dialect> dialect;
-  const std::shared_ptr<net::ConnectionPool> pool;
   telemetry::Metrics metrics;
+  // Of all answers of backend servers that are being read or forwarded.
+  const std::shared_ptr<net::ByteBudget> answerBytes;
+  const std::shared_ptr<net::ConnectionPool> pool;
   std::shared_ptr<const dispatch::RouteTable> table; // null until a configuration has been read
   dispatch::BackendDirectory directory;
   dispatch::Dispatcher dispatcher;
@@ -44,8 +46,7 @@
   std::weak_ptr<StreamOriginExchange> streamOriginExchange; // none without a store
   StoreSyncState storeSync;
   std::uint64_t nextRequestId = 1;
-  std::size_t bufferedResponseBytes = 0; // of responses that are being read or forwarded whole
-  std::size_t runningRequests = 0;       // requests with a session, not yet completed
+  std::size_t runningRequests = 0; // requests with a session, not yet completed
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/src/EventSplitter.cpp
+++ b/libs/relay/src/EventSplitter.cpp
@@ -60,12 +60,13 @@
 
 bool EventSplitter::HasEventWithData() const
 {
-  EventSplitter copy = *this;
-  std::optional<StreamEvent> event = copy.Next();
-  while (event && !event->hasData) {
-    event = copy.Next();
+  std::string_view rest = std::string_view(mBytes).substr(mReadPosition);
+  std::size_t length = EventLength(rest, mSearchOffset);
+  while (length > 0 && !HasData(rest.substr(0, length))) {
+    rest.remove_prefix(length);
+    length = EventLength(rest, 0);
   }
-  return event.has_value();
+  return length > 0;
 }
 
 std::optional<StreamEvent> EventSplitter::Next()
@@ -74,8 +75,13 @@
   const std::size_t length = EventLength(rest, mSearchOffset);
   if (length == 0) {
     mSearchOffset = std::max(rest.size(), kTerminatorOverlap) - kTerminatorOverlap;
-    mBytes.erase(0, mReadPosition);
-    mReadPosition = 0;
+    if (mReadPosition > 0) {
+      mBytes.erase(0, mReadPosition);
+      mReadPosition = 0;
+      if (mBytes.capacity() > kKeptBytes) {
+        mBytes.shrink_to_fit();
+      }
+    }
     return std::nullopt;
   }
   const std::string_view text = rest.substr(0, length);
--- a/libs/relay/src/EventSplitter.hpp
+++ b/libs/relay/src/EventSplitter.hpp
@@ -32,11 +32,16 @@
   bool HasEventWithData() const;
   // Returns whether an incomplete event is buffered.
   bool HasPartialEvent() const { return mReadPosition < mBytes.size(); }
+  // Returns the memory that the buffered bytes take.
+  std::size_t HeldBytes() const { return mBytes.capacity(); }
   // Returns whether the incomplete event is too large. It must be called after Next has returned
   // all complete events.
   bool HasOversizedEvent() const { return mBytes.size() - mReadPosition > kMaximumEventBytes; }
 
 private:
+  // A buffer up to this size is kept for the next event.
+  static constexpr std::size_t kKeptBytes = 4096;
+
   std::string mBytes;
   std::size_t mReadPosition = 0;
   // Offset from mReadPosition before which no event ends. Without it, an event that arrives in many
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -16,8 +16,6 @@
 constexpr unsigned kMisdirectedRequest = 421;
 // More responses to other requests, or informational ones, mean that the backend server is faulty.
 constexpr std::uint32_t kMaximumSkippedResponses = 8;
-// Of all responses that this daemon holds in memory; entry hosts have as little as 160 MB.
-constexpr std::size_t kMaximumBufferedBytes = 50331648;
 
 bool IsInformational(unsigned aStatus)
 {
@@ -51,11 +49,6 @@
 {
 }
 
-Exchange::~Exchange()
-{
-  mState.bufferedResponseBytes -= mBufferedBytes;
-}
-
 net::Task<Result<BackendResponseHead, ExchangeError>> Exchange::Start(net::HttpRequest aRequest,
                                                                       Time aDeadline,
                                                                       Duration aMaximumIdle)
@@ -178,15 +171,22 @@
       co_return part ? Result<std::string, net::NetError>(std::move(body)) : part;
     }
     body += *part;
-    mBufferedBytes += part->size();
-    mState.bufferedResponseBytes += part->size();
-    if (body.size() > kMaximumBodyBytes || mState.bufferedResponseBytes > kMaximumBufferedBytes) {
+    const Result<void, net::NetError> held = Hold(body.capacity());
+    if (!held) {
+      co_return Failure(held.error());
+    }
+    if (body.size() > kMaximumBodyBytes) {
       (*mLease)->Close();
       co_return Failure(net::NetError{ net::NetErrorKind::BodyTooLarge, {} });
     }
   }
 }
 
+Result<void, net::NetError> Exchange::Hold(std::size_t aBytes)
+{
+  return (*mLease)->Hold(aBytes);
+}
+
 void Exchange::Close()
 {
   mIsClosed = true;
--- a/libs/relay/src/Exchange.hpp
+++ b/libs/relay/src/Exchange.hpp
@@ -36,7 +36,6 @@
   // used again, so that an answer with the call's id is the answer to this message.
   Exchange(RelayState& aState, const dispatch::Backend& aBackend, std::string aCallId,
            net::ConnectionIds& aUsedConnections);
-  ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
@@ -53,6 +52,9 @@
   // Returns the next part of the body; empty at its end.
   net::Task<Result<std::string, net::NetError>> ReadSome(Duration aTimeout);
   net::Task<Result<std::string, net::NetError>> ReadAll(Time aDeadline);
+  // Accounts what the caller of this exchange keeps of the body. Closes the connection and fails if
+  // the answers of all backend servers use up their memory.
+  Result<void, net::NetError> Hold(std::size_t aBytes);
   // Closes the connection, which tells the backend server to cancel the request.
   void Close();
 
@@ -71,8 +73,7 @@
   net::ConnectionIds& mUsedConnections;
   std::optional<net::ConnectionPool::Lease> mLease;
   net::HttpResponseHead mHead;
-  bool mHasOtherAnswers = false;  // answers to other messages came over the connection
-  std::size_t mBufferedBytes = 0; // counted in RelayState::bufferedResponseBytes
+  bool mHasOtherAnswers = false; // answers to other messages came over the connection
   bool mIsClosed = false;
 };
 
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -76,7 +76,7 @@
   void StartResponse(const Exchange& aExchange, const BackendResponseHead& aHead);
   // Forwards the complete events that have arrived. Returns false if the caller has disconnected.
   net::Task<bool> RelayEvents(EventSplitter& aEvents, dispatch::StreamSilence& aSilence,
-                              const Exchange& aExchange, BackendResponseHead aHead);
+                              Exchange& aExchange, BackendResponseHead aHead);
   net::Task<Step> HandleDecodeFailure(const dispatch::Backend& aEngine, ExchangeError aError);
   void RecordDecodeFailure(const dispatch::Backend& aEngine, const ExchangeError& aError);
   // Returns whether the stream may be offered to another engine: its attempts are not used up.
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -51,6 +51,11 @@
       }
       events.Add(*part);
       hasEnded = part->empty();
+      const Result<void, net::NetError> held = aExchange.Hold(events.HeldBytes());
+      if (!held) {
+        ExchangeError error{ Progress::Unknown, held.error().kind, net::ToString(held.error()) };
+        co_return co_await HandleDecodeFailure(aEngine, std::move(error));
+      }
     }
     const bool isCallerConnected = co_await RelayEvents(events, silence, aExchange, aHead);
     if (events.HasOversizedEvent()) {
@@ -104,6 +109,11 @@
       const Result<std::string, net::NetError> part =
         co_await aExchange.ReadSome(mRequest.TimeLeft(net::Now()));
       aEvents.Add(part.value_or(std::string{}));
+      if (aEvents.HasOversizedEvent() || !aExchange.Hold(aEvents.HeldBytes())) {
+        // The offer goes on; if it is refused, the closed connection ends the attempt.
+        aExchange.Close();
+        break;
+      }
       aWatch.hasEngineGoneOn = !part || part->empty() || aEvents.HasEventWithData();
     }
   }
@@ -171,6 +181,8 @@
   ExchangeError error{ Progress::Unknown, net::NetErrorKind::TimedOut,
                        "silent; another engine has accepted the stream" };
   aExchange.Close();
+  aEvents = EventSplitter();
+  aExchange.Hold(0);
   RecordDecodeFailure(aSilent, error);
   const Step step = co_await RelayStream(accepted->engine, *accepted->exchange, accepted->head);
   co_return step;
@@ -214,8 +226,8 @@
 }
 
 net::Task<bool> PromptSession::RelayEvents(EventSplitter& aEvents,
-                                           dispatch::StreamSilence& aSilence,
-                                           const Exchange& aExchange, BackendResponseHead aHead)
+                                           dispatch::StreamSilence& aSilence, Exchange& aExchange,
+                                           BackendResponseHead aHead)
 {
   std::string newEvents;
   std::optional<StreamEvent> event = aEvents.Next();
@@ -246,7 +258,11 @@
     StartResponse(aExchange, aHead);
   }
   mLastEvent = net::Now();
+  // The events left the splitter, so this is no more than was held before.
+  newEvents.shrink_to_fit();
+  aExchange.Hold(aEvents.HeldBytes() + newEvents.capacity());
   const Result<void, net::NetError> written = co_await mResponder.WriteChunk(newEvents);
+  aExchange.Hold(aEvents.HeldBytes());
   co_return written.has_value() && !IsCallerGone();
 }
 
--- a/libs/relay/src/RelayState.cpp
+++ b/libs/relay/src/RelayState.cpp
@@ -2,6 +2,9 @@
 
 #include "AsyncPromptQueue.hpp"
 #include "CrashDetector.hpp"
+#include "masticstep/telemetry/Log.hpp"
+
+#include <malloc.h>
 
 #include <utility>
 
@@ -12,17 +15,46 @@
 // Backend servers limit the total number of connections from all daemons.
 constexpr net::PoolLimits kPoolLimits{ .idlePerAddress = 12, .maximumIdle = Seconds(8) };
 
+// Entry hosts have as little as 160 MB, of which the control state may take 64 MB.
+constexpr std::size_t kMaximumAnswerBytes = 50331648;
+
+// Buffers from this size on go back to the system when they are released. The allocator would raise
+// the threshold with the first large buffers and keep up to as much again as the budget allows.
+constexpr int kReturnedBufferBytes = 131072;
+
+void ReturnLargeBuffers()
+{
+  mallopt(M_MMAP_THRESHOLD, kReturnedBufferBytes);
+  mallopt(M_TRIM_THRESHOLD, kReturnedBufferBytes);
+}
+
+std::shared_ptr<net::ByteBudget> CreateAnswerBudget(telemetry::Metrics& aMetrics)
+{
+  const std::shared_ptr<telemetry::Counter> refusals =
+    aMetrics.GetCounter({ "masticstep_oversized_answers_total", {}, {} });
+  return std::make_shared<net::ByteBudget>(
+    kMaximumAnswerBytes, [refusals](const net::RefusedBytes& aRefused) {
+      refusals->Add();
+      telemetry::Log(telemetry::Level::Warning, "answers use up their memory",
+                     { { "wanted_bytes", static_cast<std::uint64_t>(aRefused.wanted) },
+                       { "bytes_in_use", static_cast<std::uint64_t>(aRefused.inUse) },
+                       { "bound_bytes", static_cast<std::uint64_t>(aRefused.bound) } });
+    });
+}
+
 } // namespace
 
 RelayState::RelayState(net::Executor aExecutor, std::shared_ptr<const Dialect> aDialect,
                        dispatch::Locality aPlace, std::uint64_t aSeed)
   : executor(std::move(aExecutor))
   , dialect(std::move(aDialect))
-  , pool(net::ConnectionPool::Create(kPoolLimits))
+  , answerBytes(CreateAnswerBudget(metrics))
+  , pool(net::ConnectionPool::Create(kPoolLimits, answerBytes))
   , dispatcher(std::move(aPlace), aSeed)
   , promptQueue(std::make_unique<AsyncPromptQueue>(executor, dispatcher))
   , crashDetector(std::make_shared<CrashDetector>(executor, pool, quarantine, metrics))
 {
+  ReturnLargeBuffers();
 }
 
 RelayState::~RelayState() = default;
--- a/libs/relay/tests/PlainSessionTests.cpp
+++ b/libs/relay/tests/PlainSessionTests.cpp
@@ -256,16 +256,30 @@
 // that grows with each answer.
 MASTICSTEP_TEST("the answers in memory are bounded in sum", "[relay][plain][bounds]")
 {
-  constexpr std::size_t kMoreThanAllowed = 64 * 1024 * 1024;
+  const std::string large(2 * net::ByteCharge::kGrantedBytes, 'x');
+  ScriptedBackend largeAnswers(Always({ SignedResponse(200, large), Then::KeepOpen }));
+  RelayFixture fixture;
+  fixture.Add("a", "plain", largeAnswers);
+  net::ByteBudget& budget = fixture.AnswerBytes();
+  CHECK_TRUE(budget.TryTake(budget.Bound()));
+  CHECK_EQUAL(std::string("HTTP/1.1 502"), Status(fixture.SendRequest("POST", "/once/")));
+  CHECK_EQUAL(budget.Bound(), budget.InUse());
+  budget.Return(budget.Bound());
+  CHECK_TRUE(fixture.SendRequest("POST", "/once/").ends_with(large));
+  CHECK_EQUAL(std::size_t{ 0 }, budget.InUse());
+}
+
+// Guards against ordinary answers that fail since faulty backend servers fill the memory.
+MASTICSTEP_TEST("an ordinary answer is forwarded while the others use up their memory",
+                "[relay][plain][bounds]")
+{
   ScriptedBackend backend(Always({ SignedResponse(200, "ok"), Then::KeepOpen }));
   RelayFixture fixture;
   fixture.Add("a", "plain", backend);
-  fixture.SetBufferedResponseBytes(kMoreThanAllowed);
-  CHECK_EQUAL(std::string("HTTP/1.1 502"), Status(fixture.SendRequest("POST", "/once/")));
-  CHECK_EQUAL(kMoreThanAllowed, fixture.BufferedResponseBytes());
-  fixture.SetBufferedResponseBytes(0);
+  net::ByteBudget& budget = fixture.AnswerBytes();
+  CHECK_TRUE(budget.TryTake(budget.Bound()));
   CHECK_TRUE(fixture.SendRequest("POST", "/once/").ends_with("ok"));
-  CHECK_EQUAL(std::size_t{ 0 }, fixture.BufferedResponseBytes());
+  budget.Return(budget.Bound());
 }
 
 // Guards against a prompt part that crashes backend servers on routes without streams, where each
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -333,21 +333,6 @@
     .get();
 }
 
-void RelayFixture::SetBufferedResponseBytes(std::size_t aBytes)
-{
-  // On the event loop, which owns the state.
-  asio::post(mState->executor,
-             asio::use_future([this, aBytes] { mState->bufferedResponseBytes = aBytes; }))
-    .get();
-}
-
-std::size_t RelayFixture::BufferedResponseBytes()
-{
-  return asio::post(mState->executor,
-                    asio::use_future([this] { return mState->bufferedResponseBytes; }))
-    .get();
-}
-
 std::unique_ptr<net::RawClient> RelayFixture::Connect() const
 {
   return std::make_unique<net::RawClient>(net::HostPort{ "127.0.0.1", mServer->Port() });
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -90,6 +90,9 @@
   void Add(const std::string& aId, const std::string& aService, const ScriptedBackend& aBackend,
            dispatch::Stage aStage = dispatch::Stage::Whole,
            const std::string& aSoftwareVersion = "v1");
+  // Adds a backend server at a port of the loopback address.
+  void AddAt(const std::string& aId, const std::string& aService, std::uint16_t aPort,
+             dispatch::Stage aStage, const std::string& aSoftwareVersion = "v1");
   void Remove(const std::string& aId);
   // Adds a backend server that refuses connections.
   void AddUnreachable(const std::string& aId, const std::string& aService, dispatch::Stage aStage);
@@ -101,16 +104,13 @@
   void SetRetryBounds(dispatch::RetryBounds aBounds) { mState->retryBudget.SetBounds(aBounds); }
   // Puts a part of prompts into quarantine.
   void Quarantine(std::uint64_t aPart);
-  // Sets and returns the size of the responses that the relay holds in memory.
-  void SetBufferedResponseBytes(std::size_t aBytes);
-  std::size_t BufferedResponseBytes();
+  // What the answers of backend servers may take in memory, beyond what each is always granted.
+  net::ByteBudget& AnswerBytes() const { return *mState->answerBytes; }
   static std::string RequestText(const std::string& aMethod, const std::string& aPath,
                                  const std::string& aExtraHeaders = {});
 
 private:
   void ApplyBackends();
-  void AddAt(const std::string& aId, const std::string& aService, std::uint16_t aPort,
-             dispatch::Stage aStage, const std::string& aSoftwareVersion);
 
   net::WorkerPool mWorkers;
   std::shared_ptr<RelayState> mState;
