Relay: cut the body of a refusal where it is reported

A backend server may refuse a request with a body of up to 16 MB. All of it became a part of the error and of the log line; the log drops lines of such a size, so the failed attempt was not logged (a run with a body of 1 MB left no line). 256 bytes of the body are kept now.

The new test failed before ("error.detail.size() < 1000"). relay_tests [exchange] 1 of 1 and [plain] 23 of 23 pass.

--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -13,6 +13,8 @@
 // Covers several round trips between regions. A host that is powered off never responds.
 constexpr Duration kConnectTimeout = Milliseconds(250);
 constexpr std::size_t kMaximumBodyBytes = 16777216;
+// Of a refusal that is logged and told to the caller.
+constexpr std::size_t kReportedBodyBytes = 256;
 constexpr unsigned kMisdirectedRequest = 421;
 // More responses to other requests, or informational ones, mean that the backend server is faulty.
 constexpr std::uint32_t kMaximumSkippedResponses = 8;
@@ -89,7 +91,7 @@
       error.detail += ", running " + std::to_string(head->load->running) + ", waiting " +
                       std::to_string(head->load->waiting);
     }
-    error.detail += body ? *body : "";
+    error.detail += body ? body->substr(0, kReportedBodyBytes) : "";
     co_return Failure(std::move(error));
   }
   co_return *head;
