Relay: test the bound of an event while its stream is offered

While a stream was offered to another engine, nothing bounded an unfinished event of the silent one.

--- a/libs/relay/tests/SilentEngineTests.cpp
+++ b/libs/relay/tests/SilentEngineTests.cpp
@@ -2,6 +2,7 @@
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/testing/Test.hpp"
 
+#include <algorithm>
 #include <thread>
 
 using namespace masticstep;
@@ -197,6 +198,43 @@
   CHECK_EQUAL(std::size_t{ 1 }, slow.Requests().size());
 }
 
+// Guards against memory that an event without end fills while another engine is asked to take the
+// stream, and against cutting the stream for it.
+MASTICSTEP_TEST("an offered stream goes on although its silent engine sends an event without end",
+                "[relay][silence][bounds]")
+{
+  constexpr std::size_t kEndlessBytes = 16000000;
+  const std::string event = "data: " + std::string(kEndlessBytes, 'x');
+  ScriptedBackend silent([&event](const std::string&) {
+    return ScriptedResponse{ "HTTP/1.1 200 OK\r\nId: c1\r\nSigned: s\r\n\r\n"
+                             "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n",
+                             Then::KeepOpen,
+                             {},
+                             Milliseconds(1300),
+                             event };
+  });
+  ScriptedBackend slow([](const std::string&) {
+    return ScriptedResponse{
+      "", Then::KeepOpen, {}, Milliseconds(1500), StreamHead() + Events(3, 4) + StreamEnd()
+    };
+  });
+  RelayFixture fixture;
+  fixture.Add("e1", "llm", silent);
+  fixture.Add("e2", "llm", slow);
+  const std::unique_ptr<net::RawClient> caller = fixture.Connect();
+  caller->Send(RelayFixture::RequestText("POST", "/resume/"));
+  std::size_t largest = 0;
+  const Time end = net::Now() + Milliseconds(2200);
+  while (net::Now() < end) {
+    largest = std::max(largest, fixture.AnswerBytes().InUse());
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  CHECK_TRUE(IsWhole(caller->ReadUntilClosed(), 4));
+  CHECK_EQUAL(std::size_t{ 1 }, slow.Requests().size());
+  CHECK_TRUE(largest > 0);
+  CHECK_TRUE(largest < 3000000);
+}
+
 // Guards against a daemon that takes the begin of a silence for a lost answer on routes whose
 // requests are not resumed.
 MASTICSTEP_TEST("plain answers survive a silence of their backend server at any point",
