--- a/libs/relay/tests/AnswerMemoryTests.cpp
+++ b/libs/relay/tests/AnswerMemoryTests.cpp
@@ -6,10 +6,13 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <fstream>
 #include <iostream>
 #include <limits>
 #include <thread>
+#include <vector>
 
 using namespace masticstep;
 using namespace masticstep::relay;
@@ -138,6 +141,24 @@
   CHECK_TRUE(GrowthOf(fixture, "prefill answers", "/stream/") < kMaximumGrowth);
 }
 
+MASTICSTEP_TEST("answers to releases of a KV cache stay within the budget",
+                "[relay][bounds][budget]")
+{
+  const Flood handle{ SignedResponse(200, "h1"), {}, 0 };
+  const Flood flood{ HeadWithoutLength(), std::string(50000, 'x'), kEndless };
+  std::atomic<std::size_t> releases = 0;
+  FloodServer server([&](const std::string& aRequest) -> const Flood& {
+    const bool isRelease = aRequest.starts_with("DELETE");
+    releases += isRelease ? 1 : 0;
+    return isRelease ? flood : handle;
+  });
+  RelayFixture fixture;
+  AddEngines(fixture, server, "llm", Stage::Prefill);
+  fixture.AddUnreachable("w1", "llm", Stage::Decode);
+  CHECK_TRUE(GrowthOf(fixture, "release answers", "/stream/") < kMaximumGrowth);
+  CHECK_TRUE(releases >= kRequests);
+}
+
 // Guards against ordinary streams and answers that fail because those of faulty engines have used
 // up the memory.
 MASTICSTEP_TEST("ordinary answers succeed beside many streams without end",
