--- a/libs/net/src/StreamResponder.hpp
+++ b/libs/net/src/StreamResponder.hpp
@@ -53,11 +53,13 @@
   Task<Result<void, NetError>> Write(std::string_view aBytes);
   // Returns the bytes of the next probe, none if there is none to send.
   std::string_view NextProbe() const;
+  // Writes what is pending and then the bytes and their end.
+  Task<Result<void, NetError>> WritePending(std::string_view aBytes, std::string_view aEnd);
 
   ByteStream& mStream;
   Options mOptions;
   std::function<void()> mOnGone;
-  std::string mPending; // head that waits for the first chunk; then scratch space for chunks
+  std::string mPending; // head that waits for the first chunk; then scratch space for small chunks
   BodyFraming mFraming = BodyFraming::Length;
   std::size_t mStatusLineProbe = 0; // bytes of the status line that Probe wrote
   std::size_t mChunkProbe = 0;      // zeros before the size of the next chunk that Probe wrote
--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -37,8 +37,10 @@
 
   const net::Executor executor;
   const std::shared_ptr<const Dialect> dialect;
-  const std::shared_ptr<net::ConnectionPool> pool;
   telemetry::Metrics metrics;
+  // Of all answers of backend servers that are being read or forwarded.
+  const std::shared_ptr<net::ByteBudget> answerBytes;
+  const std::shared_ptr<net::ConnectionPool> pool;
   std::shared_ptr<const dispatch::RouteTable> table; // null until a configuration has been read
   dispatch::BackendDirectory directory;
   dispatch::Dispatcher dispatcher;
@@ -51,7 +53,6 @@
   std::weak_ptr<StreamOriginExchange> streamOriginExchange; // none without a store
   StoreSyncState storeSync;
   std::uint64_t nextRequestId = 1;
-  std::size_t bufferedResponseBytes = 0; // of responses that are being read or forwarded whole
   std::optional<dispatch::DrainSchedule> drain; // set once the planned stop has begun
   std::unordered_set<Session*> sessions;        // of the requests that are not yet completed
 };
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -13,11 +13,11 @@
 // Covers several round trips between regions. A host that is powered off never responds.
 constexpr Duration kConnectTimeout = Milliseconds(250);
 constexpr std::size_t kMaximumBodyBytes = 16777216;
+// Of a refusal that is logged and told to the caller.
+constexpr std::size_t kReportedBodyBytes = 256;
 constexpr unsigned kMisdirectedRequest = 421;
 // More responses to other requests, or informational ones, mean that the backend server is faulty.
 constexpr std::uint32_t kMaximumSkippedResponses = 8;
-// Of all responses that this daemon holds in memory; entry hosts have as little as 160 MB.
-constexpr std::size_t kMaximumBufferedBytes = 50331648;
 
 bool IsInformational(unsigned aStatus)
 {
@@ -51,11 +51,6 @@
 {
 }
 
-Exchange::~Exchange()
-{
-  mState.bufferedResponseBytes -= mBufferedBytes;
-}
-
 net::Task<Result<BackendResponseHead, ExchangeError>> Exchange::Start(net::HttpRequest aRequest,
                                                                       Time aDeadline,
                                                                       Duration aMaximumIdle)
@@ -99,7 +94,7 @@
       error.detail += ", running " + std::to_string(head->load->running) + ", waiting " +
                       std::to_string(head->load->waiting);
     }
-    error.detail += body ? *body : "";
+    error.detail += body ? body->substr(0, kReportedBodyBytes) : "";
     co_return Failure(std::move(error));
   }
   co_return *head;
@@ -191,15 +186,22 @@
       co_return part ? Result<std::string, net::NetError>(std::move(body)) : part;
     }
     body += *part;
-    mBufferedBytes += part->size();
-    mState.bufferedResponseBytes += part->size();
-    if (body.size() > kMaximumBodyBytes || mState.bufferedResponseBytes > kMaximumBufferedBytes) {
+    const Result<void, net::NetError> held = Hold(body.capacity());
+    if (!held) {
+      co_return Failure(held.error());
+    }
+    if (body.size() > kMaximumBodyBytes) {
       (*mLease)->Close();
       co_return Failure(net::NetError{ net::NetErrorKind::BodyTooLarge, {} });
     }
   }
 }
 
+Result<void, net::NetError> Exchange::Hold(std::size_t aBytes)
+{
+  return (*mLease)->Hold(aBytes);
+}
+
 void Exchange::Close()
 {
   mIsClosed = true;
