--- a/libs/dispatch/tests/StagePlanTests.cpp
+++ b/libs/dispatch/tests/StagePlanTests.cpp
@@ -80,12 +80,14 @@
 }
 
 // Counts the engines that decode in both fleets: they write during all changes between them.
-std::map<SoftwareVersion, std::size_t> CountLastingWriters(Engines aBefore, const Engines& aAfter)
+std::map<SoftwareVersion, std::size_t> CountLastingWriters(const Engines& aBefore,
+                                                           const Engines& aAfter)
 {
-  for (auto& [id, engine] : aBefore) {
+  Engines lasting = aBefore;
+  for (auto& [id, engine] : lasting) {
     engine.stage = aAfter.at(id).stage == Stage::Decode ? engine.stage : Stage::Prefill;
   }
-  return CountWriters(aBefore);
+  return CountWriters(lasting);
 }
 
 Engines DrawEngines()
