Relay: decide in one place which events belong to a stream and what ends it

Any status 2xx of a signed answer was a stream, an end without an event was the end of the stream once the caller had events, and blocks without data or without an id were forwarded.

Change: StreamSequence, without I/O, says for the first engine and each later one alike what belongs to the stream and what ends it; IsStream says which answer may be a stream, also for offers of silent streams. A stream ends complete after an event, by its length, its last chunk or (without these) with its connection. Without an event nothing shows the end, except to a caller that takes a stream up and is told so by a length or a last chunk.

--- a/libs/net/src/HttpClientConnection.cpp
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -363,6 +363,11 @@
   co_return co_await mState->Fill(aTimeout);
 }
 
+bool HttpClientConnection::EndsWithConnection() const
+{
+  return mState->parser && mState->parser->need_eof();
+}
+
 void HttpClientConnection::PreventReuse()
 {
   mState->isReusePrevented = true;
--- a/libs/relay/src/EventSplitter.cpp
+++ b/libs/relay/src/EventSplitter.cpp
@@ -1,6 +1,7 @@
 #include "EventSplitter.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace masticstep::relay {
@@ -51,6 +52,27 @@
   return std::nullopt;
 }
 
+bool IsFieldOrComment(std::string_view aLine)
+{
+  constexpr std::array<std::string_view, 4> kFields{ "id", "event", "data", "retry" };
+  const std::string_view name = aLine.substr(0, aLine.find(':'));
+  return name.empty() || std::find(kFields.begin(), kFields.end(), name) != kFields.end();
+}
+
+bool IsWellFormed(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    const std::size_t end = aEvent.find('\n');
+    std::string_view line = aEvent.substr(0, end);
+    aEvent.remove_prefix(line.size() + 1);
+    line.remove_suffix(line.ends_with('\r') ? 1 : 0);
+    if (!IsFieldOrComment(line)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 bool HasData(std::string_view aEvent)
 {
   return aEvent.starts_with("data:") || aEvent.find("\ndata:") != std::string_view::npos;
@@ -85,7 +107,7 @@
     return std::nullopt;
   }
   const std::string_view text = rest.substr(0, length);
-  StreamEvent event{ std::string(text), EventId(text), HasData(text) };
+  StreamEvent event{ std::string(text), EventId(text), HasData(text), IsWellFormed(text) };
   mReadPosition += length;
   mSearchOffset = 0;
   return event;
--- a/libs/relay/src/EventSplitter.hpp
+++ b/libs/relay/src/EventSplitter.hpp
@@ -13,6 +13,7 @@
   std::string text;
   std::optional<std::uint64_t> id;
   bool hasData = false; // false for comments and empty events, which only keep a connection open
+  bool isWellFormed = true; // each line is a field of an event or a comment
 
   bool operator==(const StreamEvent&) const = default;
 };
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -39,7 +39,7 @@
 ExchangeError UnusableResponseError(const BackendResponseHead& aHead)
 {
   return { Progress::Unknown, net::NetErrorKind::Malformed,
-           "unsigned answer with status " + std::to_string(aHead.status) };
+           "unusable answer with status " + std::to_string(aHead.status) };
 }
 
 Exchange::Exchange(RelayState& aState, const dispatch::Backend& aBackend, std::string aCallId,
@@ -202,6 +202,11 @@
   return (*mLease)->Hold(aBytes);
 }
 
+BodyEnd Exchange::EndOfBody()
+{
+  return (*mLease)->EndsWithConnection() ? BodyEnd::UntilClose : BodyEnd::Delimited;
+}
+
 void Exchange::Close()
 {
   mIsClosed = true;
--- a/libs/relay/src/Exchange.hpp
+++ b/libs/relay/src/Exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "StreamSequence.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
 #include "masticstep/net/HttpClientConnection.hpp"
 #include "masticstep/relay/RelayState.hpp"
@@ -58,6 +59,8 @@
   // Closes the connection, which tells the backend server to cancel the request.
   void Close();
 
+  // How the body of the response ends.
+  BodyEnd EndOfBody();
   const net::HttpHeaders& Headers() const { return mHead.headers; }
   const dispatch::Backend& Backend() const { return mBackend; }
 
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -39,7 +39,7 @@
 PromptSession::PromptSession(std::shared_ptr<RelayState> aState, RoutedRequest aRoutedRequest,
                              net::HttpResponder& aResponder)
   : Session(std::move(aState), std::move(aRoutedRequest), aResponder)
-  , mLastEventId(mRequest.call.lastEventId)
+  , mSequence(mRequest.call.lastEventId)
 {
   mWork.service = mRequest.service;
   mWork.prompt = mRequest.call.prompt.value_or(dispatch::Prompt{});
@@ -153,7 +153,7 @@
   waiting.priority = route.priority;
   waiting.arrived = mRequest.arrived;
   waiting.target = mRequest.arrived + route.target;
-  waiting.isResumption = route.isResumable && mLastEventId.has_value();
+  waiting.isResumption = route.isResumable && mSequence.LastEventId().has_value();
   waiting.callerDeadline = std::min(callerLeavesAt - kFirstEventReserve, mRequest.deadline);
   return waiting;
 }
@@ -278,7 +278,7 @@
   SendOptions options = OptionsFor(aEngine);
   options.source = mKvSource;
   options.priority = mRequest.route->priority;
-  options.lastEventId = mLastEventId;
+  options.lastEventId = mSequence.LastEventId();
   mActiveExchange = &aExchange;
   net::HttpRequest request = mState->dialect->BuildBackendRequest(mRequest.call, options);
   Result<BackendResponseHead, ExchangeError> head =
--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -2,6 +2,7 @@
 
 #include "EventSplitter.hpp"
 #include "Session.hpp"
+#include "StreamSequence.hpp"
 #include "masticstep/dispatch/PromptQueue.hpp"
 #include "masticstep/dispatch/StreamSilence.hpp"
 #include "masticstep/net/Signal.hpp"
@@ -75,9 +76,14 @@
   net::Task<Step> RelayError(const dispatch::Backend& aEngine, Exchange& aExchange,
                              BackendResponseHead aHead);
   void StartResponse(const Exchange& aExchange, const BackendResponseHead& aHead);
-  // Forwards the complete events that have arrived. Returns false if the caller has disconnected.
-  net::Task<bool> RelayEvents(EventSplitter& aEvents, dispatch::StreamSilence& aSilence,
-                              Exchange& aExchange, BackendResponseHead aHead);
+  // Forwards the complete events that have arrived. Returns why the exchange cannot go on, if so:
+  // what the engine sends does not belong to the stream, or the caller has disconnected.
+  net::Task<std::optional<ExchangeError>> RelayEvents(EventSplitter& aEvents,
+                                                      dispatch::StreamSilence& aSilence,
+                                                      Exchange& aExchange,
+                                                      BackendResponseHead aHead);
+  net::Task<void> ForwardEvents(std::string aText, const EventSplitter& aEvents,
+                                Exchange& aExchange, BackendResponseHead aHead);
   net::Task<Step> HandleDecodeFailure(const dispatch::Backend& aEngine, ExchangeError aError);
   void RecordDecodeFailure(const dispatch::Backend& aEngine, const ExchangeError& aError);
   // Returns whether the stream may be offered to another engine: its attempts are not used up.
@@ -117,7 +123,7 @@
   dispatch::PromptRequest mWork;
   std::optional<KvCacheHandle> mKvSource;
   std::optional<dispatch::Backend> mPrefillEngine; // engine that holds mKvSource
-  std::optional<std::uint64_t> mLastEventId;
+  StreamSequence mSequence;
   bool mIsDemandRecorded = false;
   std::uint32_t mPrefillAttempts = 0;
   std::uint32_t mRefusedTransfers = 0;
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -15,16 +15,34 @@
 
 using dispatch::Outcome;
 
+namespace {
+
+ExchangeError MakeError(net::NetErrorKind aKind, std::string aDetail)
+{
+  return { Progress::Unknown, aKind, std::move(aDetail) };
+}
+
+// An engine that stops, too, ends a stream early.
+ExchangeError MakeError(StreamFault aFault)
+{
+  const bool isEarlyEnd = aFault == StreamFault::NoEvent || aFault == StreamFault::PartialEvent;
+  return MakeError(isEarlyEnd ? net::NetErrorKind::Closed : net::NetErrorKind::Malformed,
+                   ToString(aFault));
+}
+
+} // namespace
+
 net::Task<PromptSession::Step> PromptSession::RelayStream(const dispatch::Backend& aEngine,
                                                           Exchange& aExchange,
                                                           BackendResponseHead aHead)
 {
-  if (!aHead.isSigned || aHead.isEncoded) {
-    co_return co_await HandleDecodeFailure(aEngine, UnusableResponseError(aHead));
-  }
-  if (!IsSuccess(aHead.status)) {
+  if (aHead.isSigned && !aHead.isEncoded && !IsSuccess(aHead.status)) {
     co_return co_await RelayError(aEngine, aExchange, aHead);
   }
+  if (!IsStream(aHead, aExchange.Headers())) {
+    co_return co_await HandleDecodeFailure(aEngine, UnusableResponseError(aHead));
+  }
+  mSequence.BeginEngine();
   EventSplitter events;
   dispatch::StreamSilence silence(net::Now());
   bool hasEnded = false;
@@ -46,39 +64,32 @@
       const Duration left = std::max(mRequest.TimeLeft(net::Now()), Milliseconds(1));
       const Result<std::string, net::NetError> part = co_await aExchange.ReadSome(left);
       if (!part) {
-        ExchangeError error{ Progress::Unknown, part.error().kind, net::ToString(part.error()) };
+        ExchangeError error = MakeError(part.error().kind, net::ToString(part.error()));
         co_return co_await HandleDecodeFailure(aEngine, std::move(error));
       }
       events.Add(*part);
       hasEnded = part->empty();
       const Result<void, net::NetError> held = aExchange.Hold(events.HeldBytes());
       if (!held) {
-        ExchangeError error{ Progress::Unknown, held.error().kind, net::ToString(held.error()) };
+        ExchangeError error = MakeError(held.error().kind, net::ToString(held.error()));
         co_return co_await HandleDecodeFailure(aEngine, std::move(error));
       }
     }
-    const bool isCallerConnected = co_await RelayEvents(events, silence, aExchange, aHead);
+    std::optional<ExchangeError> error = co_await RelayEvents(events, silence, aExchange, aHead);
     if (mIsEnding && !hasEnded) {
-      ExchangeError error{ Progress::Unknown, net::NetErrorKind::Cancelled, kStoppingMessage };
-      co_return co_await HandleDecodeFailure(aEngine, std::move(error));
+      error = MakeError(net::NetErrorKind::Cancelled, kStoppingMessage);
     }
-    if (events.HasOversizedEvent()) {
-      ExchangeError error{ Progress::Unknown, net::NetErrorKind::BodyTooLarge, "event has no end" };
-      co_return co_await HandleDecodeFailure(aEngine, std::move(error));
-    }
-    if (!isCallerConnected) {
-      ExchangeError error{ Progress::Unknown, net::NetErrorKind::Cancelled, "caller left" };
-      co_return co_await HandleDecodeFailure(aEngine, std::move(error));
+    if (error) {
+      co_return co_await HandleDecodeFailure(aEngine, std::move(*error));
     }
   }
-  // A caller that resumes a stream may already have its last event.
-  const bool mayBeEmpty = mRequest.call.lastEventId.has_value();
-  if (!events.HasPartialEvent() && !mResponder.HasStarted() && mayBeEmpty) {
-    StartResponse(aExchange, aHead);
+  const std::optional<StreamFault> fault =
+    mSequence.End(aExchange.EndOfBody(), events.HasPartialEvent());
+  if (fault) {
+    co_return co_await HandleDecodeFailure(aEngine, MakeError(*fault));
   }
-  if (events.HasPartialEvent() || !mResponder.HasStarted()) {
-    ExchangeError error{ Progress::Unknown, net::NetErrorKind::Closed, "stream has no end" };
-    co_return co_await HandleDecodeFailure(aEngine, std::move(error));
+  if (!mResponder.HasStarted()) {
+    StartResponse(aExchange, aHead);
   }
   const Time now = net::Now();
   mState->dispatcher.OnDone(aEngine.id, mRequest.number, Outcome::Answered, now);
@@ -156,7 +167,7 @@
                  { { "request_id", mRequest.call.id },
                    { "silent", aSilent.id.Text() },
                    { "engine", placement->engine.id.Text() },
-                   { "last_event_id", mLastEventId.value_or(0) } });
+                   { "last_event_id", mSequence.LastEventId().value_or(0) } });
   const Time decodeSentAt = mDecodeSentAt;
   const bool hadEvents = mHasEventsOfAttempt;
   SilentEngineWatch watch(mState->executor);
@@ -211,8 +222,7 @@
   std::unique_ptr<Exchange> exchange =
     std::make_unique<Exchange>(*mState, engine, mRequest.call.id, mUsedConnections);
   const Result<BackendResponseHead, ExchangeError> head = co_await StartDecode(engine, *exchange);
-  const bool isUsable = head && head->isSigned && !head->isEncoded && IsSuccess(head->status);
-  if (!isUsable) {
+  if (!head || !IsStream(*head, exchange->Headers())) {
     const ExchangeError error = head ? UnusableResponseError(*head) : head.error();
     exchange->Close();
     mActiveExchange = nullptr;
@@ -229,27 +239,37 @@
   mResponder.StartStream(std::move(head));
 }
 
-net::Task<bool> PromptSession::RelayEvents(EventSplitter& aEvents,
-                                           dispatch::StreamSilence& aSilence, Exchange& aExchange,
-                                           BackendResponseHead aHead)
+net::Task<std::optional<ExchangeError>> PromptSession::RelayEvents(
+  EventSplitter& aEvents, dispatch::StreamSilence& aSilence, Exchange& aExchange,
+  BackendResponseHead aHead)
 {
   std::string newEvents;
-  std::optional<StreamEvent> event = aEvents.Next();
-  while (event) {
-    // An engine that resumes a stream may repeat events that the caller already has.
-    const bool isDuplicate = event->id && mLastEventId && *event->id <= *mLastEventId;
-    if (!isDuplicate) {
-      newEvents += event->text;
-      if (event->hasData) {
-        aSilence.OnEvent(net::Now());
-      }
-      mLastEventId = event->id ? event->id : mLastEventId;
+  std::optional<StreamFault> fault;
+  for (auto event = aEvents.Next(); event && !fault; event = aEvents.Next()) {
+    fault = mSequence.Add(*event);
+    newEvents += fault ? std::string() : event->text;
+    if (event->hasData && !fault) {
+      aSilence.OnEvent(net::Now());
     }
-    event = aEvents.Next();
   }
-  if (newEvents.empty()) {
-    co_return !IsCallerGone();
+  if (!newEvents.empty()) {
+    co_await ForwardEvents(std::move(newEvents), aEvents, aExchange, std::move(aHead));
   }
+  if (IsCallerGone()) {
+    co_return MakeError(net::NetErrorKind::Cancelled, "caller left");
+  }
+  if (fault) {
+    co_return MakeError(*fault);
+  }
+  if (aEvents.HasOversizedEvent()) {
+    co_return MakeError(net::NetErrorKind::BodyTooLarge, "event has no end");
+  }
+  co_return std::nullopt;
+}
+
+net::Task<void> PromptSession::ForwardEvents(std::string aText, const EventSplitter& aEvents,
+                                             Exchange& aExchange, BackendResponseHead aHead)
+{
   mHasEventsOfAttempt = true;
   mWork.version = aExchange.Backend().softwareVersion;
   if (!mResponder.HasStarted()) {
@@ -263,11 +283,11 @@
   }
   mLastEvent = net::Now();
   // The events left the splitter, so this is no more than was held before.
-  newEvents.shrink_to_fit();
-  aExchange.Hold(aEvents.HeldBytes() + newEvents.capacity());
-  const Result<void, net::NetError> written = co_await mResponder.WriteChunk(newEvents);
+  aText.shrink_to_fit();
+  aExchange.Hold(aEvents.HeldBytes() + aText.capacity());
+  // A failed write marks the caller as gone.
+  co_await mResponder.WriteChunk(aText);
   aExchange.Hold(aEvents.HeldBytes());
-  co_return written.has_value() && !IsCallerGone();
 }
 
 void PromptSession::PinVersion(const SoftwareVersion& aVersion)
@@ -309,7 +329,7 @@
   telemetry::Log(telemetry::Level::Warning, "stream cut",
                  { { "request_id", mRequest.call.id },
                    { "reason", aReason },
-                   { "last_event_id", mLastEventId.value_or(0) },
+                   { "last_event_id", mSequence.LastEventId().value_or(0) },
                    { "silent_ms", ToSeconds(now - mLastEvent.value_or(now)) * 1000.0 },
                    { "left_ms", ToSeconds(mRequest.TimeLeft(now)) * 1000.0 },
                    { "attempts", mExecutions },
