Dispatch: keep engines that write for each software version in proportion, over data centres

Cause: beside other versions a version was left two engines for decoding, whatever its size, anywhere in the fleet. The plan moved others to prefill as the next version joined.

"the last decode engine of a version does not change stage" has two engines more, so that its version can spare one; "a pending change is not planned again" has a third pending engine, since three are wanted; the test of two engines for decoding asks for three now.

--- a/libs/dispatch/include/masticstep/dispatch/StagePlan.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/StagePlan.hpp
@@ -36,8 +36,9 @@
 using PendingStages = std::map<BackendServerName, Stage>;
 
 // Returns the changes that bring the engines of a service in each data centre in line with the
-// policy. Each software version keeps or gets at least one engine for decoding in the fleet, even
-// beyond the limit on changes, since no other version can go on with the streams that it began.
+// policy. Each software version keeps or gets engines for decoding in the fleet, even beyond the
+// limit on changes, since no other version can go on with the streams that it began: one, and
+// beside other versions several, in two data centres if it can.
 // Skips draining engines, engines with a pending change and engines that run both stages.
 std::vector<StageChange> PlanStages(const std::map<BackendServerName, Backend>& aBackends,
                                     const ServiceName& aService, const StagePolicy& aPolicy,
--- a/libs/dispatch/src/StagePlan.cpp
+++ b/libs/dispatch/src/StagePlan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace masticstep::dispatch {
@@ -20,16 +21,47 @@
   std::size_t Total() const { return prefill.size() + decode.size(); }
 };
 
+// Engines for decoding.
+struct Writers
+{
+  std::size_t all = 0;
+  std::size_t settled = 0; // without a pending change
+};
+
 // Engines of one software version in all data centres.
 struct Version
 {
   std::size_t engines = 0;
-  std::size_t writers = 0;        // engines for decoding
-  std::size_t settledWriters = 0; // those without a pending change
+  Writers writers;
+  std::map<DataCentreName, Writers> writersIn;
+
+  void AddWriter(const DataCentreName& aDataCentre, bool aIsSettled)
+  {
+    for (Writers* counted : { &writers, &writersIn[aDataCentre] }) {
+      counted->all += 1;
+      counted->settled += aIsSettled ? 1 : 0;
+    }
+  }
+
+  void RemoveSettledWriter(const DataCentreName& aDataCentre)
+  {
+    for (Writers* counted : { &writers, &writersIn[aDataCentre] }) {
+      counted->all -= 1;
+      counted->settled -= 1;
+    }
+  }
+
+  std::size_t DataCentresWithSettledWriter() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(writersIn.begin(), writersIn.end(),
+                    [](const auto& aEntry) { return aEntry.second.settled > 0; }));
+  }
 
   double WriterShare() const
   {
-    return static_cast<double>(writers) / static_cast<double>(std::max<std::size_t>(1, engines));
+    return static_cast<double>(writers.all) /
+           static_cast<double>(std::max<std::size_t>(1, engines));
   }
 };
 
@@ -38,9 +70,15 @@
   return !aBackend.isDraining && aBackend.stage != Stage::Whole && aBackend.service == aService;
 }
 
-// Beside other versions, a version with this many engines keeps a second one for decoding. While a
-// version has none, the streams that it began cannot go on, and a change of stage takes seconds.
-constexpr std::size_t kEnginesForSecondWriter = 4;
+// Beside other versions, a version has at least this many engines for decoding, if it has more
+// engines: several may crash at once. While a version has none for decoding, the streams that it
+// began cannot go on, and a change of stage takes seconds.
+constexpr std::size_t kWriterReplicas = 3;
+// Least part of its share of engines for decoding that a version has beside other versions.
+constexpr double kMinimumPartOfShare = 0.5;
+// Beside other versions, the engines for decoding of a version are in this many data centres, so
+// that the loss of one data centre leaves some.
+constexpr std::size_t kWriterDataCentres = 2;
 
 // Plans the stages of one service. Only engines of the software version that began a stream can go
 // on with it, and only engines for decoding write. So each version keeps engines for decoding in
@@ -63,7 +101,7 @@
   std::vector<StageChange> Plan()
   {
     for (const auto& [name, version] : mVersions) {
-      while (version.writers < MinimumWriters(version) && AddWriter(name)) {
+      while (version.writers.all < MinimumWriters(version) && AddWriter(name)) {
       }
     }
     for (auto& [name, dataCentre] : mDataCentres) {
@@ -89,13 +127,40 @@
       return;
     }
     dataCentre.decode.push_back(&aBackend);
-    version.writers += 1;
-    version.settledWriters += isPending ? 0 : 1;
+    version.AddWriter(aBackend.dataCentre, !isPending);
   }
 
+  // Returns with how many engines for decoding the version gets one more.
   std::size_t MinimumWriters(const Version& aVersion) const
   {
-    return mVersions.size() > 1 && aVersion.engines >= kEnginesForSecondWriter ? 2 : 1;
+    if (mVersions.size() == 1 || aVersion.engines == 1) {
+      return 1;
+    }
+    const std::size_t replicas = std::min(aVersion.engines - 1, kWriterReplicas);
+    return std::max(replicas, ShareOf(aVersion, kMinimumPartOfShare));
+  }
+
+  // Returns a part of the version's share of engines for decoding, rounded up.
+  std::size_t ShareOf(const Version& aVersion, double aPart) const
+  {
+    const double share = mPolicy.decodeShare * static_cast<double>(aVersion.engines);
+    return static_cast<std::size_t>(std::ceil(aPart * share));
+  }
+
+  // Returns with how many engines for decoding the version spares none. More than the minimum, so
+  // that a version does not lose engines for decoding to another one that joins.
+  std::size_t KeptWriters(const Version& aVersion) const
+  {
+    const std::size_t minimum = MinimumWriters(aVersion);
+    return mVersions.size() == 1 ? minimum : std::max(minimum, ShareOf(aVersion, 1.0));
+  }
+
+  // Returns whether the engine is one of those that spread its version's engines for decoding.
+  bool IsNeededInDataCentre(const Backend& aWriter) const
+  {
+    const Version& version = VersionOf(aWriter);
+    return mVersions.size() > 1 && version.writersIn.at(aWriter.dataCentre).settled == 1 &&
+           version.DataCentresWithSettledWriter() <= kWriterDataCentres;
   }
 
   std::size_t TargetCount(const DataCentre& aDataCentre) const
@@ -120,17 +185,26 @@
            static_cast<double>(TargetCount(aDataCentre));
   }
 
-  // Makes an engine of the version decode, in the data centre that lacks such engines most. Ignores
-  // the limit on changes. Returns whether there was an engine.
+  // Makes an engine of the version decode: if it can, in a data centre that lacks such engines
+  // anyway, then where the version has the fewest. Ignores the limit on changes. Returns whether
+  // there was an engine.
   bool AddWriter(const SoftwareVersion& aVersion)
   {
     DataCentre* best = nullptr;
     const Backend* engine = nullptr;
+    std::tuple<bool, std::size_t, double> lowest;
     for (auto& [name, dataCentre] : mDataCentres) {
       const Backend* candidate = FindPrefillEngine(dataCentre, aVersion);
-      if (candidate != nullptr && (best == nullptr || Excess(dataCentre) < Excess(*best))) {
+      if (candidate == nullptr) {
+        continue;
+      }
+      const std::tuple<bool, std::size_t, double> rank{ Excess(dataCentre) >= 0.0,
+                                                        mVersions.at(aVersion).writersIn[name].all,
+                                                        Excess(dataCentre) };
+      if (best == nullptr || rank < lowest) {
         best = &dataCentre;
         engine = candidate;
+        lowest = rank;
       }
     }
     if (engine != nullptr) {
@@ -178,7 +252,8 @@
     const Backend* best = nullptr;
     for (const Backend* engine : aDataCentre.decode) {
       const Version& version = VersionOf(*engine);
-      if (IsPending(*engine) || version.settledWriters <= MinimumWriters(version)) {
+      if (IsPending(*engine) || version.writers.settled <= KeptWriters(version) ||
+          IsNeededInDataCentre(*engine)) {
         continue;
       }
       if (best == nullptr || version.WriterShare() > VersionOf(*best).WriterShare()) {
@@ -209,9 +284,7 @@
   void ToPrefill(DataCentre& aDataCentre, const Backend& aEngine)
   {
     std::erase(aDataCentre.decode, &aEngine);
-    Version& version = mVersions.at(aEngine.softwareVersion);
-    version.writers -= 1;
-    version.settledWriters -= 1;
+    mVersions.at(aEngine.softwareVersion).RemoveSettledWriter(aEngine.dataCentre);
     aDataCentre.prefill.push_back(&aEngine);
     AddChange(aDataCentre, aEngine, Stage::Prefill);
   }
@@ -219,7 +292,7 @@
   void ToDecode(DataCentre& aDataCentre, const Backend& aEngine)
   {
     std::erase(aDataCentre.prefill, &aEngine);
-    mVersions.at(aEngine.softwareVersion).writers += 1;
+    mVersions.at(aEngine.softwareVersion).AddWriter(aEngine.dataCentre, false);
     aDataCentre.decode.push_back(&aEngine);
     AddChange(aDataCentre, aEngine, Stage::Decode);
   }
--- a/libs/dispatch/tests/StagePlanTests.cpp
+++ b/libs/dispatch/tests/StagePlanTests.cpp
@@ -2,6 +2,8 @@
 
 #include "masticstep/testing/Test.hpp"
 
+#include <set>
+
 using namespace masticstep;
 using namespace masticstep::dispatch;
 
@@ -157,13 +159,63 @@
 
 // Guards against a version whose streams have no engine for seconds after the only one that wrote
 // drains or crashes.
-MASTICSTEP_TEST("a version with several engines has two for decoding beside other versions",
+MASTICSTEP_TEST("a version with several engines has three for decoding beside other versions",
                 "[dispatch][stages][failure]")
 {
   Engines engines = MakeReleaseWithoutOldWriter();
   engines.at(BackendServerName{ "a" }).stage = Stage::Decode;
   Apply(engines, PlanStages(engines, kService, MakePolicy(0.33)));
-  CHECK_EQUAL(std::size_t{ 2 }, CountWriters(engines).at(kOldVersion));
+  CHECK_EQUAL(std::size_t{ 3 }, CountWriters(engines).at(kOldVersion));
+}
+
+// Guards against streams that nobody can go on with after several engines crash at once, or a whole
+// data centre does: those that are left of the version only read prompts.
+MASTICSTEP_TEST("a version beside others has engines for decoding to spare, over data centres",
+                "[dispatch][stages][failure]")
+{
+  struct Case
+  {
+    std::size_t engines;
+    std::size_t writers;
+    std::size_t dataCentres;
+  };
+  for (const Case& item : { Case{ 1, 1, 1 }, Case{ 2, 1, 1 }, Case{ 3, 2, 2 }, Case{ 4, 3, 3 },
+                            Case{ 5, 3, 3 }, Case{ 9, 3, 3 } }) {
+    Engines engines;
+    for (std::size_t i = 0; i < item.engines; ++i) {
+      const std::string dataCentre = "d" + std::to_string(i % 3);
+      AddEngine(engines, "new-" + std::to_string(i), kNewVersion, Stage::Prefill, dataCentre);
+      AddEngine(engines, "old-" + std::to_string(i), kOldVersion, Stage::Decode, dataCentre);
+    }
+    Apply(engines, PlanStages(engines, kService, MakePolicy(0.0, 0.1)));
+    CHECK_EQUAL(item.writers, CountWriters(engines).at(kNewVersion));
+    std::set<DataCentreName> withWriter;
+    for (const auto& [id, engine] : engines) {
+      if (engine.softwareVersion == kNewVersion && engine.stage == Stage::Decode) {
+        withWriter.insert(engine.dataCentre);
+      }
+    }
+    CHECK_EQUAL(item.dataCentres, withWriter.size());
+  }
+}
+
+// Guards against a version that loses its engines for decoding to another one that joins, as on a
+// day of a release beside crashes: two of the three crashed while the third changed stage.
+MASTICSTEP_TEST("a version that joins leaves the other one engines for decoding to spare",
+                "[dispatch][stages][failure]")
+{
+  Engines engines;
+  for (const char* dataCentre : { "d1", "d2", "d3" }) {
+    const std::string suffix(dataCentre);
+    AddEngine(engines, "old-" + suffix, kOldVersion, Stage::Decode, dataCentre);
+    AddEngine(engines, "new-a-" + suffix, kNewVersion, Stage::Decode, dataCentre);
+    AddEngine(engines, "new-b-" + suffix, kNewVersion, Stage::Decode, dataCentre);
+    AddEngine(engines, "new-c-" + suffix, kNewVersion, Stage::Prefill, dataCentre);
+  }
+  const Engines before = engines;
+  Apply(engines, PlanStages(engines, kService, MakePolicy(0.4)));
+  CHECK_EQUAL(std::size_t{ 2 }, CountLastingWriters(before, engines).at(kOldVersion));
+  CHECK_EQUAL(std::size_t{ 4 }, CountLastingWriters(before, engines).at(kNewVersion));
 }
 
 // Guards against a data centre that meets its share by taking the last decode engine of a version.
@@ -176,6 +228,8 @@
   AddEngine(engines, "c", kOldVersion, Stage::Prefill, "d2");
   AddEngine(engines, "d", kNewVersion, Stage::Decode, "d2");
   AddEngine(engines, "e", kNewVersion, Stage::Prefill, "d2");
+  AddEngine(engines, "f", kNewVersion, Stage::Decode, "d1");
+  AddEngine(engines, "g", kNewVersion, Stage::Decode, "d2");
   const std::vector<StageChange> expected{ { BackendServerName{ "b" }, Stage::Prefill } };
   CHECK_TRUE(expected == PlanStages(engines, kService, MakePolicy(0.3)));
 }
@@ -219,7 +273,8 @@
 {
   const StagePolicy policy = MakePolicy(0.33, 0.1);
   const PendingStages pending{ { BackendServerName{ "a" }, Stage::Decode },
-                               { BackendServerName{ "b" }, Stage::Decode } };
+                               { BackendServerName{ "b" }, Stage::Decode },
+                               { BackendServerName{ "c" }, Stage::Decode } };
   CHECK_TRUE(PlanStages(MakeReleaseWithoutOldWriter(), kService, policy, pending).empty());
 
   Engines engines;
