Dispatch: let a begun stream wait for the engines of its version that refused it once

Cause: an engine that refuses a request as not run was given up for that request. For a stream that is bound to a software version there may be no other one, and the queue waits only for versions without any decode engine. A decode engine that had crashed counted as one, too.

Change: a bound stream avoids an engine that refused it for 300 ms, within the retry budget as before, and the prompt queue keeps it while such an engine, or one that reads prompts, may write it soon. Failed engines stay excluded.

Figures: both new tests fail before (refused at once), pass after; the test of prompts that nothing can help is unchanged.

--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -38,6 +38,11 @@
   BackendNames excluded;           // engines on which this request has already failed
   // Version at which the answer began: engines of other versions cannot go on with it.
   std::optional<SoftwareVersion> version;
+  // Engines that refused the request as not run, and until when it is not sent to them again.
+  std::map<BackendServerName, Time> refusedUntil;
+
+  // Returns the engines that must not get the request now.
+  BackendNames ExcludedAt(Time aNow) const;
 };
 
 // Engine chosen to prefill a prompt, with the expected times.
@@ -80,9 +85,10 @@
   // Number of engines that may read a prompt: those for prefill, or all if there are none or the
   // service has several software versions.
   std::size_t PrefillEngineCount(const PromptRequest& aRequest) const;
-  // Returns whether the request is bound to a software version whose engines are all for prefill.
-  // The stage plan makes one of them decode, which takes seconds.
-  bool AwaitsWriter(const PromptRequest& aRequest) const;
+  // Returns whether the request is bound to a software version of which no engine can write the
+  // answer now, but one may soon: all are for prefill, and the stage plan makes one of them decode,
+  // which takes seconds; or one for decoding refused the request and may be asked again.
+  bool AwaitsWriter(const PromptRequest& aRequest, Time aNow) const;
   // Other daemons of the data centre with a recent report.
   std::vector<HostName> ActivePeers(Time aNow) const { return mPeers.ActiveHosts(aNow); }
   // Chooses the engine that decodes the answer. aSource holds the KV cache of the prompt, which
--- a/libs/dispatch/include/masticstep/dispatch/PromptQueue.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/PromptQueue.hpp
@@ -33,9 +33,10 @@
 // meet their target are ordered by priority and then by target; late prompts follow with the
 // remaining engine time. Resumed streams come first: their callers wait for the next event, and
 // behind new prompts they would wait until they leave. A prompt that cannot start before its caller
-// disconnects is refused immediately. A resumed stream whose software version has engines for
-// prefill only waits until one of them decodes, or until its caller would leave. This bounds
-// overload caused by bursts of one kind of request, lost engines and simultaneous retries.
+// disconnects is refused immediately. A resumed stream waits while no engine of its software
+// version can write it but one may soon (see Dispatcher::AwaitsWriter), at most until its caller
+// would leave. This bounds overload caused by bursts of one kind of request, lost engines and
+// simultaneous retries.
 class PromptQueue
 {
 public:
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -67,6 +67,17 @@
 
 } // namespace
 
+BackendNames PromptRequest::ExcludedAt(Time aNow) const
+{
+  BackendNames all = excluded;
+  for (const auto& [id, until] : refusedUntil) {
+    if (aNow < until) {
+      all.push_back(id);
+    }
+  }
+  return all;
+}
+
 Dispatcher::BackendState::BackendState(Backend aBackend, std::uint64_t aKvCapacityTokens)
   : backend(std::move(aBackend))
   , cache(aKvCapacityTokens)
@@ -182,8 +193,8 @@
                                 const PromptRequest& aRequest, Time aNow) const
 {
   std::set<SoftwareVersion> writers;
-  for (const BackendState* state :
-       Candidates(aRequest.service, aRequest.excluded, aRequest.version, SupportsDecode, aNow)) {
+  for (const BackendState* state : Candidates(aRequest.service, aRequest.ExcludedAt(aNow),
+                                              aRequest.version, SupportsDecode, aNow)) {
     writers.insert(state->backend.softwareVersion);
   }
   std::erase_if(aCandidates, [&writers](const BackendState* aState) {
@@ -221,8 +232,8 @@
                                                               Time aNow)
 {
   std::vector<const BackendState*> candidates =
-    Candidates(aRequest.service, aRequest.excluded, aRequest.version, aSupportsStage, aNow);
-  if (HasSeveralVersions(aRequest.service) || AwaitsWriter(aRequest)) {
+    Candidates(aRequest.service, aRequest.ExcludedAt(aNow), aRequest.version, aSupportsStage, aNow);
+  if (HasSeveralVersions(aRequest.service) || AwaitsWriter(aRequest, aNow)) {
     RemoveUnpaired(candidates, aRequest, aNow);
   }
   // Rendezvous hashing: daemons unaware of each other's requests prefer the same engine for a
@@ -301,22 +312,27 @@
   return forPrefill == 0 || HasSeveralVersions(aRequest.service) ? all : forPrefill;
 }
 
-bool Dispatcher::AwaitsWriter(const PromptRequest& aRequest) const
+bool Dispatcher::AwaitsWriter(const PromptRequest& aRequest, Time aNow) const
 {
-  bool hasEngine = false;
+  const BackendNames& failed = aRequest.excluded;
+  bool mayWriteSoon = false;
   for (const auto& [id, state] : mBackendStates) {
     const Backend& backend = state.backend;
     const bool isOther =
       backend.service != aRequest.service || backend.softwareVersion != aRequest.version;
-    if (isOther || backend.isDraining) {
+    const bool isWriter = SupportsDecode(backend.stage);
+    const bool hasFailed = isWriter && std::find(failed.begin(), failed.end(), id) != failed.end();
+    if (isOther || backend.isDraining || hasFailed) {
       continue;
     }
-    if (SupportsDecode(backend.stage)) {
+    const auto refused = aRequest.refusedUntil.find(id);
+    const bool isRefusing = refused != aRequest.refusedUntil.end() && aNow < refused->second;
+    if (isWriter && !isRefusing) {
       return false;
     }
-    hasEngine = true;
+    mayWriteSoon = true;
   }
-  return hasEngine;
+  return mayWriteSoon;
 }
 
 double Dispatcher::TransferSeconds(const Backend& aSource, const Backend& aTarget,
@@ -342,7 +358,7 @@
   const std::optional<SoftwareVersion> version =
     aSource == nullptr ? aRequest.version : aSource->softwareVersion;
   for (const BackendState* candidate :
-       Candidates(aRequest.service, aRequest.excluded, version, SupportsDecode, aNow)) {
+       Candidates(aRequest.service, aRequest.ExcludedAt(aNow), version, SupportsDecode, aNow)) {
     const BackendState& state = *candidate;
     const OutstandingWork work = WorkAt(state, aNow);
     const double running = work.requests;
--- a/libs/dispatch/src/PromptQueue.cpp
+++ b/libs/dispatch/src/PromptQueue.cpp
@@ -112,7 +112,7 @@
     std::optional<PrefillPlacement> placement;
     if (misses < kMaximumMisses) {
       placement = ChooseEngine(prompt, aNow);
-      if (!placement && prompt.isResumption && mDispatcher.AwaitsWriter(prompt.request)) {
+      if (!placement && prompt.isResumption && mDispatcher.AwaitsWriter(prompt.request, aNow)) {
         remaining.push_back(std::move(prompt));
         continue;
       }
--- a/libs/dispatch/tests/PromptQueueTests.cpp
+++ b/libs/dispatch/tests/PromptQueueTests.cpp
@@ -416,6 +416,36 @@
   CHECK_TRUE(released[0].placement && released[0].placement->engine.softwareVersion == kOldVersion);
 }
 
+// Guards against begun streams that are refused since the only engine that can write them refused
+// them once, was busy with a change of stage or full; or since the last writer crashed.
+MASTICSTEP_TEST("a resumed stream waits for an engine of its version that may write it soon",
+                "[dispatch][queue][resume][failure]")
+{
+  constexpr Duration kPause = Milliseconds(300);
+  Dispatcher dispatcher = MakeDispatcher(0);
+  dispatcher.SetBackends(MakeTwoVersions(Stage::Decode));
+  PromptQueue queue(dispatcher);
+  QueuedPrompt refused = MakeResumption(1, kOldVersion);
+  refused.request.refusedUntil[BackendServerName{ kOldVersion.Text() }] = kStart + kPause;
+  CHECK_FALSE(queue.Add(std::move(refused), kStart).has_value());
+  CHECK_TRUE(queue.Release(kStart).empty());
+  std::vector<ReleasedPrompt> released = queue.Release(kStart + kPause);
+  CHECK_EQUAL(std::size_t{ 1 }, released.size());
+  CHECK_TRUE(released[0].placement && released[0].placement->engine.softwareVersion == kOldVersion);
+
+  std::map<BackendServerName, Backend> engines = MakeTwoVersions(Stage::Decode);
+  Backend reader = engines.at(BackendServerName{ kOldVersion.Text() });
+  reader.id = BackendServerName{ "reader" };
+  reader.stage = Stage::Prefill;
+  engines[reader.id] = reader;
+  dispatcher.SetBackends(engines);
+  QueuedPrompt crashed = MakeResumption(2, kOldVersion);
+  crashed.request.excluded = { BackendServerName{ kOldVersion.Text() } };
+  CHECK_FALSE(queue.Add(std::move(crashed), kStart).has_value());
+  CHECK_TRUE(queue.Release(kStart).empty());
+  CHECK_EQUAL(std::size_t{ 1 }, queue.Size());
+}
+
 // Guards against a caller that leaves without having heard that its stream was not resumed.
 MASTICSTEP_TEST("a resumed stream that finds no writer in time is refused before its caller leaves",
                 "[dispatch][queue][resume][failure]")
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -22,6 +22,8 @@
 // Time reserved for sending the first event before the caller gives up.
 constexpr Duration kFirstEventReserve = Milliseconds(300);
 constexpr std::uint32_t kTransfersPerPrefill = 2;
+// Until an engine that refused a stream of its software version is asked again.
+constexpr Duration kRefusalPause = Milliseconds(300);
 // To find out at which software version a resumed stream began.
 constexpr Duration kOriginTimeout = Milliseconds(800);
 
@@ -322,7 +324,13 @@
   LogFailure(aEngine, aError);
   // An engine that has sent events got past the begin of the answer, where prompt parts do harm.
   ReportBrokenAnswer(aEngine, aError, mHasEventsOfAttempt ? Suspects::WholeRequest : Suspects::All);
-  mWork.excluded.push_back(aEngine.id);
+  // Only engines of its version can go on with a stream, so none of them is given up for a refusal.
+  const bool isBound = mWork.version && mSequence.LastEventId();
+  if (isBound && aError.progress == Progress::NotExecuted) {
+    mWork.refusedUntil[aEngine.id] = net::Now() + kRefusalPause;
+  } else {
+    mWork.excluded.push_back(aEngine.id);
+  }
   if (aError.progress == Progress::NotExecuted) {
     OnKvTransferRefused();
   } else if (aError.progress == Progress::Unknown) {
--- a/libs/relay/tests/SoftwareVersionTests.cpp
+++ b/libs/relay/tests/SoftwareVersionTests.cpp
@@ -152,6 +152,31 @@
   CHECK_TRUE(older.Requests().empty() && newer.Requests().empty());
 }
 
+// Guards against refusing a stream whose only engine that can write it refuses it once.
+MASTICSTEP_TEST("a resumed stream is sent again to the engine of its version that refused it",
+                "[relay][version][resume][failure]")
+{
+  std::atomic<int> refusals{ 2 };
+  ScriptedBackend writer([&](const std::string& aRequest) {
+    if (!Contains(aRequest, "Resume-After: ")) {
+      return WholeStream(1, 2);
+    }
+    return refusals-- > 0 ? ScriptedResponse{ "HTTP/1.1 503 X\r\nId: c1\r\nNot-Run: "
+                                              "1\r\nContent-Length: 0\r\n\r\n" }
+                          : WholeStream(3, 4);
+  });
+  ScriptedBackend newer(Always(WholeStream(3, 4)));
+  RelayFixture fixture;
+  fixture.Add("w1", "llm", writer, Stage::Decode, "v1");
+  fixture.Add("w2", "llm", newer, Stage::Decode, "v2");
+  fixture.SendRequest("POST", "/resume/");
+  const std::string answer =
+    fixture.SendRequest("POST", "/resume/", "Last-Event-Id: 2\r\nResumes: c1\r\n");
+  CHECK_TRUE(Contains(answer, "id: 4\n") && answer.ends_with("0\r\n\r\n"));
+  CHECK_EQUAL(std::size_t{ 4 }, writer.Requests().size());
+  CHECK_TRUE(newer.Requests().empty());
+}
+
 // Guards against refusing a stream that was read when the last engine that could write it left,
 // while the engine that read it becomes a writer.
 MASTICSTEP_TEST("a resumed stream waits for the engine that read it to write the answer",
