Relay: send nothing to a backend server in the time in which it wants no requests

Streams that wait for an engine which refused them would have made it worse.

Cause: Retry-After of a 503 was not read.

The daemon that read it sends nothing there until then, on any path, not even as the last resort. If all backend servers of a service want nothing, callers are refused at once with the time until the first one does, spread over 0.5 s. Logged, and counted as masticstep_backend_pauses_total.

--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -109,6 +109,11 @@
   // Records whether an answer named a limit, in requests per second of all daemons.
   void OnRequestLimit(const BackendServerName& aBackend, std::optional<double> aPerSecond,
                       Time aNow);
+  // Records that a backend server wants no requests for a time.
+  void OnPause(const BackendServerName& aBackend, Duration aLength, Time aNow);
+  // Returns when callers should come back if all backend servers of the service want no requests:
+  // after the first one takes some, spread so that not all callers come at once.
+  std::optional<Duration> RetryAfter(const ServiceName& aService, Time aNow);
   // Sets the daemons that share the limits of backend servers.
   void SetFleet(HostName aOwn, std::vector<HostName> aAll);
   // Records a completed prefill; aElapsed is the time from sending to the response.
@@ -134,13 +139,15 @@
     CircuitBreaker kvTransferBreaker; // for transfers of the KV cache out of the engine
     PrefixCache cache;
     RequestLimit limit;
+    Time pausedUntil{}; // the server wants no requests before
     double prefillSecondsPerToken;
   };
 
   // Estimated outstanding work of all daemons at a backend server.
   OutstandingWork WorkAt(const BackendState& aState, Time aNow) const;
   // Backend servers of the service that may receive new work. If all breakers are open, returns
-  // every server whose request limit allows it: trying one is better than refusing the request.
+  // every server that wants requests and whose request limit allows it: trying one is better than
+  // refusing the request.
   std::vector<const BackendState*> Candidates(const ServiceName& aService,
                                               const BackendNames& aExcluded,
                                               const std::optional<SoftwareVersion>& aVersion,
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -42,6 +42,9 @@
 // on one engine per data centre: recomputing a large prefix costs more than leaving the region.
 constexpr std::uint32_t kCrossRegionPrefixTokens = 1500;
 
+// Callers that were refused since no server wants requests return over this time.
+constexpr double kReturnSpreadSeconds = 0.5;
+
 // Cost of a failed attempt to the request.
 constexpr double kFailurePenaltySeconds = 1.0;
 
@@ -178,7 +181,8 @@
     const bool isExcluded = std::find(aExcluded.begin(), aExcluded.end(), id) != aExcluded.end();
     const bool isOtherVersion = aVersion && backend.softwareVersion != *aVersion;
     if (backend.service != aService || backend.isDraining || isExcluded || isOtherVersion ||
-        !aSupportsStage(backend.stage) || !state.limit.AllowsRequest(aNow)) {
+        !aSupportsStage(backend.stage) || aNow < state.pausedUntil ||
+        !state.limit.AllowsRequest(aNow)) {
       continue;
     }
     all.push_back(&state);
@@ -326,7 +330,8 @@
       continue;
     }
     const auto refused = aRequest.refusedUntil.find(id);
-    const bool isRefusing = refused != aRequest.refusedUntil.end() && aNow < refused->second;
+    const bool isRefusing = aNow < state.pausedUntil ||
+                            (refused != aRequest.refusedUntil.end() && aNow < refused->second);
     if (isWriter && !isRefusing) {
       return false;
     }
@@ -477,6 +482,32 @@
   }
 }
 
+void Dispatcher::OnPause(const BackendServerName& aBackend, Duration aLength, Time aNow)
+{
+  if (BackendState* state = FindState(aBackend)) {
+    state->pausedUntil = std::max(state->pausedUntil, aNow + aLength);
+  }
+}
+
+std::optional<Duration> Dispatcher::RetryAfter(const ServiceName& aService, Time aNow)
+{
+  std::optional<Time> first;
+  for (const auto& [id, state] : mBackendStates) {
+    if (state.backend.service != aService || state.backend.isDraining) {
+      continue;
+    }
+    if (state.pausedUntil <= aNow) {
+      return std::nullopt;
+    }
+    first = std::min(first.value_or(state.pausedUntil), state.pausedUntil);
+  }
+  if (!first) {
+    return std::nullopt;
+  }
+  const double seconds = ToSeconds(*first - aNow) + kReturnSpreadSeconds * mRandom.Uniform();
+  return FromSeconds(seconds);
+}
+
 void Dispatcher::SetFleet(HostName aOwn, std::vector<HostName> aAll)
 {
   mFleet.Set(std::move(aOwn), std::move(aAll));
--- a/libs/dispatch/tests/DispatcherTests.cpp
+++ b/libs/dispatch/tests/DispatcherTests.cpp
@@ -185,6 +185,31 @@
   CHECK_FALSE(dispatcher.ChooseServer(kService, { BackendServerName{ "b" } }, kStart).has_value());
 }
 
+// Guards against requests that reach a server in the time in which it wants none, even as the last
+// resort, and against a server that gets none afterwards.
+MASTICSTEP_TEST("a server that wants no requests for a time gets none in it",
+                "[dispatch][placement][failure]")
+{
+  constexpr Duration kPause = Seconds(2);
+  const BackendServerName only{ "a" };
+  for (const Stage stage : { Stage::Whole, Stage::Prefill, Stage::Decode }) {
+    Dispatcher dispatcher = MakeDispatcher({ MakeEngine("a", stage) });
+    const auto isChosen = [&dispatcher](Time aNow) {
+      const PromptRequest work = MakeWork(1000);
+      return dispatcher.ChooseServer(kService, {}, aNow).has_value() ||
+             dispatcher.ChoosePrefillEngine(work, aNow).has_value() ||
+             dispatcher.ChooseDecodeEngine(work, nullptr, aNow).has_value();
+    };
+    CHECK_TRUE(isChosen(kStart));
+    CHECK_FALSE(dispatcher.RetryAfter(kService, kStart).has_value());
+    dispatcher.OnPause(only, kPause, kStart);
+    dispatcher.OnPause(only, kPause / 2, kStart);
+    CHECK_FALSE(isChosen(kStart + kPause - Milliseconds(1)));
+    CHECK_TRUE(dispatcher.RetryAfter(kService, kStart).value() >= kPause);
+    CHECK_TRUE(isChosen(kStart + kPause));
+  }
+}
+
 // Guards against a self-inflicted outage: refusing is worse than trying a suspect server.
 MASTICSTEP_TEST("if every breaker is open a server is still tried",
                 "[dispatch][placement][failure]")
--- a/libs/relay/include/masticstep/relay/Call.hpp
+++ b/libs/relay/include/masticstep/relay/Call.hpp
@@ -63,6 +63,8 @@
   std::optional<dispatch::LoadSample> load;
   // Requests per second that the backend server accepts from all daemons together.
   std::optional<double> requestLimit;
+  // Time in which the backend server wants no further request of this daemon.
+  std::optional<Duration> retryAfter;
   bool isLeaving = false; // the backend server is about to exit and takes no new requests
 
   bool operator==(const BackendResponseHead&) const = default;
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -82,6 +82,9 @@
   if (head->requestLimit || head->isSigned || head->notExecuted) {
     mState.dispatcher.OnRequestLimit(mBackend.id, head->requestLimit, net::Now());
   }
+  if (head->retryAfter) {
+    ReportPause(*head->retryAfter);
+  }
   if (head->load) {
     mState.dispatcher.OnSample(mBackend.id, *head->load, net::Now());
   }
@@ -110,6 +113,16 @@
   }
 }
 
+void Exchange::ReportPause(Duration aLength)
+{
+  mState.metrics.GetCounter({ "masticstep_backend_pauses_total", {}, {} })->Add();
+  telemetry::Log(telemetry::Level::Info, "backend server wants no requests",
+                 { { "request_id", mCallId },
+                   { "backend", mBackend.id.Text() },
+                   { "milliseconds", ToSeconds(aLength) * 1000.0 } });
+  mState.dispatcher.OnPause(mBackend.id, aLength, net::Now());
+}
+
 void Exchange::LogRequestLimit(const BackendResponseHead& aHead) const
 {
   if (aHead.requestLimit) {
--- a/libs/relay/src/Exchange.hpp
+++ b/libs/relay/src/Exchange.hpp
@@ -67,6 +67,8 @@
 private:
   // Takes the backend server out of service for new requests.
   void ReportLeaving();
+  // Sends no further request to the backend server for a time.
+  void ReportPause(Duration aLength);
   void LogRequestLimit(const BackendResponseHead& aHead) const;
   // Returns whether the answer certainly belongs to this message.
   bool IsOwnAnswer(const BackendResponseHead& aAnswer) const;
--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -33,6 +33,7 @@
   const std::optional<dispatch::Backend> backend =
     mState->dispatcher.ChooseServer(mRequest.service, mExcluded, net::Now());
   if (!backend) {
+    mRetryAfter = mState->dispatcher.RetryAfter(mRequest.service, net::Now());
     co_await GiveUp("no_backend", "no backend server of the service is available");
     co_return Step::Done;
   }
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -105,7 +105,9 @@
       co_return co_await AbortForShutdown();
     }
     if (!placement) {
-      mRetryAfter = placement.error().retryAfter;
+      const std::optional<Duration> pause =
+        mState->dispatcher.RetryAfter(mRequest.service, net::Now());
+      mRetryAfter = std::max(pause.value_or(Duration::zero()), placement.error().retryAfter);
       co_return co_await Abort("no_engine", "no engine of the service can start in time");
     }
     // The part may have been put into quarantine while the prompt was waiting.
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -123,6 +123,10 @@
   answer.callId = std::string(net::FindHeader(aHead.headers, "Id"));
   answer.isSigned = !net::FindHeader(aHead.headers, "Signed").empty();
   const std::string limit(net::FindHeader(aHead.headers, "Limit"));
+  const std::string retryAfter(net::FindHeader(aHead.headers, "Retry-After"));
+  if (!retryAfter.empty()) {
+    answer.retryAfter = FromSeconds(std::stod(retryAfter));
+  }
   answer.requestLimit = limit.empty() ? std::nullopt : std::optional<double>(std::stod(limit));
   answer.isLeaving = !net::FindHeader(aHead.headers, "Leaving").empty();
   answer.notExecuted = !net::FindHeader(aHead.headers, "Not-Run").empty();
