Relay: take an empty chunked answer of a next engine for the end of a stream

The next engine, asked for what follows the last event, ended its chunked answer without an event, as a sound engine does.

Change: one rule for callers and daemons that ask: without an event, only a last chunk says that none is left. A length of 0 is stated before the engine begins, and an end of the connection is also what an engine leaves that stops.

--- a/libs/net/include/masticstep/net/HttpClientConnection.hpp
+++ b/libs/net/include/masticstep/net/HttpClientConnection.hpp
@@ -63,9 +63,8 @@
   // reusable afterwards.
   Task<Result<void, NetError>> AwaitUnrequested(Duration aTimeout);
 
-  // Returns whether the body of the answer has neither a length nor chunks, so that it ends with
-  // the connection.
-  bool EndsWithConnection() const;
+  // Returns how the body of the answer whose head was read is delimited.
+  BodyFraming Framing() const;
   // The connection is not reusable from now on.
   void PreventReuse();
   // Returns true if the last answer was read in full and the server keeps the connection open.
--- a/libs/net/include/masticstep/net/HttpMessage.hpp
+++ b/libs/net/include/masticstep/net/HttpMessage.hpp
@@ -16,6 +16,14 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+// How the end of an answer's body is marked.
+enum class BodyFraming
+{
+  Length,
+  Chunked,
+  UntilClose // neither: the end of the connection
+};
+
 // Returns the value of the first header with this name, ignoring case; empty if there is none.
 std::string_view FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
 
--- a/libs/net/src/HttpClientConnection.cpp
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -363,9 +363,12 @@
   co_return co_await mState->Fill(aTimeout);
 }
 
-bool HttpClientConnection::EndsWithConnection() const
+BodyFraming HttpClientConnection::Framing() const
 {
-  return mState->parser && mState->parser->need_eof();
+  if (!mState->parser || mState->parser->need_eof()) {
+    return BodyFraming::UntilClose;
+  }
+  return mState->parser->chunked() ? BodyFraming::Chunked : BodyFraming::Length;
 }
 
 void HttpClientConnection::PreventReuse()
--- a/libs/net/src/HttpText.hpp
+++ b/libs/net/src/HttpText.hpp
@@ -6,14 +6,6 @@
 
 namespace masticstep::net {
 
-// How the end of an answer's body is marked.
-enum class BodyFraming
-{
-  Length,
-  Chunked,
-  UntilClose // for HTTP/1.0 callers
-};
-
 // Returns the bytes of a request. Content-Length is added, and Host if the request has none.
 std::string RequestText(const HttpRequest& aRequest, const std::string& aHost);
 
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -215,9 +215,9 @@
   return (*mLease)->Hold(aBytes);
 }
 
-BodyEnd Exchange::EndOfBody()
+net::BodyFraming Exchange::Framing()
 {
-  return (*mLease)->EndsWithConnection() ? BodyEnd::UntilClose : BodyEnd::Delimited;
+  return (*mLease)->Framing();
 }
 
 void Exchange::Close()
--- a/libs/relay/src/Exchange.hpp
+++ b/libs/relay/src/Exchange.hpp
@@ -60,7 +60,7 @@
   void Close();
 
   // How the body of the response ends.
-  BodyEnd EndOfBody();
+  net::BodyFraming Framing();
   const net::HttpHeaders& Headers() const { return mHead.headers; }
   const dispatch::Backend& Backend() const { return mBackend; }
 
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -84,7 +84,7 @@
     }
   }
   const std::optional<StreamFault> fault =
-    mSequence.End(aExchange.EndOfBody(), events.HasPartialEvent());
+    mSequence.End(aExchange.Framing(), events.HasPartialEvent());
   if (fault) {
     co_return co_await HandleDecodeFailure(aEngine, MakeError(*fault));
   }
--- a/libs/relay/src/StreamSequence.cpp
+++ b/libs/relay/src/StreamSequence.cpp
@@ -83,18 +83,17 @@
   return aId != mLastEventId.value_or(0) + 1;
 }
 
-std::optional<StreamFault> StreamSequence::End(BodyEnd aEnd, bool aHasPartialEvent) const
+std::optional<StreamFault> StreamSequence::End(net::BodyFraming aFraming,
+                                               bool aHasPartialEvent) const
 {
   if (aHasPartialEvent) {
     return StreamFault::PartialEvent;
   }
-  if (mHasEngineEvents) {
-    return std::nullopt;
-  }
-  // A caller that takes a stream up may have its last event, and an engine then has nothing to
-  // add. It has to say so: an end of the connection is also what an engine leaves that stops.
-  const bool hasNothingToAdd = mIsTakenUp && !mHasEvents && aEnd == BodyEnd::Delimited;
-  return hasNothingToAdd ? std::nullopt : std::optional(StreamFault::NoEvent);
+  // An engine that is asked for what follows the last event has nothing to add, and says so by its
+  // last chunk. The end of a connection is also what an engine leaves that stops, and a length is
+  // stated before the engine has begun.
+  const bool hasNothingToAdd = mLastEventId && aFraming == net::BodyFraming::Chunked;
+  return mHasEngineEvents || hasNothingToAdd ? std::nullopt : std::optional(StreamFault::NoEvent);
 }
 
 } // namespace masticstep::relay
--- a/libs/relay/src/StreamSequence.hpp
+++ b/libs/relay/src/StreamSequence.hpp
@@ -16,19 +16,12 @@
   EventWithoutId, // data that has no place in the stream
   NotAfterLast,   // an event that the caller has already, or an older one
   MissingEvents,  // the first event of an engine that goes on does not follow the last one
-  NoEvent,        // an end without an event, where events are due or nothing proves the end
+  NoEvent,        // an end without an event, though the engine did not state that none is left
   PartialEvent    // an end within an event
 };
 
 const char* ToString(StreamFault aFault);
 
-// How a body without further bytes ended.
-enum class BodyEnd : std::uint8_t
-{
-  Delimited, // by its length or last chunk
-  UntilClose // with the connection, as it also does if the engine stops
-};
-
 // Returns whether the response may be relayed as a stream: a signed event stream with status 200.
 bool IsStream(const BackendResponseHead& aHead, const net::HttpHeaders& aHeaders);
 
@@ -43,7 +36,6 @@
   // aLastEventId is the last event that the caller had before this answer.
   explicit StreamSequence(std::optional<std::uint64_t> aLastEventId)
     : mLastEventId(aLastEventId)
-    , mIsTakenUp(aLastEventId.has_value())
   {
   }
 
@@ -52,7 +44,7 @@
   // Returns why the event must not reach the caller, or nothing after adding it to the stream.
   std::optional<StreamFault> Add(const StreamEvent& aEvent);
   // Returns why the stream is not complete although the body of its engine has ended.
-  std::optional<StreamFault> End(BodyEnd aEnd, bool aHasPartialEvent) const;
+  std::optional<StreamFault> End(net::BodyFraming aFraming, bool aHasPartialEvent) const;
 
   const std::optional<std::uint64_t>& LastEventId() const { return mLastEventId; }
 
@@ -62,7 +54,6 @@
   bool SkipsEvents(std::uint64_t aId) const;
 
   std::optional<std::uint64_t> mLastEventId;
-  bool mIsTakenUp = false;       // the caller had events before this answer
   bool mHasEvents = false;       // this answer has events
   bool mHasEngineEvents = false; // its present engine has sent events
   bool mIsConsecutive = true;    // no engine has skipped an id
