Quarantine: keep suspects of several crashes when a crash has too many

Suspected cause: a crash has at most 64 suspects, the first that are reported. Daemons report two digests for each request that they had at the engine, so on a busy engine the request to blame may find no place, and one crash more is needed.

Change: a full crash gives up a suspect of no other crash for one of another crash.

--- a/libs/quarantine/include/masticstep/quarantine/PromptQuarantine.hpp
+++ b/libs/quarantine/include/masticstep/quarantine/PromptQuarantine.hpp
@@ -100,6 +100,10 @@
 
   void Expire(Time aNow);
   void AddCrash(const EngineCrash& aCrash, Time aNow);
+  bool IsInOtherCrash(const SuspectPart& aSuspect, const EngineCrash& aCrash) const;
+  // Returns whether the crash can have one more suspect. A full one gives up a suspect of no other
+  // crash for a suspect of another one, since only what comes again can be to blame.
+  bool MakeRoom(EngineCrash& aCrash, const SuspectPart& aSuspect) const;
   // The candidates of one kind that explain most crashes.
   struct Group
   {
--- a/libs/quarantine/src/PromptQuarantine.cpp
+++ b/libs/quarantine/src/PromptQuarantine.cpp
@@ -105,7 +105,7 @@
     const bool isKnown =
       std::any_of(it->suspects.begin(), it->suspects.end(),
                   [&suspect](const SuspectPart& aOther) { return aOther.id == suspect.id; });
-    if (!isKnown && it->suspects.size() < kMaximumSuspects) {
+    if (!isKnown && MakeRoom(*it, suspect)) {
       it->suspects.push_back(suspect);
       mLearnedAt[aCrash.process] = aNow;
       ++mRevision;
@@ -113,6 +113,33 @@
   }
 }
 
+bool PromptQuarantine::IsInOtherCrash(const SuspectPart& aSuspect, const EngineCrash& aCrash) const
+{
+  return std::any_of(mCrashes.begin(), mCrashes.end(), [&](const EngineCrash& aOther) {
+    return aOther.process != aCrash.process &&
+           std::any_of(aOther.suspects.begin(), aOther.suspects.end(),
+                       [&aSuspect](const SuspectPart& aPart) { return aPart.id == aSuspect.id; });
+  });
+}
+
+bool PromptQuarantine::MakeRoom(EngineCrash& aCrash, const SuspectPart& aSuspect) const
+{
+  if (aCrash.suspects.size() < kMaximumSuspects) {
+    return true;
+  }
+  if (!IsInOtherCrash(aSuspect, aCrash)) {
+    return false;
+  }
+  const auto single = std::find_if(
+    aCrash.suspects.begin(), aCrash.suspects.end(),
+    [this, &aCrash](const SuspectPart& aPart) { return !IsInOtherCrash(aPart, aCrash); });
+  if (single == aCrash.suspects.end()) {
+    return false;
+  }
+  aCrash.suspects.erase(single);
+  return true;
+}
+
 void PromptQuarantine::OnCrash(const EngineCrash& aCrash, Time aNow)
 {
   Expire(aNow);
--- a/libs/quarantine/tests/PromptQuarantineTests.cpp
+++ b/libs/quarantine/tests/PromptQuarantineTests.cpp
@@ -40,6 +40,29 @@
   CHECK_FALSE(IsQuarantined(quarantine, 7, 0.7));
 }
 
+// Guards against a request that crashes one engine more since others filled the suspects of a crash
+// before it: daemons report what each of them had sent to the engine.
+MASTICSTEP_TEST("a suspect of several crashes has a place among the many of a busy engine",
+                "[quarantine][request][failure]")
+{
+  constexpr std::uint64_t kSuspectsOfEngine = 200;
+  PromptQuarantine quarantine;
+  for (std::uint64_t crash = 0; crash < 3; ++crash) {
+    const std::string process = "p" + std::to_string(crash);
+    const double at = 0.3 * static_cast<double>(crash);
+    if (crash == 0) {
+      quarantine.OnCrash(Crash(process, at, { { kBad, kRequestOfCaller } }), At(at));
+    }
+    for (std::uint64_t i = 0; i < kSuspectsOfEngine; ++i) {
+      const std::uint64_t other = 1000 * (crash + 1) + i;
+      quarantine.OnCrash(Crash(process, at, { { other, kRequestOfCaller } }), At(at));
+    }
+    quarantine.OnCrash(Crash(process, at, { { kBad, kRequestOfCaller } }), At(at));
+  }
+  CHECK_TRUE(IsQuarantined(quarantine, kBad, 0.7));
+  CHECK_EQUAL(std::size_t{ 1 }, quarantine.Active(At(0.7)).size());
+}
+
 // Guards against sound requests that are refused because they were on the engines that crashed.
 MASTICSTEP_TEST("crashes that a quarantined part explains do not count against other parts",
                 "[quarantine][failure]")
