Soak: judge the recovery of a fleet by calls sent before it is stopped

Cause: the check counted the calls that callers send while all daemons are stopped at the end of the run. The proxy of the soak in front of a daemon that has closed its listener accepts connections and closes them, so each of 24 callers has some five calls cut.

Evidence: trace with the time of each call: all calls of the 7.5 s before the listeners close are served; all of the 0.37 s after it are cut within 0.000 s.

Change: the check ends when the daemons are asked to stop; calls during the stop are judged by the check of planned stops, as before. Bounds and share are unchanged. The test of the check has cut calls after the stop, which do not count, and a failed call before it, which does.

--- a/tests/soak/Checks.cpp
+++ b/tests/soak/Checks.cpp
@@ -431,7 +431,7 @@
 
 } // namespace
 
-void CheckRecovery(const History& aHistory, Time aFaultFreeSince, Findings& aFindings)
+void CheckRecovery(const History& aHistory, const CalmPeriod& aCalm, Findings& aFindings)
 {
   std::size_t expected = 0;
   std::size_t served = 0;
@@ -440,7 +440,7 @@
     const bool isExpected = call.outcome != CallOutcome::Abandoned &&
                             call.outcome != CallOutcome::Waiting && !call.crashesEngines &&
                             IsAlwaysRouted(aHistory, call.prefix);
-    if (call.sentAt < aFaultFreeSince || !isExpected) {
+    if (call.sentAt < aCalm.begin || call.sentAt >= aCalm.end || !isExpected) {
       continue;
     }
     const bool isServed = call.outcome == CallOutcome::Answered && IsSuccess(call.status);
@@ -477,7 +477,7 @@
   return summary;
 }
 
-Findings CheckAll(const History& aHistory, const Bounds& aBounds, Time aFaultFreeSince)
+Findings CheckAll(const History& aHistory, const Bounds& aBounds, const CalmPeriod& aCalm)
 {
   Findings findings;
   for (const std::string& problem : aHistory.Problems()) {
@@ -500,7 +500,7 @@
   CheckBrokenAnswers(aHistory, aBounds, findings);
   CheckAbandonedCalls(aHistory, aBounds, findings);
   CheckOrders(aHistory, aBounds, findings);
-  CheckRecovery(aHistory, aFaultFreeSince, findings);
+  CheckRecovery(aHistory, aCalm, findings);
   return findings;
 }
 
--- a/tests/soak/Checks.hpp
+++ b/tests/soak/Checks.hpp
@@ -59,8 +59,15 @@
 // gets requests again once it names none.
 void CheckRequestLimits(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
 void CheckOrders(const History& aHistory, const Bounds& aBounds, Findings& aFindings);
-// No fault is active for calls sent at or after aFaultFreeSince, so most of them must be served.
-void CheckRecovery(const History& aHistory, Time aFaultFreeSince, Findings& aFindings);
+// Period of a run in which no fault is active and no daemon is asked to stop.
+struct CalmPeriod
+{
+  Time begin;
+  Time end; // all daemons are asked to stop
+};
+
+// Most calls sent in the period must be served.
+void CheckRecovery(const History& aHistory, const CalmPeriod& aCalm, Findings& aFindings);
 
 // Totals of a run.
 struct Summary
@@ -73,6 +80,6 @@
 
 Summary Summarize(const History& aHistory);
 
-Findings CheckAll(const History& aHistory, const Bounds& aBounds, Time aFaultFreeSince);
+Findings CheckAll(const History& aHistory, const Bounds& aBounds, const CalmPeriod& aCalm);
 
 } // namespace masticstep::soak
--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -178,7 +178,8 @@
   Spawn(Play());
   mContext.run();
   const PlanOptions& plan = mOptions.plan;
-  return CheckAll(mHistory, mBounds, mBegin + plan.length - plan.faultFreeTail + mBounds.recovery);
+  const Time end = mBegin + plan.length;
+  return CheckAll(mHistory, mBounds, { end - plan.faultFreeTail + mBounds.recovery, end });
 }
 
 Awaitable<void> Fleet::ProbeReadiness()
--- a/tests/soak/tests/ChecksTests.cpp
+++ b/tests/soak/tests/ChecksTests.cpp
@@ -96,7 +96,7 @@
 {
   const History history = ServedOnce();
   // One call is too few for CheckRecovery to pass.
-  const Findings findings = CheckAll(history, kBounds, Time::max());
+  const Findings findings = CheckAll(history, kBounds, { Time::max(), Time::max() });
   CHECK_EQUAL(std::size_t{ 1 }, findings.size());
   CHECK_EQUAL(std::string("recovery"), findings[0].rule);
 }
@@ -342,8 +342,9 @@
 
 MASTICSTEP_TEST("a fleet that does not recover is found", "[soak][checks]")
 {
+  constexpr Time kStop = kStart + Seconds(5);
   const auto check = [](const History& aHistory, Findings& aFindings) {
-    CheckRecovery(aHistory, kStart, aFindings);
+    CheckRecovery(aHistory, { kStart, kStop }, aFindings);
   };
   History history;
   history.AddConfiguration(Configuration(1, Time{}, "s"));
@@ -354,6 +355,14 @@
   history.Call(0).status = 503;
   history.Call(1).outcome = CallOutcome::Cut;
   CHECK_EQUAL(std::size_t{ 0 }, Count(history, check));
+  // Daemons that have stopped serve nobody, and the proxies in front of them close each connection.
+  for (int i = 20; i < 40; ++i) {
+    CallRecord call = Call("a" + std::to_string(i), CallKind::Lookup);
+    call.sentAt = kStop;
+    call.outcome = CallOutcome::Cut;
+    history.AddCall(call);
+  }
+  CHECK_EQUAL(std::size_t{ 0 }, Count(history, check));
   history.Call(2).status = 504;
   CHECK_EQUAL(std::size_t{ 1 }, Count(history, check));
 }
