Net: test that an answer which ends at any byte before its last is not whole

Only an answer without a length that ends with its connection after its head counts as whole, as NEWS says.

--- a/libs/net/tests/HttpClientConnectionTests.cpp
+++ b/libs/net/tests/HttpClientConnectionTests.cpp
@@ -6,6 +6,7 @@
 #include "masticstep/testing/Test.hpp"
 
 #include <deque>
+#include <optional>
 
 using namespace masticstep;
 using namespace masticstep::net;
@@ -14,12 +15,13 @@
 
 constexpr Duration kLongWait = Seconds(2);
 
-// Stream whose input arrives in given parts, one for each read. Nothing arrives after them.
+// Stream whose input arrives in given parts, one for each read. Reads after them fail.
 class ScriptedStream : public ByteStream
 {
 public:
-  explicit ScriptedStream(std::deque<std::string> aParts)
+  explicit ScriptedStream(std::deque<std::string> aParts, NetErrorKind aEnd = NetErrorKind::Closed)
     : mParts(std::move(aParts))
+    , mEnd(aEnd)
   {
   }
 
@@ -28,6 +30,9 @@
 
   Task<Result<std::size_t, NetError>> ReadSome(std::span<char> aBuffer, Duration) override
   {
+    if (mParts.empty()) {
+      co_return Failure(NetError{ mEnd, {} });
+    }
     const std::string part = mParts.front();
     mParts.pop_front();
     if (mParts.empty() && mOnLastRead) {
@@ -68,12 +73,59 @@
 
 private:
   std::deque<std::string> mParts;
+  const NetErrorKind mEnd;
   std::function<void()> mOnLastRead;
   bool mIsOpen = true;
 };
 
+// Returns the body of an answer of which these bytes arrive, or nothing if it is not whole.
+std::optional<std::string> BodyOf(const std::string& aBytes, NetErrorKind aEnd)
+{
+  WorkerPool workers(1);
+  const std::function<Task<std::optional<std::string>>()> read =
+    [&]() -> Task<std::optional<std::string>> {
+    HttpClientConnection connection(
+      std::make_unique<ScriptedStream>(std::deque<std::string>{ aBytes }, aEnd),
+      { "127.0.0.1", 1 });
+    const HttpRequest request;
+    co_await connection.Send(request, kLongWait);
+    if (!co_await connection.ReadHead(kLongWait)) {
+      co_return std::nullopt;
+    }
+    std::string body;
+    Result<std::string, NetError> part = co_await connection.ReadBodySome(kLongWait);
+    while (part && !part->empty()) {
+      body += *part;
+      part = co_await connection.ReadBodySome(kLongWait);
+    }
+    co_return part ? std::optional(body) : std::nullopt;
+  };
+  return Await<std::optional<std::string>>(workers, read);
+}
+
 } // namespace
 
+// Guards against a part of an answer that is passed on as a whole one, of whatever request: the
+// server stopped in the status line, a header, a chunk's size or the body.
+MASTICSTEP_TEST("an answer that ends at any byte before its last is not whole", "[net][failure]")
+{
+  const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX: y\r\n\r\nbody";
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nT: z\r\n\r\n";
+  const std::string unframedHead = "HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
+  for (const NetErrorKind end : { NetErrorKind::Closed, NetErrorKind::Reset }) {
+    for (const std::string& answer : { length, chunked, unframedHead + "body" }) {
+      for (std::size_t n = 1; n < answer.size(); ++n) {
+        const bool mayEnd = answer.starts_with(unframedHead) && n >= unframedHead.size() &&
+                            end == NetErrorKind::Closed;
+        CHECK_EQUAL(mayEnd, BodyOf(answer.substr(0, n), end).has_value());
+      }
+      const bool isWhole = !answer.starts_with(unframedHead) || end == NetErrorKind::Closed;
+      CHECK_EQUAL(isWhole ? "body" : std::string(), BodyOf(answer, end).value_or(""));
+    }
+  }
+}
+
 // Guards against a stream that is held up until its silent engine sends more, although another
 // engine has accepted it: the wait was ended while a part of a chunk's size was read.
 MASTICSTEP_TEST("a wait for a body that is ended during a read does not go on", "[net][silence]")
