Relay: hold a stream only to the last event of a caller that may resume it

Change: the sequence of such a route begins at its first event; the header is passed on as before. The test of a last event on a route that is not resumable has an engine that begins anew. Logic that stood twice (UnusableResponseError) is used in PlainSession, too.

--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -61,9 +61,7 @@
   if (!aHead.isSigned || aHead.isEncoded) {
     // The body is not read, since it may have no end.
     aExchange.Close();
-    ExchangeError error{ Progress::Unknown, net::NetErrorKind::Malformed,
-                         "unsigned answer with status " + std::to_string(aHead.status) };
-    co_return co_await HandleFailure(aBackend, std::move(error));
+    co_return co_await HandleFailure(aBackend, UnusableResponseError(aHead));
   }
   Result<std::string, net::NetError> body = co_await aExchange.ReadAll(mRequest.deadline);
   if (!body) {
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -41,7 +41,7 @@
 PromptSession::PromptSession(std::shared_ptr<RelayState> aState, RoutedRequest aRoutedRequest,
                              net::HttpResponder& aResponder)
   : Session(std::move(aState), std::move(aRoutedRequest), aResponder)
-  , mSequence(mRequest.call.lastEventId)
+  , mSequence(mRequest.route->isResumable ? mRequest.call.lastEventId : std::nullopt)
 {
   mWork.service = mRequest.service;
   mWork.prompt = mRequest.call.prompt.value_or(dispatch::Prompt{});
@@ -282,7 +282,9 @@
   SendOptions options = OptionsFor(aEngine);
   options.source = mKvSource;
   options.priority = mRequest.route->priority;
-  options.lastEventId = mSequence.LastEventId();
+  if (mSequence.LastEventId()) {
+    options.lastEventId = mSequence.LastEventId();
+  }
   mActiveExchange = &aExchange;
   net::HttpRequest request = mState->dialect->BuildBackendRequest(mRequest.call, options);
   Result<BackendResponseHead, ExchangeError> head =
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -245,12 +245,16 @@
 {
   std::string newEvents;
   std::optional<StreamFault> fault;
-  for (auto event = aEvents.Next(); event && !fault; event = aEvents.Next()) {
+  std::optional<StreamEvent> event = aEvents.Next();
+  while (event && !fault) {
     fault = mSequence.Add(*event);
-    newEvents += fault ? std::string() : event->text;
-    if (event->hasData && !fault) {
+    if (!fault) {
+      newEvents += event->text;
+    }
+    if (!fault && event->hasData) {
       aSilence.OnEvent(net::Now());
     }
+    event = aEvents.Next();
   }
   if (!newEvents.empty()) {
     co_await ForwardEvents(std::move(newEvents), aEvents, aExchange, std::move(aHead));
--- a/libs/relay/tests/SoftwareVersionTests.cpp
+++ b/libs/relay/tests/SoftwareVersionTests.cpp
@@ -126,7 +126,8 @@
   CHECK_EQUAL(before + 1, older.Requests().size());
 }
 
-// Guards against refusing requests whose route does not let a stream be resumed at all.
+// Guards against refusing requests whose route does not let a stream be resumed at all, or events
+// of an engine that begins their streams anew.
 MASTICSTEP_TEST("a last event on a route that is not resumable does not ask for a version",
                 "[relay][version]")
 {
@@ -137,6 +138,12 @@
   fixture.Add("e2", "llm", newer, Stage::Whole, "v2");
   const std::string answer = fixture.SendRequest("POST", "/stream/", "Last-Event-Id: 2\r\n");
   CHECK_TRUE(Contains(answer, "id: 4\n"));
+  ScriptedBackend anew(Always(WholeStream(1, 4)));
+  RelayFixture other;
+  other.Add("e1", "llm", anew, Stage::Whole, "v1");
+  const std::string whole = other.SendRequest("POST", "/stream/", "Last-Event-Id: 2\r\n");
+  CHECK_TRUE(Contains(whole, "id: 1\n") && Contains(whole, "id: 4\n"));
+  CHECK_TRUE(Contains(anew.Requests().at(0), "Resume-After: 2"));
 }
 
 MASTICSTEP_TEST("a stream whose version nobody knows is refused as not run", "[relay][version]")
--- a/libs/relay/tests/StreamSequenceTests.cpp
+++ b/libs/relay/tests/StreamSequenceTests.cpp
@@ -29,7 +29,7 @@
     EventSplitter events;
     events.Add(engine.text);
     fault.reset();
-    for (auto event = events.Next(); event && !fault; event = events.Next()) {
+    for (std::optional<StreamEvent> event = events.Next(); event && !fault; event = events.Next()) {
       fault = sequence.Add(*event);
     }
     fault = fault ? fault : sequence.End(engine.framing, events.HasPartialEvent());
