--- a/libs/relay/tests/BrokenStreamTests.cpp
+++ b/libs/relay/tests/BrokenStreamTests.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-using dispatch::Stage;
 using Then = ScriptedResponse::Then;
 
 const std::string kSignedHead = "HTTP/1.1 200 OK\r\nId: c1\r\nSigned: s\r\n";
--- a/tests/soak/tests/ChecksTests.cpp
+++ b/tests/soak/tests/ChecksTests.cpp
@@ -342,7 +342,7 @@
 
 MASTICSTEP_TEST("a fleet that does not recover is found", "[soak][checks]")
 {
-  constexpr Time kStop = kStart + Seconds(5);
+  static constexpr Time kStop = kStart + Seconds(5);
   const auto check = [](const History& aHistory, Findings& aFindings) {
     CheckRecovery(aHistory, { kStart, kStop }, aFindings);
   };
