Accounts, duties, scaling: decisions on keys, usage reports and engines to order

Change: three decision libraries without I/O. accounts: keys by hash, the outcome of each request, and up to which time the configuration is known to be the newest. duties: a clock that a fleet agrees on, counts by window, reports that are written before they are sent. scaling: engines wanted by demand, price and the loss of a data centre.

--- a/libs/authority/include/masticstep/authority/LeaseManager.hpp
+++ b/libs/authority/include/masticstep/authority/LeaseManager.hpp
@@ -49,6 +49,10 @@
   // Check the expiry just before each action; the lease may have expired since the last call.
   LeaseStatus Status() const { return mStatus; }
 
+  // Returns the holder that the store named when it was last read or written; nothing if it named
+  // none.
+  std::optional<HostName> KnownHolder() const;
+
   // Returns all members, for comparison of states.
   auto State() const
   {
--- a/libs/authority/src/LeaseManager.cpp
+++ b/libs/authority/src/LeaseManager.cpp
@@ -87,6 +87,11 @@
   return WriteLease(mStoredLease->fencing, aNow);
 }
 
+std::optional<HostName> LeaseManager::KnownHolder() const
+{
+  return mStoredLease ? std::optional<HostName>(mStoredLease->holder) : std::nullopt;
+}
+
 bool LeaseManager::IsOwnLease() const
 {
   return mStoredLease && mStoredLease->nonce.starts_with(mOptions.processNonce + "-");
--- a/libs/base/include/masticstep/base/ObjectReader.hpp
+++ b/libs/base/include/masticstep/base/ObjectReader.hpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -42,6 +43,9 @@
   std::int64_t RequiredInteger(std::string_view aKey, IntegerRange aRange);
   std::int64_t OptionalInteger(std::string_view aKey, IntegerRange aRange, std::int64_t aDefault);
   double OptionalNumber(std::string_view aKey, double aMinimum, double aMaximum, double aDefault);
+  // Returns the members of an object whose values are numbers within the range.
+  std::map<std::string, double> RequiredNumbers(std::string_view aKey, double aMinimum,
+                                                double aMaximum);
   bool RequiredBoolean(std::string_view aKey);
   bool OptionalBoolean(std::string_view aKey, bool aDefault);
   // Returns the index of the string among the choices; 0 after a fault.
--- a/libs/base/src/ObjectReader.cpp
+++ b/libs/base/src/ObjectReader.cpp
@@ -165,6 +165,26 @@
   return n;
 }
 
+std::map<std::string, double> ObjectReader::RequiredNumbers(std::string_view aKey, double aMinimum,
+                                                            double aMaximum)
+{
+  std::map<std::string, double> numbers;
+  const boost::json::value* found = Find(aKey, true);
+  if (found == nullptr) {
+    return numbers;
+  }
+  if (!found->is_object()) {
+    Report(aKey, "not an object", "object of numbers");
+    return numbers;
+  }
+  ObjectReader members(found->get_object(), mFile, PathOf(aKey), *mFaults);
+  for (const boost::json::key_value_pair& member : found->get_object()) {
+    numbers[std::string(member.key())] =
+      members.OptionalNumber(member.key(), aMinimum, aMaximum, aMinimum);
+  }
+  return numbers;
+}
+
 bool ObjectReader::RequiredBoolean(std::string_view aKey)
 {
   const boost::json::value* found = Find(aKey, true);
--- a/libs/control/include/masticstep/control/EngineAuthority.hpp
+++ b/libs/control/include/masticstep/control/EngineAuthority.hpp
@@ -81,6 +81,11 @@
   void SetEngines(std::vector<EngineTarget> aEngines);
   // Returns whether this process holds a lease that is valid now.
   bool IsHolder() const;
+  // Returns the lease of this process. It must be checked again just before each action, and must
+  // stay valid for as long as the action may take.
+  authority::LeaseStatus Lease() const;
+  // Returns the holder that the store named last; nothing if it named none.
+  std::optional<HostName> KnownHolder() const;
   // Sends an order and calls aCallback exactly once, on any thread.
   void SendCommand(const EngineCommand& aCommand, Callback aCallback);
   // Releases the lease at a graceful shutdown, so that the next holder need not wait for its
--- a/libs/control/src/EngineAuthority.cpp
+++ b/libs/control/src/EngineAuthority.cpp
@@ -35,6 +35,16 @@
   return mCore->IsHolder();
 }
 
+authority::LeaseStatus EngineAuthority::Lease() const
+{
+  return mCore->Lease();
+}
+
+std::optional<HostName> EngineAuthority::KnownHolder() const
+{
+  return mCore->KnownHolder();
+}
+
 void EngineAuthority::SendCommand(const EngineCommand& aCommand, Callback aCallback)
 {
   mCore->SendCommand(aCommand, std::move(aCallback));
--- a/libs/control/src/EngineAuthorityCore.cpp
+++ b/libs/control/src/EngineAuthorityCore.cpp
@@ -70,6 +70,18 @@
   return !mIsStopped && authority::IsLeaseValid(mLeaseManager.Status(), net::Now());
 }
 
+authority::LeaseStatus EngineAuthority::Core::Lease() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mIsStopped ? authority::LeaseStatus{} : mLeaseManager.Status();
+}
+
+std::optional<HostName> EngineAuthority::Core::KnownHolder() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mLeaseManager.KnownHolder();
+}
+
 void EngineAuthority::Core::SendCommand(const EngineCommand& aCommand, Callback aCallback)
 {
   DeferredActions deferred;
--- a/libs/control/src/EngineAuthorityCore.hpp
+++ b/libs/control/src/EngineAuthorityCore.hpp
@@ -24,6 +24,8 @@
   void Stop();
   void SetEngines(std::vector<EngineTarget> aEngines);
   bool IsHolder() const;
+  authority::LeaseStatus Lease() const;
+  std::optional<HostName> KnownHolder() const;
   void SendCommand(const EngineCommand& aCommand, Callback aCallback);
   void Release();
 
--- a/libs/dispatch/include/masticstep/dispatch/Backend.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Backend.hpp
@@ -27,6 +27,7 @@
   std::uint32_t slots = 1;
   bool isDraining = false;
   Stage stage = Stage::Whole;
+  bool isInterruptible = false; // cheaper; the platform may take it away at short notice
   // Start time by the backend server's own clock. A different value under the same id means that
   // the server was restarted and has lost its state.
   std::int64_t startedAtMs = 0;
--- a/libs/dispatch/include/masticstep/dispatch/PromptQueue.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/PromptQueue.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticstep/dispatch/Dispatcher.hpp"
+#include "masticstep/dispatch/RequestPriority.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -13,7 +14,7 @@
 {
   RequestId id;
   PromptRequest request;
-  std::uint8_t priority = 0; // 0 is the most urgent
+  RequestPriority priority;
   Time arrived;
   Time target;               // deadline for the first event
   Time callerDeadline;       // expected time at which the caller disconnects
@@ -56,7 +57,7 @@
   struct Rank
   {
     bool isLate = false;
-    std::uint8_t priority = 0;
+    RequestPriority priority;
     Time target;
 
     auto operator<=>(const Rank&) const = default;
--- a/libs/dispatch/include/masticstep/dispatch/Route.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Route.hpp
@@ -40,6 +40,7 @@
   std::vector<ServiceShare> shares;
   std::uint32_t attempts = 1; // maximum number of backend servers that may execute one request
   bool isResumable = false;   // whether a stream may be resumed on another backend server
+  bool isPublic = false;      // needs no client account, where the configuration has accounts
 
   bool IsRetryable() const
   {
--- a/libs/dispatch/include/masticstep/dispatch/RouteTable.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/RouteTable.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "masticstep/accounts/AccountDirectory.hpp"
 #include "masticstep/base/Result.hpp"
 #include "masticstep/dispatch/Route.hpp"
+#include "masticstep/dispatch/ScalingTraits.hpp"
 
 #include <memory>
 #include <optional>
@@ -32,6 +34,7 @@
   ServiceName name;
   std::uint32_t maximumConnections = 0; // per backend server, summed over all daemons; 0: no limit
   std::optional<EngineTraits> engine;   // absent for plain services
+  std::optional<ScalingTraits> scaling; // absent if the number of servers is fixed
 
   bool operator==(const ServiceTraits&) const = default;
 };
@@ -57,6 +60,7 @@
     std::vector<Route> routes;
     std::vector<ServiceTraits> services;
     RequestLimits limits;
+    std::shared_ptr<const accounts::AccountDirectory> accounts; // null if there are none
   };
 
   // Returns the first validation error on failure.
@@ -67,6 +71,8 @@
   const ServiceTraits* FindService(const ServiceName& aName) const;
   std::uint64_t Version() const { return mParts.version; }
   const RequestLimits& Limits() const { return mParts.limits; }
+  // Returns null if the configuration has no client accounts, so that all may call.
+  const accounts::AccountDirectory* Accounts() const { return mParts.accounts.get(); }
   const std::vector<Route>& Routes() const { return mParts.routes; }
   const std::vector<ServiceTraits>& Services() const { return mParts.services; }
   bool operator==(const RouteTable& aOther) const;
--- a/libs/dispatch/include/masticstep/dispatch/StageDemand.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/StageDemand.hpp
@@ -55,8 +55,11 @@
 
   // Need of this daemon's requests, to be reported to its peers.
   NeedByService LocalNeed(Time aNow) const;
-  // Need of the requests of this daemon and of all peers with a recent report.
+  // Needs of the requests of this daemon and of all peers with a recent report.
+  NeedByService TotalNeeds(Time aNow) const;
   StageNeed TotalNeed(const ServiceName& aService, Time aNow) const;
+  // Returns how many engines a need keeps busy, or nothing in the first seconds of the traffic.
+  std::optional<double> BusyEngines(const StageNeed& aNeed, Time aNow) const;
   // Returns the share of engines for decoding at which both stages are equally busy, or nothing
   // until enough work has been measured.
   std::optional<double> DecodeShare(const ServiceName& aService, Time aNow) const;
--- a/libs/dispatch/src/PromptQueue.cpp
+++ b/libs/dispatch/src/PromptQueue.cpp
@@ -27,7 +27,7 @@
 PromptQueue::Rank PromptQueue::RankOf(const QueuedPrompt& aPrompt, Time aNow) const
 {
   if (aPrompt.isResumption) {
-    return { false, 0, aPrompt.arrived };
+    return { false, RequestPriority(), aPrompt.arrived };
   }
   const Duration needed = mDispatcher.ExpectedPrefillTime(aPrompt.request) + kFirstEventLatency;
   return { aNow + needed > aPrompt.target, aPrompt.priority, aPrompt.target };
--- a/libs/dispatch/src/RouteTable.cpp
+++ b/libs/dispatch/src/RouteTable.cpp
@@ -86,8 +86,12 @@
 
 bool RouteTable::operator==(const RouteTable& aOther) const
 {
-  return mParts.version == aOther.mParts.version && mParts.routes == aOther.mParts.routes &&
-         mParts.services == aOther.mParts.services && mParts.limits == aOther.mParts.limits;
+  const bool hasSameAccounts =
+    mParts.accounts == aOther.mParts.accounts ||
+    (mParts.accounts && aOther.mParts.accounts && *mParts.accounts == *aOther.mParts.accounts);
+  return hasSameAccounts && mParts.version == aOther.mParts.version &&
+         mParts.routes == aOther.mParts.routes && mParts.services == aOther.mParts.services &&
+         mParts.limits == aOther.mParts.limits;
 }
 
 } // namespace masticstep::dispatch
--- a/libs/dispatch/src/StageDemand.cpp
+++ b/libs/dispatch/src/StageDemand.cpp
@@ -112,22 +112,35 @@
   return all;
 }
 
-StageNeed StageDemand::TotalNeed(const ServiceName& aService, Time aNow) const
+NeedByService StageDemand::TotalNeeds(Time aNow) const
 {
-  StageNeed total;
-  const auto local = mLocal.find(aService);
-  if (local != mLocal.end()) {
-    total += local->second.need.Scaled(DecayFactor(aNow - local->second.updated));
-  }
+  NeedByService total = LocalNeed(aNow);
   for (const auto& [host, report] : mPeers) {
-    const auto found = report.need.find(aService);
-    if (found != report.need.end() && report.receivedAt + kPeerExpiry >= aNow) {
-      total += found->second.Scaled(DecayFactor(aNow - report.receivedAt));
+    if (report.receivedAt + kPeerExpiry < aNow) {
+      continue;
+    }
+    for (const auto& [service, need] : report.need) {
+      total[service] += need.Scaled(DecayFactor(aNow - report.receivedAt));
     }
   }
   return total;
 }
 
+StageNeed StageDemand::TotalNeed(const ServiceName& aService, Time aNow) const
+{
+  return TotalNeeds(aNow)[aService];
+}
+
+std::optional<double> StageDemand::BusyEngines(const StageNeed& aNeed, Time aNow) const
+{
+  if (!mFirstStart || aNow < *mFirstStart + kWarmUpTime) {
+    return std::nullopt;
+  }
+  // The sums approach the time constant times the engines that are busy.
+  const double summedSeconds = ToSeconds(kTimeConstant) * (1.0 - DecayFactor(aNow - *mFirstStart));
+  return (aNeed.prefillSeconds + aNeed.DecodeSeconds()) / summedSeconds;
+}
+
 std::optional<double> StageDemand::DecodeShare(const ServiceName& aService, Time aNow) const
 {
   const StageNeed need = TotalNeed(aService, aNow);
--- a/libs/dispatch/tests/PromptQueueTests.cpp
+++ b/libs/dispatch/tests/PromptQueueTests.cpp
@@ -41,7 +41,7 @@
   prompt.request.service = kService;
   prompt.request.prompt = { "m", aTokens, 10, { { aId, aTokens } } };
   prompt.request.keys = PrefixKeys(prompt.request.prompt);
-  prompt.priority = aPriority;
+  prompt.priority = RequestPriority(aPriority);
   prompt.arrived = aArrived;
   prompt.target = aArrived + aTarget;
   prompt.callerDeadline = aArrived + Seconds(2);
--- /dev/null
+++ b/libs/duties/src/UsageReporter.cpp
@@ -0,0 +1,163 @@
+#include "masticstep/duties/UsageReporter.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticstep::duties {
+
+using platform::PlatformReply;
+using platform::PlatformStatus;
+
+namespace {
+
+// Counts of this many windows are sent to a new holder again.
+constexpr WindowNumber kRepeatedWindows = 2;
+// Reports that the store keeps.
+constexpr std::size_t kKeptReports = 12;
+constexpr Duration kRetryPause = Milliseconds(600); // after a call that did not succeed
+
+} // namespace
+
+UsageReporter::UsageReporter(UsageOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mWindows(mOptions.windowLength)
+{
+}
+
+void UsageReporter::BeginTerm(UnixTime aNow)
+{
+  const WindowNumber first = mWindows.At(aNow - mOptions.collectingTime) - kRepeatedWindows;
+  mFirstWindow = std::max(mFirstWindow, first);
+  mHasRead = false;
+  mAccepted.clear();
+  mIsSuperseded = false;
+}
+
+UsageReporter::Actions UsageReporter::OnTime(const UsageLedger& aLedger, UnixTime aNow)
+{
+  Actions actions;
+  if (!mIsRequestOutstanding && !mHasRead) {
+    mIsRequestOutstanding = true;
+    actions.request =
+      platform::PlatformRequest{ ++mRequestNumber, platform::ReadRequest{ mOptions.key } };
+  } else if (!mIsRequestOutstanding) {
+    actions.request = FixReports(aLedger, aNow);
+    mIsRequestOutstanding = actions.request.has_value();
+  }
+  if (mHasRead && !mIsSendOutstanding && !mIsSuperseded && aNow >= mNextSend) {
+    actions.send = NextReport(aNow);
+  }
+  if (actions.send) {
+    mIsSendOutstanding = true;
+    mSent[actions.send->window] = actions.send->counts;
+  }
+  return actions;
+}
+
+std::optional<platform::PlatformRequest> UsageReporter::FixReports(const UsageLedger& aLedger,
+                                                                   UnixTime aNow)
+{
+  FixedReports reports = mFixed;
+  // A restored store may have lost reports that were sent; they must stay what they were.
+  for (const auto& [window, counts] : mSent) {
+    reports.insert_or_assign(window, counts);
+  }
+  const WindowNumber oldest = mWindows.At(aNow - mOptions.reportingTime);
+  for (WindowNumber window = std::max(mFirstWindow, oldest);
+       mWindows.EndOf(window) + mOptions.collectingTime <= aNow; ++window) {
+    if (aLedger.Has(window)) {
+      reports.try_emplace(window, aLedger.Total(window));
+    }
+  }
+  while (reports.size() > kKeptReports) {
+    reports.erase(reports.begin());
+  }
+  if (reports == mFixed) {
+    return std::nullopt;
+  }
+  mWriting = std::move(reports);
+  return platform::PlatformRequest{ ++mRequestNumber,
+                                    platform::ConditionalWrite{ mOptions.key, mVersion,
+                                                                EncodeFixedReports(mWriting) } };
+}
+
+std::optional<UsageReport> UsageReporter::NextReport(UnixTime aNow) const
+{
+  for (const auto& [window, counts] : mFixed) {
+    if (!mAccepted.contains(window) && mWindows.EndOf(window) + mOptions.reportingTime > aNow) {
+      return UsageReport{ window, counts };
+    }
+  }
+  return std::nullopt;
+}
+
+void UsageReporter::OnPlatformReply(const PlatformReply& aReply, UnixTime aNow)
+{
+  if (!mIsRequestOutstanding || aReply.number != mRequestNumber) {
+    return;
+  }
+  mIsRequestOutstanding = false;
+  const bool isOfStore =
+    aReply.status != PlatformStatus::Unknown && aReply.status != PlatformStatus::NotSent;
+  if (isOfStore && mEra && aReply.era > *mEra) {
+    // The store may have lost reports of earlier windows that a predecessor has sent.
+    mFirstWindow = mWindows.At(aNow);
+  }
+  if (isOfStore) {
+    mEra = aReply.era;
+  }
+  if (!mHasRead) {
+    OnRead(aReply);
+    return;
+  }
+  if (aReply.status == PlatformStatus::Done) {
+    mFixed = mWriting;
+    mVersion = aReply.version;
+  } else if (aReply.status == PlatformStatus::Conflict ||
+             aReply.status == PlatformStatus::Unknown) {
+    mHasRead = false;
+  }
+}
+
+void UsageReporter::OnRead(const PlatformReply& aReply)
+{
+  if (aReply.status == PlatformStatus::NotFound) {
+    mHasRead = true;
+    mVersion.reset();
+    mFixed.clear();
+    return;
+  }
+  if (aReply.status != PlatformStatus::Done) {
+    return;
+  }
+  mHasRead = true;
+  mVersion = aReply.version;
+  // A damaged object is written anew.
+  mFixed = DecodeFixedReports(aReply.body).value_or(FixedReports{});
+}
+
+void UsageReporter::OnSent(WindowNumber aWindow, SendOutcome aOutcome, UnixTime aNow)
+{
+  mIsSendOutstanding = false;
+  switch (aOutcome) {
+    case SendOutcome::Accepted:
+      ++mSentCount;
+      mAccepted.insert(aWindow);
+      break;
+    case SendOutcome::Invalid:
+      mAccepted.insert(aWindow);
+      break;
+    case SendOutcome::Superseded:
+      mIsSuperseded = true;
+      break;
+    case SendOutcome::Unknown:
+      mNextSend = aNow + kRetryPause;
+      break;
+  }
+  // Kept for the time in which the store may lose them.
+  while (mSent.size() > kKeptReports) {
+    mSent.erase(mSent.begin());
+  }
+}
+
+} // namespace masticstep::duties
--- a/libs/net/src/Clock.cpp
+++ b/libs/net/src/Clock.cpp
@@ -11,4 +11,9 @@
   return Time(Seconds(now.tv_sec) + Microseconds(now.tv_nsec / 1000));
 }
 
+std::chrono::sys_time<Duration> TimeOfDay()
+{
+  return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+}
+
 } // namespace masticstep::net
--- a/libs/wire/include/masticstep/wire/WorkReport.hpp
+++ b/libs/wire/include/masticstep/wire/WorkReport.hpp
@@ -49,6 +49,8 @@
   std::uint64_t backendChanges = 0;   // store revision at which the daemon saw the latest change
   std::optional<Duration> storeAge{}; // time since the daemon's last answer from the store
   std::uint64_t storeEra = 0;         // era of the store of newestEntry and backendChanges
+  // Time of day at the sender, since 1970; zero if it tells none.
+  Duration clock{ 0 };
 
   bool operator==(const WorkReport&) const = default;
 };
--- a/libs/wire/src/WorkReport.cpp
+++ b/libs/wire/src/WorkReport.cpp
@@ -1,5 +1,6 @@
 #include "masticstep/wire/WorkReport.hpp"
 
+#include "NeedSeconds.hpp"
 #include "generated/work_generated.h"
 
 #include <algorithm>
@@ -11,14 +12,8 @@
 // Values above these limits are implausible and could overflow sums.
 constexpr std::uint64_t kMaximumPrefillTimeUs = 3600000000ULL; // 1 h
 constexpr std::uint64_t kMaximumTokens = 1ULL << 40U;
-constexpr std::int64_t kMaximumAgeMs = 3600000; // 1 h
-constexpr float kMaximumNeedSeconds = 1e6F;
-
-// Maps NaN and values out of range to a plausible value.
-double ClampSeconds(float aSeconds)
-{
-  return aSeconds > 0.0F ? std::min(aSeconds, kMaximumNeedSeconds) : 0.0F;
-}
+constexpr std::int64_t kMaximumAgeMs = 3600000;            // 1 h
+constexpr std::int64_t kMaximumClockUs = 4102444800000000; // the year 2100
 
 // Zero stands for no value, so an age is sent plus one.
 std::uint32_t EncodeAge(const std::optional<Duration>& aAge)
@@ -62,7 +57,8 @@
   const flatbuffers::Offset<flatbuffers::String> host = builder.CreateString(aReport.host.Text());
   const flatbuffers::Offset<fb::WorkReport> report = fb::CreateWorkReport(
     builder, host, aReport.sequence, backendList, aReport.newestEntry, aReport.configuration,
-    needList, aReport.backendChanges, EncodeAge(aReport.storeAge), aReport.storeEra);
+    needList, aReport.backendChanges, EncodeAge(aReport.storeAge), aReport.storeEra,
+    aReport.clock / Microseconds(1));
   fb::FinishWorkReportBuffer(builder, report);
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -87,7 +83,9 @@
                      {},
                      table->backend_changes(),
                      DecodeAge(table->store_age_ms()),
-                     table->store_era() };
+                     table->store_era(),
+                     Microseconds(
+                       std::clamp<std::int64_t>(table->clock_us(), 0, kMaximumClockUs)) };
   for (const fb::BackendWork* item : *table->backends()) {
     if (item->backend() == nullptr) {
       return Failure(WireError{ WireErrorKind::MalformedBody,
--- a/tools/check_dependencies.py
+++ b/tools/check_dependencies.py
@@ -19,7 +19,10 @@
     "publication": ["base", "platform", "config"],
     "membership": ["base"],
     "spread": ["base", "membership"],
-    "dispatch": ["base", "config"],
+    "accounts": ["base"],
+    "duties": ["base", "platform"],
+    "dispatch": ["accounts", "base", "config"],
+    "scaling": ["base", "dispatch"],
     "quarantine": ["base"],
 }
 SHELL = {
@@ -29,11 +32,11 @@
     "peering": ["base", "net", "wire", "membership", "spread", "telemetry"],
     "order_service": ["base", "net", "orders", "platform", "telemetry"],
     "control": ["base", "net", "authority", "roles", "publication", "platform", "telemetry", "config"],
-    "relay": ["authority", "base", "config", "control", "dispatch", "net", "platform", "quarantine", "telemetry",
-              "wire"],
-    "adapter": ["authority", "base", "config", "control", "dispatch", "net", "platform", "platform_client", "relay",
-                "telemetry"],
-    "gateway": sorted(DECISION.keys() - {"testing", "dispatch"})
+    "relay": ["accounts", "authority", "base", "config", "control", "dispatch", "duties", "net", "platform",
+              "quarantine", "scaling", "telemetry", "wire"],
+    "adapter": ["accounts", "authority", "base", "config", "control", "dispatch", "duties", "net", "platform",
+                "platform_client", "relay", "scaling", "telemetry"],
+    "gateway": sorted(DECISION.keys() - {"testing", "dispatch", "accounts", "duties", "scaling"})
     + ["net", "telemetry", "platform_client", "peering", "order_service", "control"],
     "cli": sorted(DECISION.keys() - {"testing"})
     + ["net", "telemetry", "platform_client", "peering", "order_service", "control", "gateway", "adapter"],
