Relay: accept requests by client account, report usage and order engines

Change: requests are judged by their key at arrival and before each message to a server; daemons ask each other how old their configuration is; the holder of the lease reports usage and orders engines. All of it is off unless the configuration has accounts or scaling, or the settings name duties.

Tests: AccountTests, DutyMessagesTests, decoders and settings.

--- a/libs/relay/include/masticstep/relay/Call.hpp
+++ b/libs/relay/include/masticstep/relay/Call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticstep/accounts/Authentication.hpp"
 #include "masticstep/base/Identifier.hpp"
 #include "masticstep/base/Time.hpp"
 #include "masticstep/config/SocketAddress.hpp"
@@ -25,6 +26,7 @@
   std::optional<Duration> timeLeft; // remaining time before the caller gives up
   std::optional<dispatch::Prompt> prompt;
   std::optional<std::uint64_t> lastEventId; // the caller has received all events up to this one
+  accounts::Credentials credentials;
   std::string resumedCallId; // of the attempt that brought the first event; empty if unknown
 
   bool operator==(const Call&) const = default;
@@ -48,6 +50,10 @@
   std::optional<KvCacheHandle> source;
   std::optional<std::uint8_t> priority; // within the engine; 0 is the most urgent
   std::optional<std::uint64_t> lastEventId;
+  // The configuration has client accounts: what the caller presented is not passed on, the name of
+  // its account is.
+  bool hidesCredentials = false;
+  std::optional<AccountName> account;
 
   bool operator==(const SendOptions&) const = default;
 };
--- a/libs/relay/include/masticstep/relay/Dialect.hpp
+++ b/libs/relay/include/masticstep/relay/Dialect.hpp
@@ -35,6 +35,8 @@
   virtual std::optional<std::string> ParseKvCacheHandle(std::string_view aBody) const = 0;
   // Builds the request that makes an engine release a KV cache that no engine will fetch.
   virtual net::HttpRequest BuildKvCacheRelease(const KvCacheHandle& aHandle) const = 0;
+  // Returns the headers that tell a caller without a valid key how to present one.
+  virtual net::HttpHeaders AuthenticationChallenge() const = 0;
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/include/masticstep/relay/PlatformFeed.hpp
+++ b/libs/relay/include/masticstep/relay/PlatformFeed.hpp
@@ -48,8 +48,9 @@
 
 struct RouteTableUpdate
 {
-  std::shared_ptr<const dispatch::RouteTable> table; // null if unchanged or absent
+  std::shared_ptr<const dispatch::RouteTable> table; // null if unchanged, absent or invalid
   platform::Version revision;
+  bool isInvalid = false; // the newest configuration cannot be used
 };
 
 // Source of the platform's list of backend servers and its configuration. A watch is a long poll
--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "masticstep/control/EngineAuthority.hpp"
 #include "masticstep/control/OrderCodec.hpp"
 #include "masticstep/dispatch/RetryBudget.hpp"
 #include "masticstep/dispatch/StagePlan.hpp"
 #include "masticstep/net/HttpServer.hpp"
 #include "masticstep/platform/ObjectStore.hpp"
+#include "masticstep/relay/DutyCodec.hpp"
+#include "masticstep/relay/DutySettings.hpp"
 #include "masticstep/relay/PlatformFeed.hpp"
 #include "masticstep/relay/RelayState.hpp"
 
@@ -22,6 +25,9 @@
 class StageController;
 class QuarantineExchange;
 class StreamOriginExchange;
+class DutyExchange;
+class DutyRunner;
+class FreshnessExchange;
 class WorkReportChannel;
 
 // Settings of one daemon at startup.
@@ -40,6 +46,12 @@
   // Time after which the store drops the entry of a backend server that has fallen silent.
   Duration entryLifetime = Seconds(4);
   dispatch::RetryBounds retries;
+  // Longest time for which keys are accepted by a configuration that may have been replaced; zero
+  // if there is no limit.
+  Duration withdrawalLimit{ 0 };
+  DutySettings duties;
+  std::size_t memoryBytes = 0;     // that the process may take; 0: unknown
+  std::size_t fileDescriptors = 0; // the same
   dispatch::StagePolicy stages;
   bool enginesCheckFencing = false;
   bool mayHavePredecessor = false; // see authority::LeaseOptions
@@ -52,6 +64,7 @@
   std::shared_ptr<PlatformFeed> feed;
   std::shared_ptr<platform::ObjectStore> store; // for leases and for orders to engines
   std::shared_ptr<const control::OrderCodec> orders;
+  std::shared_ptr<const DutyCodec> duties; // null if there are no duties
   // Operation and argument values of orders that change the stage of an engine.
   std::string stageChangeOperation;
   std::string prefillStage;
@@ -83,6 +96,8 @@
   // Switches to another feed, or to the same one at a new address.
   void SetFeed(std::shared_ptr<PlatformFeed> aFeed);
   void SetRetryBounds(dispatch::RetryBounds aBounds);
+  // Changes the address and rate of the duties. Duties that the daemon did not start with stay off.
+  void SetDutySettings(const DutySettings& aSettings);
 
   std::uint16_t CallerPort() const { return mCallerServer->Port(); }
   std::uint16_t ReadinessPort() const { return mReadinessServer->Port(); }
@@ -92,7 +107,13 @@
   Result<void, net::NetError> Start(const AccessFactory& aCreateAccess);
   void StartLoops();
   void StartStageController(PlatformAccess aAccess);
+  void StartDuties(std::shared_ptr<platform::ObjectStore> aStore,
+                   std::shared_ptr<control::EngineAuthority> aAuthority,
+                   std::shared_ptr<const DutyCodec> aCodec);
+  net::ServerLimits ToServerLimits(const dispatch::RequestLimits& aLimits) const;
   void ApplyLimits();
+  // Counts and logs requests that find no room in memory.
+  void OnIntakePressure(const net::IntakePressure& aPressure);
   bool IsReady() const;
   net::Task<void> WaitForSignals();
   net::Task<void> ReloadPeriodically();
@@ -110,10 +131,14 @@
   std::shared_ptr<WorkReportChannel> mWorkReports; // null if the UDP port cannot be bound
   std::shared_ptr<QuarantineExchange> mQuarantineExchange;
   std::shared_ptr<StreamOriginExchange> mOriginExchange;
+  std::shared_ptr<DutyExchange> mDutyExchange; // null without duties
+  std::shared_ptr<DutyRunner> mDutyRunner;
+  std::shared_ptr<FreshnessExchange> mFreshnessExchange; // null if the age has no limit
   std::unique_ptr<net::HttpServer> mCallerServer;
   std::unique_ptr<net::HttpServer> mReadinessServer;
   std::unique_ptr<net::HttpServer> mMetricsServer;
   std::function<void()> mReload;
+  Time mNextPressureLog{};
   bool mIsDraining = false;
 };
 
--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticstep/accounts/ConfigurationFreshness.hpp"
 #include "masticstep/dispatch/BackendDirectory.hpp"
 #include "masticstep/dispatch/Dispatcher.hpp"
 #include "masticstep/dispatch/DrainSchedule.hpp"
@@ -10,6 +11,7 @@
 #include "masticstep/net/ConnectionPool.hpp"
 #include "masticstep/quarantine/PromptQuarantine.hpp"
 #include "masticstep/relay/Dialect.hpp"
+#include "masticstep/relay/DutyState.hpp"
 #include "masticstep/relay/StoreSyncState.hpp"
 #include "masticstep/telemetry/Metrics.hpp"
 
@@ -28,8 +30,9 @@
 // since an entry host gives it less than one core.
 struct RelayState
 {
+  // aMemoryBytes is what the process may take; 0 if unknown.
   RelayState(net::Executor aExecutor, std::shared_ptr<const Dialect> aDialect,
-             dispatch::Locality aPlace, std::uint64_t aSeed);
+             dispatch::Locality aPlace, std::uint64_t aSeed, std::size_t aMemoryBytes = 0);
   ~RelayState();
 
   // Passes the backend servers of the directory on. Must be called after each change of it.
@@ -42,6 +45,7 @@
   const std::shared_ptr<net::ByteBudget> answerBytes;
   const std::shared_ptr<net::ConnectionPool> pool;
   std::shared_ptr<const dispatch::RouteTable> table; // null until a configuration has been read
+  accounts::ConfigurationFreshness freshness;        // of table
   dispatch::BackendDirectory directory;
   dispatch::Dispatcher dispatcher;
   const std::unique_ptr<AsyncPromptQueue> promptQueue;
@@ -50,6 +54,7 @@
   dispatch::RetryBudget retryBudget;
   dispatch::StageDemand stageDemand;
   dispatch::StreamOrigins streamOrigins;
+  DutyState duties;
   std::weak_ptr<StreamOriginExchange> streamOriginExchange; // none without a store
   StoreSyncState storeSync;
   std::uint64_t nextRequestId = 1;
--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -30,6 +30,10 @@
     co_await GiveUp("quarantined", kQuarantinedMessage);
     co_return Step::Done;
   }
+  if (IsKeyWithdrawn()) {
+    co_await RefuseWithdrawnKey();
+    co_return Step::Done;
+  }
   const std::optional<dispatch::Backend> backend =
     mState->dispatcher.ChooseServer(mRequest.service, mExcluded, net::Now());
   if (!backend) {
@@ -74,6 +78,7 @@
   ReportAnswer(isError ? Suspects::WholeRequest : Suspects::All);
   ++mExecutions;
   mPossiblyExecuted = true;
+  CountBegun();
   if (isError && mRequest.route->IsRetryable() && mExecutions < mRequest.route->attempts &&
       !IsCallerGone() && TryTakeRetry()) {
     mExcluded.push_back(aBackend.id);
@@ -97,6 +102,7 @@
   if (aError.progress == Progress::Unknown) {
     ++mExecutions;
     mPossiblyExecuted = true;
+    CountBegun();
   }
   const bool mayRetry = aError.progress == Progress::NotSent ||
                         (aError.progress == Progress::NotExecuted && TryTakeRetry()) ||
--- a/libs/relay/src/PlatformWatcher.cpp
+++ b/libs/relay/src/PlatformWatcher.cpp
@@ -324,6 +324,7 @@
 net::Task<bool> PlatformWatcher::ReadRouteTable()
 {
   const std::shared_ptr<PlatformFeed> feed = mFeed;
+  const Time sent = net::Now();
   const Result<RouteTableUpdate, FeedError> reply = co_await feed->ReadRouteTable();
   if (!reply) {
     OnError(mRouteTableFeed, reply.error());
@@ -331,6 +332,7 @@
   }
   OnResponse(mRouteTableFeed, reply->revision);
   Apply(*reply);
+  NoteReading(*reply, kNoVersion, sent);
   co_return true;
 }
 
@@ -353,7 +355,9 @@
     });
     const std::shared_ptr<PlatformFeed> feed = mFeed;
     mRouteTableFeed.isWatching = true;
-    const Duration wait = WatchTime(Times(kRouteTableWatch, mOptions.watchPause));
+    const Duration wait = RouteTableWatchTime();
+    const std::uint64_t versionBefore = mNewestVersionRead;
+    const Time sent = net::Now();
     const Result<RouteTableUpdate, FeedError> reply =
       co_await feed->WatchRouteTable(mRouteTableFeed.revision, wait);
     mRouteTableFeed.isWatching = false;
@@ -364,6 +368,30 @@
     }
     OnResponse(mRouteTableFeed, reply->revision);
     Apply(*reply);
+    NoteReading(*reply, versionBefore, sent);
+  }
+}
+
+Duration PlatformWatcher::RouteTableWatchTime() const
+{
+  const Duration wait = WatchTime(Times(kRouteTableWatch, mOptions.watchPause));
+  const bool isLimited = mOptions.routeTableWatch > Duration::zero();
+  return isLimited && mState->storeSync.isStorePoller ? std::min(wait, mOptions.routeTableWatch)
+                                                      : wait;
+}
+
+void PlatformWatcher::NoteReading(const RouteTableUpdate& aUpdate, std::uint64_t aVersionBefore,
+                                  Time aSentAt)
+{
+  std::uint64_t version = aUpdate.table ? aUpdate.table->Version() : aVersionBefore;
+  version = aUpdate.isInvalid ? kNoVersion : version;
+  // A read may have overtaken this answer of a watch.
+  if (aUpdate.revision == mRouteTableFeed.revision) {
+    mNewestVersionRead = version;
+  }
+  if (mState->table) {
+    mState->freshness.OnStoreReading({ version, aSentAt }, aUpdate.revision.era,
+                                     mState->table->Version(), net::Now());
   }
 }
 
--- a/libs/relay/src/PlatformWatcher.hpp
+++ b/libs/relay/src/PlatformWatcher.hpp
@@ -21,6 +21,9 @@
   std::uint64_t seed = 0;
   // Time after the start before the first watch, in which a daemon learns whether it is a follower.
   Duration electionTime{ 0 };
+  // Longest watch of the configuration by the store poller, if keys are only accepted by a
+  // configuration that is known to be new; zero if there is no such limit.
+  Duration routeTableWatch{ 0 };
 };
 
 // Keeps RelayState in sync with the platform's list of backend servers and its configuration. Each
@@ -41,6 +44,8 @@
   net::Task<bool> ListBackends();
   // Removes backend servers whose entries do not reappear after a store outage.
   net::Task<void> RunBackendExpiry();
+  // Reads the configuration. Returns false if the store does not answer.
+  net::Task<bool> ReadRouteTable();
   // Sets the function that is called after each new configuration.
   void OnRouteTable(std::function<void()> aCallback) { mOnRouteTable = std::move(aCallback); }
   // Replaces the feed and reads the whole state from the new one, for example after a change of the
@@ -48,6 +53,9 @@
   void SetFeed(std::shared_ptr<PlatformFeed> aFeed);
 
 private:
+  // Of a configuration that is absent or cannot be used.
+  static constexpr std::uint64_t kNoVersion = UINT64_MAX;
+
   // Sync state of one kind of object in the feed.
   struct FeedState
   {
@@ -63,9 +71,11 @@
     Time peerIsNewerSince{}; // when a peer first reported a newer version; zero if none did
   };
 
-  net::Task<bool> ReadRouteTable();
   void Apply(const BackendUpdate& aUpdate, bool aIsSnapshot);
   void Apply(const RouteTableUpdate& aUpdate);
+  // Takes into account that the answer to a request sent at aSentAt told the newest configuration.
+  void NoteReading(const RouteTableUpdate& aUpdate, std::uint64_t aVersionBefore, Time aSentAt);
+  Duration RouteTableWatchTime() const;
   void OnResponse(FeedState& aFeedState, platform::Version aRevision);
   void OnError(FeedState& aFeedState, const FeedError& aError);
   // Returns whether peers follow the store for this daemon.
@@ -91,6 +101,7 @@
   RejectedEntries mRejectedEntries;
   FeedState mBackendFeed{ .name = "backends" };
   FeedState mRouteTableFeed{ .name = "configuration" };
+  std::uint64_t mNewestVersionRead = kNoVersion; // of the configuration
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -97,6 +97,10 @@
   if (IsQuarantined()) {
     co_return co_await Abort("quarantined", kQuarantinedMessage);
   }
+  if (IsKeyWithdrawn()) {
+    co_await RefuseWithdrawnKey();
+    co_return Step::Done;
+  }
   if (!mKvSource) {
     dispatch::QueuedPrompt waiting = MakeWaitingPrompt();
     const Result<dispatch::PrefillPlacement, NoEngineError> placement =
@@ -116,6 +120,12 @@
                                 net::Now());
       co_return co_await Abort("quarantined", kQuarantinedMessage);
     }
+    if (IsKeyWithdrawn()) {
+      mState->dispatcher.OnDone(placement->engine.id, mRequest.number, Outcome::Abandoned,
+                                net::Now());
+      co_await RefuseWithdrawnKey();
+      co_return Step::Done;
+    }
     PinVersion(placement->engine.softwareVersion);
     if (placement->engine.stage != dispatch::Stage::Prefill) {
       mState->dispatcher.OnDone(placement->engine.id, mRequest.number, Outcome::Abandoned,
@@ -154,7 +164,7 @@
   dispatch::QueuedPrompt waiting;
   waiting.id = mRequest.number;
   waiting.request = mWork;
-  waiting.priority = route.priority;
+  waiting.priority = mRequest.priority;
   waiting.arrived = mRequest.arrived;
   waiting.target = mRequest.arrived + route.target;
   waiting.isResumption = route.isResumable && mSequence.LastEventId().has_value();
@@ -197,7 +207,7 @@
   RecordDemand(aPlacement, sent);
   SendOptions options = OptionsFor(engine);
   options.prefillOnly = true;
-  options.priority = mRequest.route->priority;
+  options.priority = mRequest.priority.EngineLevel();
   Exchange exchange(*mState, engine, mRequest.call.id, mUsedConnections);
   mActiveExchange = &exchange;
   net::HttpRequest request = mState->dialect->BuildBackendRequest(mRequest.call, options);
@@ -281,7 +291,7 @@
                             mWork.prompt.promptTokens, mDecodeSentAt);
   SendOptions options = OptionsFor(aEngine);
   options.source = mKvSource;
-  options.priority = mRequest.route->priority;
+  options.priority = mRequest.priority.EngineLevel();
   if (mSequence.LastEventId()) {
     options.lastEventId = mSequence.LastEventId();
   }
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -275,6 +275,7 @@
                                              Exchange& aExchange, BackendResponseHead aHead)
 {
   mHasEventsOfAttempt = true;
+  CountBegun();
   mWork.version = aExchange.Backend().softwareVersion;
   if (!mResponder.HasStarted()) {
     mFirstEvent = net::Now();
--- a/libs/relay/src/Refusal.cpp
+++ b/libs/relay/src/Refusal.cpp
@@ -18,6 +18,12 @@
   return { 502, std::move(aReason), std::move(aMessage), std::nullopt };
 }
 
+Refusal UnauthenticatedRefusal()
+{
+  return { kUnauthorized, "unauthenticated", "no client account holds the key that was presented",
+           std::nullopt };
+}
+
 net::HttpResponse ToResponse(const Refusal& aRefusal)
 {
   const boost::json::object body{ { "error", aRefusal.message }, { "reason", aRefusal.reason } };
--- a/libs/relay/src/Refusal.hpp
+++ b/libs/relay/src/Refusal.hpp
@@ -19,6 +19,8 @@
   bool operator==(const Refusal&) const = default;
 };
 
+constexpr unsigned kUnauthorized = 401;
+
 // Refusal of requests that a stopping daemon does not pass on or ends.
 constexpr const char* kStoppingReason = "stopping";
 constexpr const char* kStoppingMessage = "the daemon is being stopped";
@@ -30,6 +32,9 @@
 // Refusal of a request that may have been executed.
 Refusal PossiblyExecutedRefusal(std::string aReason, std::string aMessage);
 
+// Refusal of a request without the key of a client account.
+Refusal UnauthenticatedRefusal();
+
 net::HttpResponse ToResponse(const Refusal& aRefusal);
 
 } // namespace masticstep::relay
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -1,6 +1,9 @@
 #include "masticstep/relay/RelayDaemon.hpp"
 
 #include "AdminHandler.hpp"
+#include "DutyExchange.hpp"
+#include "DutyRunner.hpp"
+#include "FreshnessExchange.hpp"
 #include "PlatformWatcher.hpp"
 #include "QuarantineExchange.hpp"
 #include "Session.hpp"
@@ -35,9 +38,19 @@
 // High, since the load balancer connects from few addresses.
 constexpr std::size_t kConnectionsPerSource = 4096;
 constexpr Duration kSlowReaderTimeout = Seconds(5);
+// Requests of callers may take a quarter of the machine's memory: answers take a third, and the
+// control state and buffers of connections the rest.
+constexpr std::size_t kIntakeDivisor = 4;
+// The platform keeps this many descriptors for files. Callers' connections take seven tenths of the
+// others; the rest is for engines, the store, peers and operators.
+constexpr std::size_t kDescriptorsForFiles = 200;
+constexpr std::size_t kCallerShareOfTen = 7;
+constexpr Duration kPressureLogInterval = Seconds(1);
 // Interval between polls for the completion of an order, about the time that an engine needs for
 // it.
 constexpr Duration kOrderPollInterval = Milliseconds(3500);
+// Usage is due some seconds after its window, so duties need a successor sooner than stages do.
+constexpr Duration kDutyLease = Seconds(4);
 
 std::uint64_t RandomSeed()
 {
@@ -52,18 +65,6 @@
   return text;
 }
 
-net::ServerLimits ToServerLimits(const dispatch::RequestLimits& aLimits)
-{
-  net::ServerLimits limits;
-  limits.headerBytes = aLimits.headerBytes;
-  limits.bodyBytes = aLimits.bodyBytes;
-  limits.headerTimeout = aLimits.headerTimeout;
-  limits.idleTimeout = aLimits.idleTimeout;
-  limits.connectionsPerSource = kConnectionsPerSource;
-  limits.slowReaderTimeout = kSlowReaderTimeout;
-  return limits;
-}
-
 } // namespace
 
 RelayDaemon::RelayDaemon(RelaySettings aSettings, std::shared_ptr<const Dialect> aDialect)
@@ -71,9 +72,10 @@
   , mContext(1)
   , mSignals(mContext)
   , mState(std::make_shared<RelayState>(mContext.get_executor(), std::move(aDialect),
-                                        mSettings.place, RandomSeed()))
+                                        mSettings.place, RandomSeed(), mSettings.memoryBytes))
 {
   mState->retryBudget.SetBounds(mSettings.retries);
+  mState->freshness = accounts::ConfigurationFreshness(mSettings.withdrawalLimit);
   mState->directory.SetEntryLifetime(mSettings.entryLifetime);
 }
 
@@ -103,6 +105,8 @@
     return Failure(callerServer.error());
   }
   mCallerServer = std::move(*callerServer);
+  mCallerServer->OnIntakePressure(
+    [this](const net::IntakePressure& aPressure) { OnIntakePressure(aPressure); });
   const std::shared_ptr<AdminHandler> adminHandler =
     std::make_shared<AdminHandler>(mState, mSettings.readinessPath, [this] { return IsReady(); });
   Result<std::unique_ptr<net::HttpServer>, net::NetError> readinessServer =
@@ -120,8 +124,10 @@
     mMetricsServer = std::move(*metricsServer);
   }
   PlatformAccess access = aCreateAccess(mContext.get_executor());
+  const Duration routeTableWatch =
+    accounts::FreshnessPolicy(mSettings.withdrawalLimit, 0.0).WatchTime();
   const WatchOptions watchOptions{ mSettings.maximumSilence, mSettings.watchPause, RandomSeed(),
-                                   kElectionTime };
+                                   kElectionTime, routeTableWatch };
   mWatcher = std::make_shared<PlatformWatcher>(mState, access.feed, watchOptions);
   mWatcher->OnRouteTable([this] { ApplyLimits(); });
   mWorkReports = WorkReportChannel::Create(mState, access.store, mSettings.host,
@@ -132,6 +138,11 @@
     mState, mWorkReports, access.store, mSettings.place.dataCentre, RandomSeed(),
     [watcher = mWatcher] { return watcher->ListBackends(); });
   mState->streamOriginExchange = mOriginExchange;
+  if (mState->freshness.IsRequired()) {
+    mFreshnessExchange = std::make_shared<FreshnessExchange>(
+      mState, mWorkReports, [watcher = mWatcher] { return watcher->ReadRouteTable(); },
+      RandomSeed());
+  }
   StartStageController(std::move(access));
   StartLoops();
   telemetry::Log(Level::Info, "daemon started",
@@ -151,6 +162,10 @@
   options.orderPollInterval = kOrderPollInterval;
   options.mayHavePredecessor = mSettings.mayHavePredecessor;
   options.pauseAfterRelease = mSettings.holderPause;
+  if (!mSettings.duties.IsEmpty()) {
+    options.lease = std::max(kDutyLease, mSettings.holderPause);
+  }
+  const std::shared_ptr<platform::ObjectStore> store = aAccess.store;
   const std::shared_ptr<control::EngineAuthority> authority =
     std::make_shared<control::EngineAuthority>(mContext.get_executor(), std::move(aAccess.store),
                                                std::move(options), std::move(aAccess.orders));
@@ -158,6 +173,24 @@
                          std::move(aAccess.decodeStage) };
   mStageController = std::make_shared<StageController>(
     mState, authority, std::move(names), mSettings.stages, mSettings.enginesCheckFencing);
+  if (!mSettings.duties.IsEmpty()) {
+    StartDuties(store, authority, std::move(aAccess.duties));
+  }
+}
+
+void RelayDaemon::StartDuties(std::shared_ptr<platform::ObjectStore> aStore,
+                              std::shared_ptr<control::EngineAuthority> aAuthority,
+                              std::shared_ptr<const DutyCodec> aCodec)
+{
+  mState->duties.host = mSettings.host;
+  mState->duties.clock.OnOwnReading(net::TimeOfDay(), net::Now());
+  if (mSettings.duties.reportsUsage) {
+    mState->duties.windows = duties::UsageWindows(mSettings.duties.usageWindow);
+  }
+  mDutyExchange =
+    std::make_shared<DutyExchange>(mState, mWorkReports, aAuthority, mSettings.place.dataCentre);
+  mDutyRunner = std::make_shared<DutyRunner>(mState, std::move(aStore), std::move(aAuthority),
+                                             std::move(aCodec), mSettings.duties);
 }
 
 void RelayDaemon::StartLoops()
@@ -175,6 +208,27 @@
   spawn([exchange = mQuarantineExchange] { return exchange->SyncWithStore(); });
   spawn([exchange = mOriginExchange] { return exchange->SendRecords(); });
   spawn([exchange = mOriginExchange] { return exchange->SyncWithStore(); });
+  if (mFreshnessExchange) {
+    spawn([exchange = mFreshnessExchange] { return exchange->Run(); });
+  }
+  if (mDutyExchange) {
+    spawn([exchange = mDutyExchange] { return exchange->Run(); });
+  }
+  if (mDutyRunner && mSettings.duties.reportsUsage) {
+    spawn([runner = mDutyRunner] { return runner->RunUsage(); });
+  }
+  if (mDutyRunner && mSettings.duties.ordersEngines) {
+    spawn([runner = mDutyRunner] { return runner->RunEngineOrders(); });
+  }
+  if (mWorkReports && mDutyExchange) {
+    mWorkReports->OnDutyReport(
+      [exchange = mDutyExchange](std::string_view aDatagram) { exchange->Apply(aDatagram); });
+  }
+  if (mWorkReports && mFreshnessExchange) {
+    mWorkReports->OnFreshnessMessage([exchange = mFreshnessExchange](std::string_view aDatagram) {
+      return exchange->Apply(aDatagram);
+    });
+  }
   if (mWorkReports) {
     mWorkReports->OnCrashReport(
       [exchange = mQuarantineExchange](std::string_view aDatagram) { exchange->Apply(aDatagram); });
@@ -193,6 +247,42 @@
   mContext.run();
 }
 
+net::ServerLimits RelayDaemon::ToServerLimits(const dispatch::RequestLimits& aLimits) const
+{
+  net::ServerLimits limits;
+  limits.headerBytes = aLimits.headerBytes;
+  limits.bodyBytes = aLimits.bodyBytes;
+  limits.headerTimeout = aLimits.headerTimeout;
+  limits.idleTimeout = aLimits.idleTimeout;
+  limits.connectionsPerSource = kConnectionsPerSource;
+  limits.slowReaderTimeout = kSlowReaderTimeout;
+  if (mSettings.memoryBytes > 0) {
+    limits.intakeBytes = mSettings.memoryBytes / kIntakeDivisor;
+  }
+  if (mSettings.fileDescriptors > kDescriptorsForFiles) {
+    limits.connections =
+      (mSettings.fileDescriptors - kDescriptorsForFiles) * kCallerShareOfTen / 10;
+  }
+  return limits;
+}
+
+void RelayDaemon::OnIntakePressure(const net::IntakePressure& aPressure)
+{
+  const char* const result = aPressure.isGranted ? "granted" : "refused";
+  mState->metrics.GetCounter({ "masticstep_intake_pressure_total", "result", result })->Add();
+  const Time now = net::Now();
+  if (now < mNextPressureLog) {
+    return;
+  }
+  mNextPressureLog = now + kPressureLogInterval;
+  telemetry::Log(Level::Warning, "requests use up their memory",
+                 { { "wanted_bytes", static_cast<std::uint64_t>(aPressure.wanted) },
+                   { "bytes_in_use", static_cast<std::uint64_t>(aPressure.inUse) },
+                   { "bound_bytes", static_cast<std::uint64_t>(aPressure.bound) },
+                   { "ended", static_cast<std::uint64_t>(aPressure.ended) },
+                   { "granted", aPressure.isGranted } });
+}
+
 void RelayDaemon::ApplyLimits()
 {
   mCallerServer->SetLimits(ToServerLimits(mState->table->Limits()));
@@ -218,6 +308,13 @@
   mState->retryBudget.SetBounds(aBounds);
 }
 
+void RelayDaemon::SetDutySettings(const DutySettings& aSettings)
+{
+  if (mDutyRunner && !aSettings.IsEmpty()) {
+    mDutyRunner->SetSettings(aSettings);
+  }
+}
+
 net::Task<void> RelayDaemon::WaitForSignals()
 {
   mSignals.add(SIGTERM);
--- a/libs/relay/src/RelayHandler.cpp
+++ b/libs/relay/src/RelayHandler.cpp
@@ -13,6 +13,8 @@
 
 // The server refuses requests with it that have not arrived whole when it stops.
 constexpr unsigned kUnavailable = 503;
+// Callers that stop within a body lose its memory within about this time.
+constexpr Duration kNoMemoryRetryAfter = Milliseconds(1000);
 
 std::unique_ptr<Session> MakeSession(std::shared_ptr<RelayState> aState,
                                      RoutedRequest aRoutedRequest, net::HttpResponder& aResponder)
@@ -42,6 +44,10 @@
     mState->metrics.GetCounter({ "masticstep_refusals_total", "reason", routed.error().reason })
       ->Add();
     net::HttpResponse response = ToResponse(routed.error());
+    if (routed.error().status == kUnauthorized) {
+      const net::HttpHeaders challenge = mState->dialect->AuthenticationChallenge();
+      response.headers.insert(response.headers.end(), challenge.begin(), challenge.end());
+    }
     co_await aResponder.Send(std::move(response));
     co_return;
   }
@@ -51,6 +57,11 @@
 
 net::HttpResponse RelayHandler::Refuse(unsigned aStatus, const net::NetError& aError)
 {
+  if (aError.kind == net::NetErrorKind::NoMemory) {
+    Refusal refusal = NotExecutedRefusal("no_memory", net::ToString(aError), kNoMemoryRetryAfter);
+    refusal.status = aStatus;
+    return ToResponse(refusal);
+  }
   if (aStatus == kUnavailable) {
     return ToResponse(
       NotExecutedRefusal(kStoppingReason, net::ToString(aError), kStoppingRetryAfter));
--- a/libs/relay/src/RoutedRequest.cpp
+++ b/libs/relay/src/RoutedRequest.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kStartingRetryAfter = Milliseconds(500);
+// Another daemon, which the caller's next attempt may reach, can probably check the key.
+constexpr Duration kUnverifiableRetryAfter = Milliseconds(300);
 
 // Strips the query.
 std::string_view PathOf(std::string_view aTarget)
@@ -15,6 +17,30 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+// Finds the caller's account, or returns why the request is refused.
+Result<const accounts::ClientAccount*, Refusal> FindAccount(const RelayState& aState,
+                                                            const RoutedRequest& aRequest,
+                                                            Time aNow)
+{
+  const accounts::ConfigurationState configuration{ !aState.freshness.IsFresh(aNow),
+                                                    aState.storeSync.peersConfigurationVersion >
+                                                      aRequest.table->Version() };
+  const accounts::AuthenticationResult result = accounts::Authenticate(
+    aRequest.table->Accounts(), aRequest.route->isPublic, aRequest.call.credentials, configuration);
+  switch (result.outcome) {
+    case accounts::AuthenticationOutcome::Allowed:
+      return result.account;
+    case accounts::AuthenticationOutcome::Unauthenticated:
+      return Failure(UnauthenticatedRefusal());
+    case accounts::AuthenticationOutcome::Unverifiable:
+      break;
+  }
+  return Failure(NotExecutedRefusal("unverifiable_key",
+                                    "keys cannot be checked, since the configuration of this "
+                                    "daemon may be out of date",
+                                    kUnverifiableRetryAfter));
+}
+
 } // namespace
 
 Result<RoutedRequest, Refusal> RouteRequest(RelayState& aState, net::HttpRequest aRequest,
@@ -42,6 +68,15 @@
                               std::string(PathOf(routed.call.target)) + "'",
                             std::nullopt });
   }
+  const Result<const accounts::ClientAccount*, Refusal> account = FindAccount(aState, routed, aNow);
+  if (!account) {
+    return Failure(account.error());
+  }
+  routed.priority = dispatch::RequestPriority(routed.route->priority);
+  if (*account != nullptr) {
+    routed.account = (*account)->name;
+    routed.priority = dispatch::RequestPriority(routed.route->priority, (*account)->priority);
+  }
   routed.service = dispatch::ChooseService(*routed.route, routed.call.id);
   routed.arrived = aNow;
   const Duration timeLeft = routed.call.timeLeft.value_or(routed.route->timeout);
--- a/libs/relay/src/RoutedRequest.hpp
+++ b/libs/relay/src/RoutedRequest.hpp
@@ -2,6 +2,7 @@
 
 #include "Refusal.hpp"
 #include "RequestDigest.hpp"
+#include "masticstep/dispatch/RequestPriority.hpp"
 #include "masticstep/relay/RelayState.hpp"
 
 #include <memory>
@@ -17,6 +18,8 @@
   std::shared_ptr<const dispatch::RouteTable> table; // in force on arrival of the request
   const dispatch::Route* route = nullptr;            // points into table
   ServiceName service;
+  std::optional<AccountName> account; // of the caller, if the configuration has accounts
+  dispatch::RequestPriority priority;
   Time arrived;
   Time deadline; // earlier of the caller's and the route's deadline
 
--- a/libs/relay/src/Session.cpp
+++ b/libs/relay/src/Session.cpp
@@ -210,6 +210,32 @@
   return until.has_value();
 }
 
+bool Session::IsKeyWithdrawn() const
+{
+  const accounts::AccountDirectory* const directory = mState->table->Accounts();
+  if (mState->table == mRequest.table || directory == nullptr || !mRequest.account ||
+      mRequest.route->isPublic) {
+    return false;
+  }
+  const accounts::ClientAccount* const account = directory->Find(mRequest.call.credentials.key);
+  return account == nullptr || account->name != *mRequest.account;
+}
+
+void Session::CountBegun()
+{
+  if (!std::exchange(mIsCounted, true)) {
+    mState->duties.OnRequestBegan(mRequest.account, net::Now());
+  }
+}
+
+net::Task<void> Session::RefuseWithdrawnKey()
+{
+  Refusal refusal = mPossiblyExecuted
+                      ? PossiblyExecutedRefusal("withdrawn_key", "the key has been withdrawn")
+                      : UnauthenticatedRefusal();
+  co_await Refuse(std::move(refusal));
+}
+
 std::size_t Session::CountOf(Suspects aSuspects) const
 {
   return aSuspects == Suspects::All ? mSuspects.size() : kWholeRequestSuspects;
@@ -242,6 +268,8 @@
   options.backend = aBackend.id;
   options.timeLeft = mRequest.TimeLeft(net::Now());
   options.lastEventId = mRequest.call.lastEventId;
+  options.hidesCredentials = mRequest.table->Accounts() != nullptr;
+  options.account = mRequest.account;
   return options;
 }
 
@@ -275,6 +303,7 @@
                    { "status", aStatus },
                    { "route", route },
                    { "service", mRequest.service.Text() },
+                   { "account", mRequest.account.value_or(AccountName{}).Text() },
                    { "configuration", mRequest.table->Version() },
                    { "first_event_ms", ToSeconds(firstEvent) * 1000.0 },
                    { "milliseconds", ToSeconds(elapsed) * 1000.0 } });
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -59,6 +59,12 @@
   // Returns whether the request or a part of its prompt is in quarantine since it crashes engines.
   // If so, callers that are refused are told to come back after its end.
   bool IsQuarantined();
+  // Returns whether the key by which the request was accepted has been withdrawn since.
+  bool IsKeyWithdrawn() const;
+  // Counts the request for its account, once, when a backend server begins to work on it.
+  void CountBegun();
+  // Refuses a request whose key has been withdrawn.
+  net::Task<void> RefuseWithdrawnKey();
   // What of the request may have crashed a backend server that was working on it.
   enum class Suspects : std::uint8_t
   {
@@ -90,6 +96,7 @@
   const std::vector<quarantine::SuspectPart> mSuspects; // the whole request, then the shared parts
   Exchange* mActiveExchange = nullptr;                  // null if none is running
   std::optional<Duration> mRetryAfter; // set by the prompt queue if it refused the request
+  bool mIsCounted = false;             // as usage of the account
   bool mIsEnding = false;              // the daemon is about to exit
   bool mPossiblyExecuted = false;      // a backend server may have executed the request
   std::uint32_t mExecutions = 0;       // number of attempts that may have been executed
--- a/libs/relay/src/WorkReportChannel.cpp
+++ b/libs/relay/src/WorkReportChannel.cpp
@@ -1,5 +1,6 @@
 #include "WorkReportChannel.hpp"
 
+#include "ServiceNeeds.hpp"
 #include "StoreCall.hpp"
 #include "masticstep/base/Hash.hpp"
 #include "masticstep/base/ObjectReader.hpp"
@@ -7,6 +8,8 @@
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
 #include "masticstep/wire/CrashReport.hpp"
+#include "masticstep/wire/DutyReport.hpp"
+#include "masticstep/wire/FreshnessMessage.hpp"
 #include "masticstep/wire/OriginReport.hpp"
 #include "masticstep/wire/WorkReport.hpp"
 
@@ -51,26 +54,6 @@
 // Needs are sums over several seconds, so they change slowly.
 constexpr Duration kNeedInterval = Seconds(1);
 
-dispatch::NeedByService ToNeeds(const std::vector<wire::ServiceNeed>& aNeeds)
-{
-  dispatch::NeedByService needs;
-  for (const wire::ServiceNeed& need : aNeeds) {
-    needs[need.service] = { need.prefillSeconds, need.slotSeconds, need.kvCacheSeconds,
-                            need.transferSeconds };
-  }
-  return needs;
-}
-
-std::vector<wire::ServiceNeed> ToWire(const dispatch::NeedByService& aNeeds)
-{
-  std::vector<wire::ServiceNeed> needs;
-  for (const auto& [service, need] : aNeeds) {
-    needs.push_back({ service, need.prefillSeconds, need.slotSeconds, need.kvCacheSeconds,
-                      need.transferSeconds });
-  }
-  return needs;
-}
-
 } // namespace
 
 std::shared_ptr<WorkReportChannel> WorkReportChannel::Create(
@@ -129,6 +112,10 @@
       mOnCrashReport(datagram);
     } else if (wire::IsOriginReport(datagram)) {
       mOnOriginReport(datagram);
+    } else if (wire::IsFreshnessMessage(datagram)) {
+      SendTo(sender, mOnFreshnessMessage(datagram));
+    } else if (wire::IsDutyReport(datagram)) {
+      mOnDutyReport(datagram);
     } else {
       Apply(datagram, sender);
     }
@@ -165,6 +152,9 @@
     const Time contact = now - *report->storeAge;
     storeSync.peersStoreContact = std::max(storeSync.peersStoreContact.value_or(contact), contact);
   }
+  if (report->clock > Duration::zero()) {
+    mState->duties.clock.OnPeerReading(report->host, duties::UnixTime(report->clock), now);
+  }
   if (!report->needs.empty()) {
     mState->stageDemand.OnPeerNeed(report->host, ToNeeds(report->needs), now);
   }
@@ -197,13 +187,30 @@
   for (const HostName& host : mStoreWatchers) {
     const std::map<HostName, Udp::endpoint>::const_iterator endpoint = mEndpoints.find(host);
     if (endpoint != mEndpoints.end()) {
-      // Senders repeat what may be lost.
-      boost::system::error_code ignored;
-      mSocket.send_to(asio::buffer(aDatagram), endpoint->second, 0, ignored);
+      SendTo(endpoint->second, aDatagram);
     }
   }
 }
 
+void WorkReportChannel::SendToHost(const HostName& aHost, const std::string& aDatagram)
+{
+  const std::map<HostName, Udp::endpoint>::const_iterator endpoint = mFleetEndpoints.find(aHost);
+  if (endpoint != mFleetEndpoints.end()) {
+    SendTo(endpoint->second, aDatagram);
+  } else {
+    // It has registered since the entries were read.
+    mRediscovers = true;
+  }
+}
+
+void WorkReportChannel::SendTo(const Udp::endpoint& aReceiver, const std::string& aDatagram)
+{
+  if (!aDatagram.empty()) {
+    boost::system::error_code ignored;
+    mSocket.send_to(asio::buffer(aDatagram), aReceiver, 0, ignored);
+  }
+}
+
 net::Task<void> WorkReportChannel::SendReports()
 {
   const std::shared_ptr<WorkReportChannel> self = shared_from_this();
@@ -229,6 +236,9 @@
                              mState->storeSync.backendChangeRevision.value,
                              {},
                              mState->storeSync.newestEntryRevision.era };
+    if (mState->duties.windows) {
+      report.clock = net::TimeOfDay().time_since_epoch();
+    }
     if (mState->storeSync.storeContact) {
       report.storeAge = now - *mState->storeSync.storeContact;
     }
@@ -248,9 +258,7 @@
 void WorkReportChannel::Broadcast(const std::string& aDatagram)
 {
   for (const Udp::endpoint& peer : mPeers) {
-    // A failed send is treated like a lost datagram; the next report replaces it.
-    boost::system::error_code ignored;
-    mSocket.send_to(asio::buffer(aDatagram), peer, 0, ignored);
+    SendTo(peer, aDatagram);
   }
 }
 
@@ -266,9 +274,7 @@
 {
   for (std::size_t i = 0; i < aCount && i < aPeers.size(); ++i) {
     std::swap(aPeers[i], aPeers[i + aRandom.Below(aPeers.size() - i)]);
-    // The next datagram replaces one that is lost.
-    boost::system::error_code ignored;
-    mSocket.send_to(asio::buffer(aDatagram), aPeers[i], 0, ignored);
+    SendTo(aPeers[i], aDatagram);
   }
 }
 
@@ -308,7 +314,8 @@
     const Duration pause =
       std::exchange(isFirst, false) ? kSecondDiscoveryDelay : kDiscoverInterval;
     const Time end = net::Now() + pause;
-    while (net::Now() < end && mState->storeSync.storeEra <= era) {
+    mRediscovers = false;
+    while (net::Now() < end && mState->storeSync.storeEra <= era && !mRediscovers) {
       co_await net::Sleep(std::min(kEraCheckInterval, end - net::Now()));
     }
     if (mState->storeSync.storeEra > era) {
@@ -343,6 +350,7 @@
   std::vector<Udp::endpoint> peers;
   std::vector<Udp::endpoint> remotePeers;
   std::vector<HostName> hosts{ mHost };
+  std::map<HostName, Udp::endpoint> endpoints;
   for (const platform::ObjectChange& entry : aEntries) {
     Faults faults;
     const std::optional<boost::json::object> object =
@@ -361,8 +369,10 @@
     std::vector<Udp::endpoint>& group = isRemote ? remotePeers : peers;
     if (faults.empty() && !ec && (isRemote || peers.size() < kMaximumPeers)) {
       group.emplace_back(address, static_cast<std::uint16_t>(port));
+      endpoints[hosts.back()] = group.back();
     }
   }
+  mFleetEndpoints = std::move(endpoints);
   mPeers = std::move(peers);
   mRemotePeers = std::move(remotePeers);
   // The entries of daemons that have left remain, which makes each share smaller but never too
--- a/libs/relay/src/WorkReportChannel.hpp
+++ b/libs/relay/src/WorkReportChannel.hpp
@@ -52,9 +52,22 @@
   {
     mOnOriginReport = std::move(aHandler);
   }
+  // The same for freshness messages. The handler returns the datagram to answer with, or an empty
+  // text.
+  void OnFreshnessMessage(std::function<std::string(std::string_view)> aHandler)
+  {
+    mOnFreshnessMessage = std::move(aHandler);
+  }
+  // The same for datagrams with duty reports.
+  void OnDutyReport(std::function<void(std::string_view)> aHandler)
+  {
+    mOnDutyReport = std::move(aHandler);
+  }
   // Other store watchers of the data centre that this daemon has reports of.
   const std::vector<HostName>& StoreWatchers() const { return mStoreWatchers; }
   void SendToStoreWatchers(const std::string& aDatagram);
+  // Sends a datagram to one daemon of the fleet, if its address is known.
+  void SendToHost(const HostName& aHost, const std::string& aDatagram);
   // Sends a datagram to daemons that are chosen at random.
   void SendToFleet(const std::string& aDatagram, Receivers aReceivers, Random& aRandom);
 
@@ -76,6 +89,8 @@
   void SendToSome(const std::string& aDatagram, std::vector<Udp::endpoint> aPeers,
                   std::size_t aCount, Random& aRandom);
   void Broadcast(const std::string& aDatagram);
+  // Sends the datagram, if it is not empty. One that is lost is replaced by a later one.
+  void SendTo(const Udp::endpoint& aReceiver, const std::string& aDatagram);
   std::string OwnEntry() const;
 
   const std::shared_ptr<RelayState> mState;
@@ -84,14 +99,19 @@
   const DataCentreName mDataCentre;
   const net::HostPort mAddress;
   Udp::socket mSocket;
-  std::vector<Udp::endpoint> mPeers;            // of the data centre
-  std::vector<Udp::endpoint> mRemotePeers;      // of the other data centres
-  std::map<HostName, Udp::endpoint> mEndpoints; // of peers that have sent reports
+  std::vector<Udp::endpoint> mPeers;                 // of the data centre
+  std::vector<Udp::endpoint> mRemotePeers;           // of the other data centres
+  std::map<HostName, Udp::endpoint> mEndpoints;      // of peers that have sent reports
+  std::map<HostName, Udp::endpoint> mFleetEndpoints; // of all data centres, from the store
   std::vector<HostName> mStoreWatchers;
   std::function<void(std::string_view)> mOnCrashReport = [](std::string_view /*aDatagram*/) {};
   std::function<void(std::string_view)> mOnOriginReport = [](std::string_view /*aDatagram*/) {};
+  std::function<void(std::string_view)> mOnDutyReport = [](std::string_view /*aDatagram*/) {};
+  std::function<std::string(std::string_view)> mOnFreshnessMessage =
+    [](std::string_view /*aDatagram*/) { return std::string(); };
   Random mRandom;
   bool mIsRegistered = false;
+  bool mRediscovers = false; // the entries of the store are out of date
   std::uint64_t mNextCall = 1;
 };
 
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -57,10 +57,12 @@
   return parts;
 }
 
-std::shared_ptr<const dispatch::RouteTable> Table()
+std::shared_ptr<const dispatch::RouteTable> Table(
+  std::uint64_t aVersion, std::shared_ptr<const accounts::AccountDirectory> aAccounts)
 {
   dispatch::RouteTable::Parts parts;
-  parts.version = 3;
+  parts.version = aVersion;
+  parts.accounts = std::move(aAccounts);
   parts.routes = { MakeRoute("/once/", dispatch::CallKind::NonIdempotent, "plain"),
                    MakeRoute("/again/", dispatch::CallKind::Idempotent, "plain"),
                    MakeRoute("/stream/", dispatch::CallKind::Stream, "llm"),
@@ -94,6 +96,10 @@
     call.lastEventId = std::stoull(lastEventId);
   }
   call.resumedCallId = std::string(net::FindHeader(aRequest.headers, "Resumes"));
+  const std::string key(net::FindHeader(aRequest.headers, "Key"));
+  if (!key.empty()) {
+    call.credentials = { accounts::Credentials::Kind::Key, key };
+  }
   call.prompt =
     dispatch::Prompt{ "m", 1000, 10, ParseParts(net::FindHeader(aRequest.headers, "Parts")) };
   return call;
@@ -104,6 +110,9 @@
 {
   net::HttpRequest request{ aCall.method, aCall.target, aCall.headers, aCall.body, {} };
   request.headers.push_back({ "For", aOptions.backend.Text() });
+  if (aOptions.account) {
+    request.headers.push_back({ "Account", aOptions.account->Text() });
+  }
   if (aOptions.prefillOnly) {
     request.headers.push_back({ "Read-Only", "1" });
   }
@@ -150,6 +159,11 @@
   return { "DELETE", "/handles/" + aHandle.id, {}, {}, {} };
 }
 
+net::HttpHeaders TestDialect::AuthenticationChallenge() const
+{
+  return { { "WWW-Authenticate", "Key" } };
+}
+
 ScriptedBackend::ScriptedBackend(Script aScript)
   : mScript(std::move(aScript))
   , mWorkers(1)
@@ -257,7 +271,7 @@
   mState->retryBudget.SetBounds(dispatch::RetryBounds{ 0.2, 640.0, Seconds(10) });
   mState->dispatcher.SetFleet(HostName{ "h0" }, { HostName{ "h0" } });
   if (aHasTable) {
-    mState->table = Table();
+    mState->table = Table(3, nullptr);
     mState->dispatcher.SetTable(mState->table);
   }
   mServer = *net::HttpServer::Create(mWorkers.Context(), { "127.0.0.1", 0 }, net::ServerLimits{},
@@ -300,6 +314,42 @@
   ApplyBackends();
 }
 
+void RelayFixture::RunOnRelay(std::function<void()> aFunction)
+{
+  asio::post(mState->executor, asio::use_future(std::move(aFunction))).get();
+}
+
+void RelayFixture::SetAccounts(std::vector<accounts::ClientAccount> aAccounts)
+{
+  RunOnRelay([&] {
+    mState->table = Table(mState->table->Version() + 1,
+                          *accounts::AccountDirectory::Create(std::move(aAccounts)));
+    mState->dispatcher.SetTable(mState->table);
+    mState->duties.host = HostName{ "h0" };
+    mState->duties.windows = duties::UsageWindows(Seconds(3600));
+  });
+}
+
+void RelayFixture::SetFreshness(accounts::ConfigurationFreshness aFreshness)
+{
+  RunOnRelay([&] { mState->freshness = aFreshness; });
+}
+
+std::uint32_t RelayFixture::UsageOf(const AccountName& aAccount)
+{
+  std::uint32_t count = 0;
+  RunOnRelay([&] {
+    const duties::WindowNumber window =
+      mState->duties.windows->At(mState->duties.clock.At(net::Now()));
+    for (duties::WindowNumber i = window - 1; i <= window; ++i) {
+      const duties::AccountCounts counts = mState->duties.byHost.Total(i);
+      const auto found = counts.find(aAccount);
+      count += found == counts.end() ? 0 : found->second;
+    }
+  });
+  return count;
+}
+
 void RelayFixture::Remove(const std::string& aId)
 {
   std::erase_if(mBackends, [&aId](const dispatch::Backend& aBackend) {
@@ -346,11 +396,10 @@
 
 void RelayFixture::Quarantine(std::uint64_t aPart)
 {
-  asio::post(mState->executor, asio::use_future([this, aPart] {
-               const Time now = net::Now();
-               mState->quarantine.Quarantine({ aPart, now + Seconds(60) }, now);
-             }))
-    .get();
+  RunOnRelay([this, aPart] {
+    const Time now = net::Now();
+    mState->quarantine.Quarantine({ aPart, now + Seconds(60) }, now);
+  });
 }
 
 std::uint64_t RelayFixture::ConnectionEnds(const std::string& aReason)
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -26,6 +26,7 @@
   net::HttpHeaders SelectCallerHeaders(const net::HttpHeaders& aHeaders) const override;
   std::optional<std::string> ParseKvCacheHandle(std::string_view aBody) const override;
   net::HttpRequest BuildKvCacheRelease(const KvCacheHandle& aHandle) const override;
+  net::HttpHeaders AuthenticationChallenge() const override;
 };
 
 // Reaction of a scripted backend server to one request.
@@ -103,6 +104,12 @@
   std::unique_ptr<net::RawClient> Connect() const;
   // Must be called before the first request.
   void SetRetryBounds(dispatch::RetryBounds aBounds) { mState->retryBudget.SetBounds(aBounds); }
+  // Puts a configuration with these accounts into force; the dialect reads keys from Key headers.
+  void SetAccounts(std::vector<accounts::ClientAccount> aAccounts);
+  // Limits the age of the configuration by which keys are accepted.
+  void SetFreshness(accounts::ConfigurationFreshness aFreshness);
+  // Returns how many requests of the account began to run.
+  std::uint32_t UsageOf(const AccountName& aAccount);
   // Puts a part of prompts into quarantine.
   void Quarantine(std::uint64_t aPart);
   // Returns how many connections of callers ended with a request for this reason.
@@ -114,6 +121,8 @@
 
 private:
   void ApplyBackends();
+  // Runs the function on the thread of the relay and waits for it.
+  void RunOnRelay(std::function<void()> aFunction);
 
   net::WorkerPool mWorkers;
   std::shared_ptr<RelayState> mState;
