Net, relay: bound what callers make a daemon keep in memory

Cause: only single requests had limits. A chunk extension or trailers without end were kept whole, bodies that stop short added up, and connections were accepted without a bound.

What is neither head nor body is bounded by the header limit (431), framing by 16 times the body limit (413).

--- a/libs/net/include/masticstep/net/HttpServer.hpp
+++ b/libs/net/include/masticstep/net/HttpServer.hpp
@@ -4,6 +4,7 @@
 #include "masticstep/base/Time.hpp"
 #include "masticstep/net/HostPort.hpp"
 #include "masticstep/net/HttpHandler.hpp"
+#include "masticstep/net/IntakeBudget.hpp"
 #include "masticstep/net/NetError.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -24,6 +25,11 @@
   Duration headerTimeout = Seconds(60); // from the first byte of a request to the end of its header
   std::size_t connectionsPerSource = 1024;
   Duration slowReaderTimeout = Seconds(10); // for the caller to take one piece of an answer
+  // What the requests of all callers together may keep in memory; see IntakeBudget. Three bodies of
+  // the largest size are always allowed.
+  std::size_t intakeBytes = 67108864;
+  // Open connections of all callers together. Further ones wait to be accepted.
+  std::size_t connections = 65536;
 
   bool operator==(const ServerLimits&) const = default;
 };
@@ -40,10 +46,12 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   std::uint16_t Port() const;
-  // Takes new limits over, except connectionsPerSource; they hold from each connection's next
+  // Takes new limits over, except those of connections; they hold from each connection's next
   // request. A longer idleTimeout holds for connections that are idle as well, a shorter one from
   // their next idle time, because their callers may not know of it yet.
   void SetLimits(const ServerLimits& aLimits);
+  // Sets the function that hears of requests that find no room in memory.
+  void OnIntakePressure(IntakeBudget::OnPressure aCallback);
   // From now on every answer asks the caller to close the connection.
   void CloseAfterAnswers();
   // Ends the acceptor and closes connections without a request.
--- a/libs/net/include/masticstep/net/NetError.hpp
+++ b/libs/net/include/masticstep/net/NetError.hpp
@@ -18,6 +18,7 @@
   HeaderTooLarge,
   BodyTooLarge,
   TlsFailed,
+  NoMemory, // others use up what may be kept
 };
 
 // Failure of a network operation.
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -21,6 +23,30 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+// Bodies of the largest size that are kept together in any case.
+constexpr std::size_t kLargestBodies = 3;
+
+// Counts a connection while it exists.
+class Served
+{
+public:
+  explicit Served(std::atomic<std::size_t>& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  ~Served() { --mCount; }
+  Served(const Served&) = delete;
+  Served& operator=(const Served&) = delete;
+
+private:
+  std::atomic<std::size_t>& mCount;
+};
+
+} // namespace
+
 struct HttpServer::Core : public std::enable_shared_from_this<HttpServer::Core>
 {
 
@@ -33,15 +59,25 @@
     , mSwitches(std::make_shared<ServerSwitches>())
     , mSources(aLimits.connectionsPerSource)
   {
-    mSwitches->limits = std::make_shared<const ServerLimits>(aLimits);
+    SetLimits(aLimits);
   }
 
+  void SetLimits(const ServerLimits& aLimits)
+  {
+    mSwitches->limits = std::make_shared<const ServerLimits>(aLimits);
+    mSwitches->intake.SetBound(std::max(aLimits.intakeBytes, kLargestBodies * aLimits.bodyBytes));
+  }
   Result<void, NetError> Listen(const HostPort& aAddress);
   void StartAccepting();
   void Stop();
 
   Task<void> Accept();
   Task<void> Serve(Socket aSocket, std::string aSource);
+  // Waits until the number of open connections allows another one. At the limit, idle connections
+  // are closed.
+  Task<void> AwaitRoom();
+  // Ends one request, whose memory others need.
+  void EndForMemory(IntakeId aId);
   // Calls a member of each connection, on the connection's executor.
   void ForEachConnection(void (ServerConnection::*aMember)());
 
@@ -58,6 +94,7 @@
   const std::shared_ptr<TlsContext> mTls;
   const std::shared_ptr<ServerSwitches> mSwitches;
   SourceCounter mSources;
+  std::atomic<std::size_t> mServed{ 0 }; // connections, also those over the limit of their source
   std::mutex mMutex;
   std::map<const ServerConnection*, Open> mOpen;
 };
@@ -101,6 +138,7 @@
   constexpr Duration kPauseAfterError = Milliseconds(50);
   const std::shared_ptr<Core> self = shared_from_this();
   while (mAcceptor.is_open()) {
+    co_await AwaitRoom();
     const asio::strand<asio::io_context::executor_type> strand = asio::make_strand(mContext);
     auto [ec, socket] =
       co_await mAcceptor.async_accept(strand, asio::as_tuple(asio::use_awaitable));
@@ -123,9 +161,23 @@
   }
 }
 
+Task<void> HttpServer::Core::AwaitRoom()
+{
+  constexpr Duration kPollInterval = Milliseconds(10);
+  const std::size_t limit = mSwitches->limits.load()->connections;
+  if (mServed < limit || !mAcceptor.is_open()) {
+    co_return;
+  }
+  ForEachConnection(&ServerConnection::CloseIfIdle);
+  while (mServed >= limit && mAcceptor.is_open()) {
+    co_await Sleep(kPollInterval);
+  }
+}
+
 Task<void> HttpServer::Core::Serve(Socket aSocket, std::string aSource)
 {
   const std::shared_ptr<Core> self = shared_from_this();
+  const Served served(mServed);
   const bool isCounted = mSources.TryAdd(aSource);
   const Duration handshake = mSwitches->limits.load()->idleTimeout;
   Result<std::unique_ptr<ByteStream>, NetError> stream =
@@ -153,6 +205,20 @@
   }
 }
 
+void HttpServer::Core::EndForMemory(IntakeId aId)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (const auto& [key, open] : mOpen) {
+    if (key->Id() == aId) {
+      asio::post(open.executor, [weak = open.connection] {
+        if (const std::shared_ptr<ServerConnection> connection = weak.lock()) {
+          connection->EndForMemory();
+        }
+      });
+    }
+  }
+}
+
 void HttpServer::Core::ForEachConnection(void (ServerConnection::*aMember)())
 {
   const std::lock_guard<std::mutex> lock(mMutex);
@@ -196,6 +262,11 @@
   if (!listening) {
     return Failure(listening.error());
   }
+  core->mSwitches->intake.SetOnEnd([weak = std::weak_ptr<Core>(core)](IntakeId aId) {
+    if (const std::shared_ptr<Core> strong = weak.lock()) {
+      strong->EndForMemory(aId);
+    }
+  });
   core->StartAccepting();
   return std::unique_ptr<HttpServer>(new HttpServer(core));
 }
@@ -207,7 +278,12 @@
 
 void HttpServer::SetLimits(const ServerLimits& aLimits)
 {
-  mCore->mSwitches->limits = std::make_shared<const ServerLimits>(aLimits);
+  mCore->SetLimits(aLimits);
+}
+
+void HttpServer::OnIntakePressure(IntakeBudget::OnPressure aCallback)
+{
+  mCore->mSwitches->intake.SetOnPressure(std::move(aCallback));
 }
 
 void HttpServer::CloseAfterAnswers()
--- a/libs/net/src/NetError.cpp
+++ b/libs/net/src/NetError.cpp
@@ -27,6 +27,8 @@
       return "body too large";
     case NetErrorKind::TlsFailed:
       return "TLS failed";
+    case NetErrorKind::NoMemory:
+      return "no memory left";
   }
   return "unknown";
 }
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <exception>
 #include <span>
 #include <utility>
@@ -27,8 +28,19 @@
 constexpr Duration kDropTime = Seconds(1);
 constexpr std::size_t kDropBytes = 1048576;
 
+// A request is kept twice while it is handled: as it was read, and as it is sent on.
+constexpr std::size_t kCopiesOfWhole = 2;
+// Bytes received for each byte that a body may have. Chunks of one byte take six.
+constexpr std::size_t kMaximumFraming = 16;
+
 using Parser = http::request_parser<http::string_body>;
 
+IntakeId NextIntakeId()
+{
+  static std::atomic<IntakeId> last{ 0 };
+  return ++last;
+}
+
 HttpRequest RequestOf(http::request<http::string_body> aMessage, const std::string& aSource)
 {
   HttpRequest request;
@@ -120,7 +132,8 @@
 ServerConnection::ServerConnection(std::unique_ptr<ByteStream> aStream, std::string aSource,
                                    std::shared_ptr<HttpHandler> aHandler,
                                    std::shared_ptr<ServerSwitches> aSwitches)
-  : mStream(std::move(aStream))
+  : mId(NextIntakeId())
+  , mStream(std::move(aStream))
   , mSource(std::move(aSource))
   , mLimits(*aSwitches->limits.load())
   , mHandler(std::move(aHandler))
@@ -141,7 +154,9 @@
       break;
     }
     goesOn = co_await Answer(std::move(*incoming));
+    mSwitches->intake.Release(mId);
   }
+  mSwitches->intake.Release(mId);
   co_await Close();
 }
 
@@ -169,11 +184,19 @@
   return { { EndAction::Refuse, aStatus }, std::move(aError) };
 }
 
+ServerConnection::Refused ServerConnection::RejectForMemory()
+{
+  return Reject(408, { NetErrorKind::NoMemory, "other requests need the memory" });
+}
+
 Task<Result<void, ServerConnection::Refused>> ServerConnection::ReadInput(Time aEnd)
 {
   const boost::asio::mutable_buffer space = mBuffer.prepare(kReadSize);
   const std::span<char> target(static_cast<char*>(space.data()), space.size());
   while (true) {
+    if (mIsEndedForMemory) {
+      co_return Failure(RejectForMemory());
+    }
     if (mIsStopOverdue) {
       NetError error{ NetErrorKind::Cancelled, "the server stops" };
       co_return Failure(Refused{ Decide(EndCause::Stopped, false), std::move(error) });
@@ -182,8 +205,12 @@
       co_await mStream->TryReadSome(target, std::max(aEnd - Now(), Milliseconds(1)));
     if (n) {
       mBuffer.commit(*n);
+      mReceivedBytes += *n;
       co_return Result<void, Refused>{};
     }
+    if (mIsEndedForMemory) {
+      continue;
+    }
     const EndCause cause = CauseOf(n.error().kind);
     const EndDecision decision = Decide(cause, mStream->HasInput());
     if (decision.action != EndAction::Continue) {
@@ -216,6 +243,7 @@
     }
   }
   mStage = RequestStage::Head;
+  mReceivedBytes = mBuffer.size();
   // The limits may have changed while the connection was idle.
   mLimits = *mSwitches->limits.load();
   Parser parser;
@@ -237,6 +265,10 @@
     if (parser.is_done()) {
       break;
     }
+    std::optional<Refused> refused = Account(parser.get().body().size());
+    if (refused) {
+      co_return Failure(std::move(*refused));
+    }
     if (parser.is_header_done() && mStage == RequestStage::Head) {
       mStage = RequestStage::Body;
       end = Now() + mLimits.idleTimeout;
@@ -255,11 +287,32 @@
   Incoming incoming;
   incoming.keepsAlive = parser.keep_alive();
   incoming.isVersion10 = parser.get().version() < 11;
+  const std::size_t whole = parser.get().body().size() * kCopiesOfWhole + mBuffer.size();
+  if (!mSwitches->intake.TryResize(mId, whole, Now())) {
+    co_return Failure(Reject(503, { NetErrorKind::NoMemory, {} }));
+  }
+  mSwitches->intake.SetWhole(mId);
   incoming.request = RequestOf(parser.release(), mSource);
   mBuffer.shrink_to_fit();
   co_return incoming;
 }
 
+std::optional<ServerConnection::Refused> ServerConnection::Account(std::size_t aBodyBytes)
+{
+  // The parser takes all of a body and leaves what is no body and has no end yet: the line of a
+  // chunk with its extension, or the trailers.
+  if (mStage == RequestStage::Body && mBuffer.size() > mLimits.headerBytes) {
+    return Reject(431, { NetErrorKind::HeaderTooLarge, "chunk extension or trailers" });
+  }
+  if (mReceivedBytes > kMaximumFraming * mLimits.bodyBytes + mLimits.headerBytes) {
+    return Reject(413, { NetErrorKind::BodyTooLarge, "too much framing" });
+  }
+  if (!mSwitches->intake.TryResize(mId, mBuffer.capacity() + aBodyBytes, Now())) {
+    return Reject(503, { NetErrorKind::NoMemory, {} });
+  }
+  return std::nullopt;
+}
+
 Task<bool> ServerConnection::Answer(Incoming aIncoming)
 {
   const bool keepsAlive = aIncoming.keepsAlive;
@@ -376,6 +429,14 @@
   }
 }
 
+void ServerConnection::EndForMemory()
+{
+  if (mStage == RequestStage::Head || mStage == RequestStage::Body) {
+    mIsEndedForMemory = true;
+    mStream->CancelRead();
+  }
+}
+
 void ServerConnection::CloseIfIdle()
 {
   // Input may have been taken from the socket already; then the request is answered.
--- a/libs/net/src/ServerConnection.hpp
+++ b/libs/net/src/ServerConnection.hpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace masticstep::net {
@@ -18,6 +19,7 @@
   std::atomic<bool> closesAfterAnswers{ false };
   std::atomic<bool> isStopped{ false };
   std::atomic<std::shared_ptr<const ServerLimits>> limits;
+  IntakeBudget intake{ ServerLimits{}.intakeBytes };
 };
 
 class StreamResponder;
@@ -37,6 +39,9 @@
   void CloseIfIdle();
   // Refuses a request that has begun to arrive and is not whole.
   void RefuseIfUnfinished();
+  // The same, since others need the memory that it keeps.
+  void EndForMemory();
+  IntakeId Id() const { return mId; }
   // Answers with a refusal and closes.
   Task<void> RefuseAndClose(unsigned aStatus, NetError aError);
 
@@ -56,6 +61,8 @@
   Task<Result<Incoming, Refused>> ReadRequest();
   // Waits for the first bytes of a request.
   Task<Result<void, Refused>> ReadFirstInput();
+  // Accounts what the request keeps. Returns why it is refused, if it is.
+  std::optional<Refused> Account(std::size_t aBodyBytes);
   // Reads some bytes into the buffer until aEnd, or what waits already after it.
   Task<Result<void, Refused>> ReadInput(Time aEnd);
   // Returns whether another request may follow.
@@ -63,6 +70,8 @@
   Task<void> SendRefusal(StreamResponder& aResponder, unsigned aStatus, NetError aError);
   // Reports and returns the refusal of a request that breaks the protocol or a limit.
   Refused Reject(unsigned aStatus, NetError aError);
+  // The same for a request that is ended since others need the memory that it keeps.
+  Refused RejectForMemory();
   // Decides and reports the end.
   EndDecision Decide(EndCause aCause, bool aHasInput);
   // Returns whether the next request should be read although the server stops.
@@ -72,6 +81,7 @@
   // Reads and drops input for a bounded time. Returns the number of bytes.
   Task<std::size_t> DropInput();
 
+  const IntakeId mId;
   std::unique_ptr<ByteStream> mStream;
   std::string mSource;
   ServerLimits mLimits; // of the current request
@@ -79,7 +89,9 @@
   std::shared_ptr<ServerSwitches> mSwitches;
   boost::beast::flat_buffer mBuffer;
   RequestStage mStage = RequestStage::None;
+  std::size_t mReceivedBytes = 0; // of the current request
   bool mIsRefused = false;
+  bool mIsEndedForMemory = false;
   bool mIsStopOverdue = false; // what is not whole will not be served
 };
 
--- a/libs/net/tests/HttpServerTests.cpp
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -61,6 +61,40 @@
   CHECK_EQUAL(std::string("HTTP/1.1 413"), Status(chunked.ReadUntilClosed()));
 }
 
+// Guards against what is neither head nor body and uses memory without bound.
+MASTICSTEP_TEST("chunk extensions and trailers over the limit are refused, short ones are not",
+                "[net][bounds]")
+{
+  ServerLimits limits;
+  limits.headerBytes = 1024;
+  limits.bodyBytes = 1024;
+  LoopbackServer server(limits, AnswerOk);
+  const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string line = "X-Trailer: " + std::string(100, 't') + "\r\n";
+  std::string trailers;
+  for (int i = 0; i < 100; ++i) {
+    trailers += line;
+  }
+  std::string smallChunks;
+  for (int i = 0; i < 3000; ++i) {
+    smallChunks += "1;" + std::string(20, 'e') + "\r\na\r\n";
+  }
+  struct Case
+  {
+    std::string rest;
+    const char* status;
+  };
+  for (const Case& item : { Case{ "1\r\na\r\n0\r\n" + line + "\r\n", "HTTP/1.1 200" },
+                            Case{ "1;x=y\r\na\r\n0\r\n\r\n", "HTTP/1.1 200" },
+                            Case{ "1\r\na\r\n0\r\n" + trailers, "HTTP/1.1 431" },
+                            Case{ "1;" + std::string(10000, 'e'), "HTTP/1.1 431" },
+                            Case{ smallChunks, "HTTP/1.1 413" } }) {
+    RawClient client(server.Address());
+    client.Send(head + item.rest);
+    CHECK_EQUAL(std::string(item.status), Status(client.ReadUntil("\r\n\r\n")));
+  }
+}
+
 // Guards against connections that hold a descriptor for ever, between requests or within one.
 MASTICSTEP_TEST("idle connections and unfinished requests are closed", "[net][bounds]")
 {
--- a/libs/relay/src/RelayState.cpp
+++ b/libs/relay/src/RelayState.cpp
@@ -6,6 +6,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace masticstep::relay {
@@ -28,12 +29,23 @@
   mallopt(M_TRIM_THRESHOLD, kReturnedBufferBytes);
 }
 
-std::shared_ptr<net::ByteBudget> CreateAnswerBudget(telemetry::Metrics& aMetrics)
+// Smaller hosts give answers this share of their memory.
+constexpr double kAnswerShare = 0.32;
+
+std::size_t AnswerBytes(std::size_t aMemoryBytes)
+{
+  const std::size_t share =
+    static_cast<std::size_t>(kAnswerShare * static_cast<double>(aMemoryBytes));
+  return aMemoryBytes == 0 ? kMaximumAnswerBytes : std::min(kMaximumAnswerBytes, share);
+}
+
+std::shared_ptr<net::ByteBudget> CreateAnswerBudget(telemetry::Metrics& aMetrics,
+                                                    std::size_t aMemoryBytes)
 {
   const std::shared_ptr<telemetry::Counter> refusals =
     aMetrics.GetCounter({ "masticstep_oversized_answers_total", {}, {} });
   return std::make_shared<net::ByteBudget>(
-    kMaximumAnswerBytes, [refusals](const net::RefusedBytes& aRefused) {
+    AnswerBytes(aMemoryBytes), [refusals](const net::RefusedBytes& aRefused) {
       refusals->Add();
       telemetry::Log(telemetry::Level::Warning, "answers use up their memory",
                      { { "wanted_bytes", static_cast<std::uint64_t>(aRefused.wanted) },
@@ -45,10 +57,10 @@
 } // namespace
 
 RelayState::RelayState(net::Executor aExecutor, std::shared_ptr<const Dialect> aDialect,
-                       dispatch::Locality aPlace, std::uint64_t aSeed)
+                       dispatch::Locality aPlace, std::uint64_t aSeed, std::size_t aMemoryBytes)
   : executor(std::move(aExecutor))
   , dialect(std::move(aDialect))
-  , answerBytes(CreateAnswerBudget(metrics))
+  , answerBytes(CreateAnswerBudget(metrics, aMemoryBytes))
   , pool(net::ConnectionPool::Create(kPoolLimits, answerBytes))
   , dispatcher(std::move(aPlace), aSeed)
   , promptQueue(std::make_unique<AsyncPromptQueue>(executor, dispatcher))
--- a/tests/integration/support/Process.hpp
+++ b/tests/integration/support/Process.hpp
@@ -28,6 +28,7 @@
   // limit.
   std::optional<int> WaitForEnd(Duration aLimit);
   bool IsRunning();
+  pid_t Id() const { return mPid; }
   // Returns the first line of its standard output, or an empty text if none comes in time.
   std::string FirstLine(Duration aLimit);
   // Returns all of its standard output, to which daemons write their logs.
