--- a/libs/relay/include/masticstep/relay/Call.hpp
+++ b/libs/relay/include/masticstep/relay/Call.hpp
@@ -67,6 +67,7 @@
   bool notExecuted = false; // the backend server states that it did not execute the request
   bool isEncoded = false;   // an intermediary may have re-encoded the body
   std::optional<dispatch::LoadSample> load;
+  bool isLoadUnreadable = false; // the answer names a load that cannot be read
   // Requests per second that the backend server accepts from all daemons together.
   std::optional<double> requestLimit;
   // Time in which the backend server wants no further request of this daemon.
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -85,6 +85,9 @@
   if (head->retryAfter) {
     ReportPause(*head->retryAfter);
   }
+  if (head->isLoadUnreadable) {
+    mState.metrics.GetCounter({ "masticstep_unreadable_loads_total", {}, {} })->Add();
+  }
   if (head->load) {
     mState.dispatcher.OnSample(mBackend.id, *head->load, net::Now());
   }
