Hedging, relay: send slow requests that may be repeated to a second server, within a share

What callers saw: a few slow answers spoil the slowest hundredth.

Plain idempotent requests only.

Tried and dropped: a quantile of .95 as the delay (a slow tenth sets it itself), and the share of slow ones among those that wait (slow ones wait longest, so second tries were withheld for good).

--- a/libs/cli/include/masticstep/cli/CommandLine.hpp
+++ b/libs/cli/include/masticstep/cli/CommandLine.hpp
@@ -26,6 +26,7 @@
 {
   CommandKind kind = CommandKind::PrintText;
   std::string settingsFile;
+  double secondTries = 0.0; // of relay, for each request that may be repeated
   std::vector<std::string> folders;
   std::string requestId;
   std::vector<std::string> logFiles; // standard input if empty
--- a/libs/cli/src/CommandLine.cpp
+++ b/libs/cli/src/CommandLine.cpp
@@ -14,7 +14,7 @@
 
 Usage:
   masticstep serve --settings FILE
-  masticstep relay [--settings FILE]
+  masticstep relay [--settings FILE] [--second-tries SHARE]
   masticstep check DIR...
   masticstep publish DIR... --platform URL [--wait] [--timeout SECONDS]
   masticstep status [--json] [--admin ADDRESS]
@@ -26,6 +26,8 @@
 Options:
   --settings FILE    Settings of this host: a JSON file for serve; for relay the platform's file,
                      whose path the platform provides if the option is omitted.
+  --second-tries SHARE  Requests that may be repeated are sent to a second server when the first one
+                     is slow, at most this many for each such request, from 0 to 0.1 [default: 0].
   --platform URL     Address of the platform's object API, such as http://127.0.0.1:7000.
   --wait             Wait until the configuration is in force in every data centre.
   --timeout SECONDS  Maximum time to wait [default: 30].
@@ -84,11 +86,29 @@
            : std::nullopt;
 }
 
+// Parses a share of requests from 0 to kMaximumSecondTries.
+std::optional<double> ParseShare(const std::string& aText)
+{
+  constexpr double kMaximumSecondTries = 0.1;
+  double share = 0.0;
+  const std::from_chars_result parsed =
+    std::from_chars(aText.data(), aText.data() + aText.size(), share);
+  const bool isNumber = parsed.ec == std::errc{} && parsed.ptr == aText.data() + aText.size();
+  return isNumber && share >= 0.0 && share <= kMaximumSecondTries ? std::optional<double>(share)
+                                                                  : std::nullopt;
+}
+
 Result<Command, UsageError> BuildCommand(const Options& aOptions)
 {
   Command command;
   command.kind = SelectCommandKind(aOptions);
   command.settingsFile = StringOption(aOptions, "--settings");
+  const std::optional<double> share = ParseShare(StringOption(aOptions, "--second-tries"));
+  if (!share.has_value()) {
+    return Failure(UsageError{ "--second-tries: '" + StringOption(aOptions, "--second-tries") +
+                               "' is not a share (allowed: 0 to 0.1)" });
+  }
+  command.secondTries = *share;
   const Options::const_iterator folders = aOptions.find("DIR");
   if (folders != aOptions.end() && folders->second.isStringList()) {
     command.folders = folders->second.asStringList();
--- a/libs/cli/src/Run.cpp
+++ b/libs/cli/src/Run.cpp
@@ -23,7 +23,7 @@
     case CommandKind::Serve:
       return static_cast<ExitCode>(gateway::Serve(command->settingsFile));
     case CommandKind::Relay:
-      return static_cast<ExitCode>(adapter::RunRelay(command->settingsFile));
+      return static_cast<ExitCode>(adapter::RunRelay(command->settingsFile, command->secondTries));
     case CommandKind::Check:
       return RunCheck(command->folders, std::cout, std::cerr);
     case CommandKind::Status:
--- a/libs/cli/tests/CommandLineTests.cpp
+++ b/libs/cli/tests/CommandLineTests.cpp
@@ -38,3 +38,12 @@
     ParseCommandLine({ "publish", "a", "--platform", "http://127.0.0.1:1", "--timeout", "0" })
       .has_value());
 }
+
+MASTICSTEP_TEST("the share of second tries is checked", "[cli]")
+{
+  CHECK_EQUAL(0.0, ParseCommandLine({ "relay" })->secondTries);
+  CHECK_EQUAL(0.02, ParseCommandLine({ "relay", "--second-tries", "0.02" })->secondTries);
+  for (const char* share : { "0.2", "-0.01", "two", "0.01x", "nan" }) {
+    CHECK_FALSE(ParseCommandLine({ "relay", "--second-tries", share }).has_value());
+  }
+}
--- a/libs/net/include/masticstep/net/Signal.hpp
+++ b/libs/net/include/masticstep/net/Signal.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticstep/base/Time.hpp"
 #include "masticstep/net/Task.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +16,10 @@
 
   void Set();
   Task<void> Wait();
+  // Returns when the signal is set, or after the time.
+  Task<void> WaitFor(Duration aTime);
+  // Makes further waits wait for the next Set.
+  void Reset();
 
 private:
   boost::asio::steady_timer mTimer;
--- a/libs/net/src/Signal.cpp
+++ b/libs/net/src/Signal.cpp
@@ -25,4 +25,19 @@
   }
 }
 
+Task<void> Signal::WaitFor(Duration aTime)
+{
+  if (mIsSet) {
+    co_return;
+  }
+  mTimer.expires_after(aTime);
+  co_await mTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+  mTimer.expires_at(asio::steady_timer::time_point::max());
+}
+
+void Signal::Reset()
+{
+  mIsSet = false;
+}
+
 } // namespace masticstep::net
--- a/libs/relay/include/masticstep/relay/RelayDaemon.hpp
+++ b/libs/relay/include/masticstep/relay/RelayDaemon.hpp
@@ -50,6 +50,7 @@
   // if there is no limit.
   Duration withdrawalLimit{ 0 };
   DutySettings duties;
+  hedging::HedgeOptions hedges;
   std::size_t memoryBytes = 0;     // that the process may take; 0: unknown
   std::size_t fileDescriptors = 0; // the same
   dispatch::StagePolicy stages;
--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -8,6 +8,7 @@
 #include "masticstep/dispatch/RouteTable.hpp"
 #include "masticstep/dispatch/StageDemand.hpp"
 #include "masticstep/dispatch/StreamOrigins.hpp"
+#include "masticstep/hedging/HedgePolicy.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
 #include "masticstep/quarantine/PromptQuarantine.hpp"
 #include "masticstep/relay/Dialect.hpp"
@@ -55,6 +56,7 @@
   dispatch::StageDemand stageDemand;
   dispatch::StreamOrigins streamOrigins;
   DutyState duties;
+  hedging::HedgePolicy hedges;
   std::weak_ptr<StreamOriginExchange> streamOriginExchange; // none without a store
   StoreSyncState storeSync;
   std::uint64_t nextRequestId = 1;
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -75,6 +75,7 @@
                                         mSettings.place, RandomSeed(), mSettings.memoryBytes))
 {
   mState->retryBudget.SetBounds(mSettings.retries);
+  mState->hedges = hedging::HedgePolicy(mSettings.hedges);
   mState->freshness = accounts::ConfigurationFreshness(mSettings.withdrawalLimit);
   mState->directory.SetEntryLifetime(mSettings.entryLifetime);
 }
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -402,6 +402,12 @@
   });
 }
 
+std::uint64_t RelayFixture::SecondTries(const std::string& aResult)
+{
+  return mState->metrics.GetCounter({ "masticstep_second_tries_total", "result", aResult })
+    ->Value();
+}
+
 std::uint64_t RelayFixture::ConnectionEnds(const std::string& aReason)
 {
   return mState->metrics.GetCounter({ "masticstep_connection_ends_total", "reason", aReason })
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -110,6 +110,13 @@
   void SetFreshness(accounts::ConfigurationFreshness aFreshness);
   // Returns how many requests of the account began to run.
   std::uint32_t UsageOf(const AccountName& aAccount);
+  // Turns second tries on; must be called before the first request.
+  void SetHedging(hedging::HedgeOptions aOptions)
+  {
+    mState->hedges = hedging::HedgePolicy(aOptions);
+  }
+  // Returns how many second tries ended so.
+  std::uint64_t SecondTries(const std::string& aResult);
   // Puts a part of prompts into quarantine.
   void Quarantine(std::uint64_t aPart);
   // Returns how many connections of callers ended with a request for this reason.
--- a/tools/check_dependencies.py
+++ b/tools/check_dependencies.py
@@ -21,6 +21,7 @@
     "spread": ["base", "membership"],
     "accounts": ["base"],
     "duties": ["base", "platform"],
+    "hedging": ["base"],
     "dispatch": ["accounts", "base", "config"],
     "scaling": ["base", "dispatch"],
     "quarantine": ["base"],
@@ -32,11 +33,11 @@
     "peering": ["base", "net", "wire", "membership", "spread", "telemetry"],
     "order_service": ["base", "net", "orders", "platform", "telemetry"],
     "control": ["base", "net", "authority", "roles", "publication", "platform", "telemetry", "config"],
-    "relay": ["accounts", "authority", "base", "config", "control", "dispatch", "duties", "net", "platform",
-              "quarantine", "scaling", "telemetry", "wire"],
+    "relay": ["accounts", "authority", "base", "config", "control", "dispatch", "duties", "hedging", "net",
+              "platform", "quarantine", "scaling", "telemetry", "wire"],
     "adapter": ["accounts", "authority", "base", "config", "control", "dispatch", "duties", "net", "platform",
                 "platform_client", "relay", "scaling", "telemetry"],
-    "gateway": sorted(DECISION.keys() - {"testing", "dispatch", "accounts", "duties", "scaling"})
+    "gateway": sorted(DECISION.keys() - {"testing", "dispatch", "accounts", "duties", "hedging", "scaling"})
     + ["net", "telemetry", "platform_client", "peering", "order_service", "control"],
     "cli": sorted(DECISION.keys() - {"testing"})
     + ["net", "telemetry", "platform_client", "peering", "order_service", "control", "gateway", "adapter"],
