--- a/libs/dispatch/include/masticstep/dispatch/BackendLoad.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/BackendLoad.hpp
@@ -15,7 +15,6 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 1;
-  double slowness = 1.0; // how long work takes at this moment; 1 is usual
 
   bool operator==(const LoadSample&) const = default;
 };
--- a/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Dispatcher.hpp
@@ -5,7 +5,6 @@
 #include "masticstep/dispatch/BackendLoad.hpp"
 #include "masticstep/dispatch/CircuitBreaker.hpp"
 #include "masticstep/dispatch/DaemonFleet.hpp"
-#include "masticstep/dispatch/EnginePace.hpp"
 #include "masticstep/dispatch/PeerWork.hpp"
 #include "masticstep/dispatch/PrefixCache.hpp"
 #include "masticstep/dispatch/RequestLimit.hpp"
@@ -140,7 +139,6 @@
     CircuitBreaker kvTransferBreaker; // for transfers of the KV cache out of the engine
     PrefixCache cache;
     RequestLimit limit;
-    EnginePace pace;
     Time pausedUntil{}; // the server wants no requests before
     double prefillSecondsPerToken;
   };
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -176,9 +176,6 @@
 {
   if (BackendState* state = FindState(aBackend)) {
     state->load.OnSample(aSample, aNow);
-    if (aSample.slowness != 1.0 || state->pace.FactorAt(aNow) != 1.0) {
-      state->pace.OnFigure(aSample.slowness, aNow);
-    }
   }
 }
 
--- a/libs/dispatch/src/DispatcherChoice.cpp
+++ b/libs/dispatch/src/DispatcherChoice.cpp
@@ -32,8 +32,6 @@
 // Common prefixes of at least this size are cached on one engine across all regions, smaller ones
 // on one engine per data centre: recomputing a large prefix costs more than leaving the region.
 constexpr std::uint32_t kCrossRegionPrefixTokens = 1500;
-// Cost of a server on which work takes twice as long as usual.
-constexpr double kSlownessPenaltySeconds = 0.03;
 // Cost of a failed attempt to the request.
 constexpr double kFailurePenaltySeconds = 1.0;
 
@@ -110,8 +108,7 @@
   const double cached = aState.cache.CachedTokens(aRequest.prompt, aRequest.keys, aNow);
   const double tokens = std::max(0.0, aRequest.prompt.promptTokens - cached);
   const double factor = aState.backend.stage == Stage::Decode ? kDecodeEnginePrefillFactor : 1.0;
-  const double prefillSeconds =
-    tokens * aState.prefillSecondsPerToken * factor * aState.pace.FactorAt(aNow);
+  const double prefillSeconds = tokens * aState.prefillSecondsPerToken * factor;
   aPlacement.engine = aState.backend;
   aPlacement.wait = WorkAt(aState, aNow).prefillTime;
   aPlacement.prefillTime = FromSeconds(prefillSeconds);
@@ -263,10 +260,8 @@
     const double kvCapacity = std::max<std::uint64_t>(KvCapacityTokens(aRequest.service), 1);
     const double kvUse =
       static_cast<double>(work.tokens + aRequest.prompt.promptTokens) / kvCapacity;
-    const double pace = state.pace.FactorAt(aNow);
-    double cost = kPenaltySecondsPerRunningRequest * running * pace + slotOverload * pace +
-                  kSlownessPenaltySeconds * (pace - 1.0) + LocalityPenaltySeconds(state.backend) +
-                  kFullKvCachePenaltySeconds * kvUse +
+    double cost = kPenaltySecondsPerRunningRequest * running + slotOverload +
+                  LocalityPenaltySeconds(state.backend) + kFullKvCachePenaltySeconds * kvUse +
                   kFailurePenaltySeconds * state.breaker.FailureRate(aNow);
     if (aSource != nullptr) {
       cost += TransferSeconds(*aSource, state.backend, aRequest);
@@ -290,10 +285,8 @@
     const BackendState& state = *candidate;
     const double running = WorkAt(state, aNow).requests;
     const double slots = std::max(1U, state.backend.slots);
-    const double pace = state.pace.FactorAt(aNow);
-    const double cost = (LocalityPenaltySeconds(state.backend) + 0.1 * running * pace / slots +
-                         std::max(0.0, running + 1.0 - slots) * pace / slots +
-                         kSlownessPenaltySeconds * std::max(0.0, pace - 1.0) +
+    const double cost = (LocalityPenaltySeconds(state.backend) + 0.1 * running / slots +
+                         std::max(0.0, running + 1.0 - slots) / slots +
                          kFailurePenaltySeconds * state.breaker.FailureRate(aNow)) *
                         CostJitter(mRandom);
     if (cost < lowest) {
--- a/libs/relay/src/DutyExchange.cpp
+++ b/libs/relay/src/DutyExchange.cpp
@@ -17,13 +17,20 @@
 constexpr WindowNumber kRepeatedWindows = 2;
 constexpr WindowNumber kKeptWindows = 12;
 
-wire::UsageWindow ToWire(WindowNumber aWindow, const duties::AccountCounts& aCounts)
+// Accounts in one datagram, which bounds its size. Receivers merge the counts of several.
+constexpr std::size_t kAccountsPerDatagram = 1000;
+
+// Appends the counts in parts of at most kAccountsPerDatagram accounts; one part if there are none.
+void AppendParts(std::vector<wire::UsageWindow>& aParts, WindowNumber aWindow,
+                 const duties::AccountCounts& aCounts)
 {
-  wire::UsageWindow window{ aWindow, {} };
+  aParts.push_back({ aWindow, {} });
   for (const auto& [account, count] : aCounts) {
-    window.counts.push_back({ account, count });
+    if (aParts.back().counts.size() == kAccountsPerDatagram) {
+      aParts.push_back({ aWindow, {} });
+    }
+    aParts.back().counts.push_back({ account, count });
   }
-  return window;
 }
 
 } // namespace
@@ -65,34 +72,41 @@
     return;
   }
   const WindowNumber current = duties.windows->At(duties.clock.At(net::Now()));
-  wire::DutyReport report{ mDataCentre, duties.host, {}, {} };
+  std::vector<wire::UsageWindow> parts;
   for (WindowNumber window = current - 1; window <= current; ++window) {
     const duties::AccountCounts counts = duties.byHost.Of(window, duties.host.Text());
     if (!counts.empty()) {
-      report.windows.push_back(ToWire(window, counts));
+      AppendParts(parts, window, counts);
     }
   }
-  if (!report.windows.empty()) {
-    mChannel->SendToStoreWatchers(wire::EncodeDutyReport(report));
+  for (wire::UsageWindow& part : parts) {
+    mChannel->SendToStoreWatchers(
+      wire::EncodeDutyReport({ mDataCentre, duties.host, { std::move(part) }, {} }));
   }
 }
 
 void DutyExchange::ReportDataCentre()
 {
   DutyState& duties = mState->duties;
-  wire::DutyReport report{ mDataCentre, HostName{}, {}, {} };
   const Time now = net::Now();
+  std::vector<wire::UsageWindow> parts;
   if (duties.windows) {
     const WindowNumber current = duties.windows->At(duties.clock.At(now));
     for (WindowNumber window = current - kRepeatedWindows; window < current; ++window) {
-      report.windows.push_back(ToWire(window, duties.byHost.Total(window)));
+      AppendParts(parts, window, duties.byHost.Total(window));
     }
   }
-  report.needs = ToWire(mState->stageDemand.TotalNeeds(now));
-  Apply(report);
+  const std::vector<wire::ServiceNeed> needs = ToWire(mState->stageDemand.TotalNeeds(now));
+  std::vector<wire::DutyReport> reports{ { mDataCentre, HostName{}, {}, needs } };
+  for (wire::UsageWindow& part : parts) {
+    reports.push_back({ mDataCentre, HostName{}, { std::move(part) }, needs });
+  }
   const std::optional<HostName> holder = mAuthority->KnownHolder();
-  if (mChannel && holder && *holder != duties.host) {
-    mChannel->SendToHost(*holder, wire::EncodeDutyReport(report));
+  for (const wire::DutyReport& report : reports) {
+    Apply(report);
+    if (mChannel && holder && *holder != duties.host) {
+      mChannel->SendToHost(*holder, wire::EncodeDutyReport(report));
+    }
   }
 }
 
