--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -206,7 +206,7 @@
                  { { "request_id", mRequest.call.id },
                    { "slow", aFirst.backend.id.Text() },
                    { "backend", other->id.Text() } });
-  const std::shared_ptr<Try> second =
+  std::shared_ptr<Try> second =
     std::make_shared<Try>(*mState, *other, mRequest.call.id, mUsedConnections);
   mTries.push_back(second);
   boost::asio::co_spawn(mState->executor, RunTry(second, std::move(aEnded)), boost::asio::detached);
