--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -22,6 +22,7 @@
 HEARTBEAT_S = 1.2
 # Not 1, which an interpreter that fails returns too; run.sh turns it into 1.
 BROKEN = 10
+DESCRIPTORS = 4200
 SERVICE_LM = "sign-drafter"
 SERVICE_PLAIN = "order-desk"
 HOST = "review.example"
@@ -547,7 +548,7 @@
             "zone=" + self.zone, "region=" + self.zone.split("-")[0],
             "listen.front=%s:8149" % self.ip, "listen.ready=%s:8141" % self.ip,
             "internalPorts=7380,7395", "bootstrap=%s" % ("true" if self.process is None else "false"), "limits.cpuShare=0.25", "limits.cores=1",
-            "limits.memoryMb=260", "limits.fileDescriptors=4200", "limits.linkMbps=1000.0",
+            "limits.memoryMb=260", "limits.fileDescriptors=%d" % DESCRIPTORS, "limits.linkMbps=1000.0",
             "limits.diskMb=0", "discovery=platform", "entry=virtual_ip", "heartbeatMs=1200",
             "contracts=base,drain,config,cost,retry,recover,split,stream,engine,platform",
             "faultTolerance.machines=1", "faultTolerance.zones=0", "faultTolerance.regions=0",
@@ -576,8 +577,11 @@
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": self.world.folder, "LANG": "C",
                        "MASTICSTEP_CONFIG": path}
         log = open(os.path.join(self.world.folder, self.name + ".log"), "ab")
-        self.process = subprocess.Popen([program, "relay"], cwd=ROOT, env=environment, stdout=log,
-                                        stderr=log)
+        # As many descriptors as the settings tell.
+        limit = (DESCRIPTORS, resource.getrlimit(resource.RLIMIT_NOFILE)[1])
+        self.process = subprocess.Popen(
+            [program, "relay"], cwd=ROOT, env=environment, stdout=log, stderr=log,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limit))
         log.close()
 
     def signal(self, number):
@@ -723,8 +727,11 @@
 
 def run(folder, coroutine):
     """Runs a case; exits with BROKEN, 0 if the rule held, or anything else if it could not run."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    if hard != resource.RLIM_INFINITY and hard < DESCRIPTORS:
+        print("could not run: a process may open too few files")
+        sys.exit(2)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
     status = 2
 
     async def main():
