Duties: tell from the stored reports that the store may have lost some

Cause: a window that is missing in the object with the reports was taken for one that had never been reported. Only a process that had read the store before the restore compared eras; a successor that reads it for the first time did not know that there had been one.

The daemon now logs this case ("store may have lost usage reports").

Change: the object names the era in which it was written and the first window for which it is complete. A holder that finds an object of an earlier era, or a damaged one, reports no window anew that had ended by then and writes this down at once, so that the next successor knows too.

Why it works: each report is in the object before it is sent, so within one era a missing window was never sent; across eras the object itself now says where this does not hold.

--- a/libs/duties/include/masticstep/duties/UsageReporter.hpp
+++ b/libs/duties/include/masticstep/duties/UsageReporter.hpp
@@ -28,7 +28,8 @@
 
 // Reports the usage of each window to the platform once, for the daemon that holds the duty. What
 // is reported is written to the store before it is sent for the first time, so that a successor
-// sends exactly the same or nothing.
+// sends exactly the same or nothing. The store may be restored from an older copy, which lacks
+// reports that were sent; windows that ended before a holder noticed are then not reported anew.
 class UsageReporter
 {
 public:
@@ -48,11 +49,16 @@
   void OnPlatformReply(const platform::PlatformReply& aReply, UnixTime aNow);
   void OnSent(WindowNumber aWindow, SendOutcome aOutcome, UnixTime aNow);
   std::size_t SentCount() const { return mSentCount; }
+  // Returns the first window whose report the store cannot have lost; earlier ones that it lacks
+  // are not reported.
+  WindowNumber FirstKnownWindow() const { return mFixed.firstWindow; }
 
 private:
   std::optional<platform::PlatformRequest> FixReports(const UsageLedger& aLedger, UnixTime aNow);
   std::optional<UsageReport> NextReport(UnixTime aNow) const;
-  void OnRead(const platform::PlatformReply& aReply);
+  void OnRead(const platform::PlatformReply& aReply, UnixTime aNow);
+  // Leaves the windows that have ended to a predecessor whose reports the store may have lost.
+  void SkipEndedWindows(UnixTime aNow);
 
   const UsageOptions mOptions;
   const UsageWindows mWindows;
@@ -62,8 +68,9 @@
   std::optional<std::uint64_t> mEra; // of the store
   FixedReports mFixed;               // as the store is known to hold them
   FixedReports mWriting;             // content of the write under way
-  FixedReports mSent;                // were sent at least once, and may have been accepted
-  std::set<WindowNumber> mAccepted;  // in this term
+  // Were sent at least once, and may have been accepted.
+  std::map<WindowNumber, AccountCounts> mSent;
+  std::set<WindowNumber> mAccepted; // in this term
   bool mIsSuperseded = false;
   std::uint64_t mRequestNumber = 0;
   bool mIsRequestOutstanding = false;
--- a/libs/duties/src/UsageReport.cpp
+++ b/libs/duties/src/UsageReport.cpp
@@ -8,6 +8,7 @@
 
 constexpr const char* kObject = "usage reports";
 constexpr IntegerRange kWindows{ 0, INT64_MAX };
+constexpr IntegerRange kEras{ 0, INT64_MAX };
 constexpr std::int64_t kMaximumCount = 4294967295;
 
 AccountCounts ReadCounts(ObjectReader& aReader, const boost::json::object& aItem)
@@ -35,14 +36,16 @@
 std::string EncodeFixedReports(const FixedReports& aReports)
 {
   boost::json::array list;
-  for (const auto& [window, counts] : aReports) {
+  for (const auto& [window, counts] : aReports.byWindow) {
     boost::json::object object;
     for (const auto& [account, count] : counts) {
       object[account.Text()] = count;
     }
     list.push_back(boost::json::object{ { "window", window }, { "counts", std::move(object) } });
   }
-  return boost::json::serialize(boost::json::object{ { "reports", std::move(list) } });
+  return boost::json::serialize(boost::json::object{ { "store_era", aReports.storeEra },
+                                                     { "first_window", aReports.firstWindow },
+                                                     { "reports", std::move(list) } });
 }
 
 Result<FixedReports, std::string> DecodeFixedReports(const std::string& aBody)
@@ -54,6 +57,12 @@
   if (faults.empty() && (list == nullptr || !list->is_array())) {
     return Failure(std::string("$.reports: is missing or no list"));
   }
+  if (object) {
+    // Without them the object is of a version that knew no eras.
+    ObjectReader reader(*object, kObject, "$", faults);
+    reports.storeEra = static_cast<std::uint64_t>(reader.OptionalInteger("store_era", kEras, 0));
+    reports.firstWindow = reader.OptionalInteger("first_window", kWindows, 0);
+  }
   if (list != nullptr) {
     for (const boost::json::value& item : list->get_array()) {
       if (!item.is_object()) {
@@ -61,7 +70,7 @@
       }
       ObjectReader reader(item.get_object(), kObject, "$.reports", faults);
       const WindowNumber window = reader.RequiredInteger("window", kWindows);
-      reports[window] = ReadCounts(reader, item.get_object());
+      reports.byWindow[window] = ReadCounts(reader, item.get_object());
     }
   }
   if (!faults.empty()) {
--- a/libs/duties/src/UsageReporter.cpp
+++ b/libs/duties/src/UsageReporter.cpp
@@ -58,19 +58,20 @@
                                                                    UnixTime aNow)
 {
   FixedReports reports = mFixed;
+  reports.storeEra = mEra.value_or(0);
   // A restored store may have lost reports that were sent; they must stay what they were.
   for (const auto& [window, counts] : mSent) {
-    reports.insert_or_assign(window, counts);
+    reports.byWindow.insert_or_assign(window, counts);
   }
   const WindowNumber oldest = mWindows.At(aNow - mOptions.reportingTime);
-  for (WindowNumber window = std::max(mFirstWindow, oldest);
+  for (WindowNumber window = std::max({ mFirstWindow, reports.firstWindow, oldest });
        mWindows.EndOf(window) + mOptions.collectingTime <= aNow; ++window) {
     if (aLedger.Has(window)) {
-      reports.try_emplace(window, aLedger.Total(window));
+      reports.byWindow.try_emplace(window, aLedger.Total(window));
     }
   }
-  while (reports.size() > kKeptReports) {
-    reports.erase(reports.begin());
+  while (reports.byWindow.size() > kKeptReports) {
+    reports.byWindow.erase(reports.byWindow.begin());
   }
   if (reports == mFixed) {
     return std::nullopt;
@@ -83,7 +84,7 @@
 
 std::optional<UsageReport> UsageReporter::NextReport(UnixTime aNow) const
 {
-  for (const auto& [window, counts] : mFixed) {
+  for (const auto& [window, counts] : mFixed.byWindow) {
     if (!mAccepted.contains(window) && mWindows.EndOf(window) + mOptions.reportingTime > aNow) {
       return UsageReport{ window, counts };
     }
@@ -100,18 +101,19 @@
   const bool isOfStore =
     aReply.status != PlatformStatus::Unknown && aReply.status != PlatformStatus::NotSent;
   if (isOfStore && mEra && aReply.era > *mEra) {
-    // The store may have lost reports of earlier windows that a predecessor has sent.
-    mFirstWindow = mWindows.At(aNow);
+    SkipEndedWindows(aNow);
   }
   if (isOfStore) {
-    mEra = aReply.era;
+    mEra = std::max(mEra.value_or(0), aReply.era);
   }
   if (!mHasRead) {
-    OnRead(aReply);
+    OnRead(aReply, aNow);
     return;
   }
   if (aReply.status == PlatformStatus::Done) {
+    const WindowNumber firstWindow = std::max(mWriting.firstWindow, mFixed.firstWindow);
     mFixed = mWriting;
+    mFixed.firstWindow = firstWindow;
     mVersion = aReply.version;
   } else if (aReply.status == PlatformStatus::Conflict ||
              aReply.status == PlatformStatus::Unknown) {
@@ -119,21 +121,28 @@
   }
 }
 
-void UsageReporter::OnRead(const PlatformReply& aReply)
+void UsageReporter::OnRead(const PlatformReply& aReply, UnixTime aNow)
 {
-  if (aReply.status == PlatformStatus::NotFound) {
-    mHasRead = true;
-    mVersion.reset();
-    mFixed.clear();
-    return;
-  }
-  if (aReply.status != PlatformStatus::Done) {
+  if (aReply.status != PlatformStatus::Done && aReply.status != PlatformStatus::NotFound) {
     return;
   }
+  const bool isFound = aReply.status == PlatformStatus::Done;
+  const Result<FixedReports, std::string> stored =
+    isFound ? DecodeFixedReports(aReply.body) : FixedReports{};
   mHasRead = true;
-  mVersion = aReply.version;
+  mVersion = isFound ? aReply.version : std::nullopt;
   // A damaged object is written anew.
-  mFixed = DecodeFixedReports(aReply.body).value_or(FixedReports{});
+  mFixed = stored.value_or(FixedReports{});
+  // This process may not have seen the store before it was restored, so only the era in the object
+  // tells whether it lacks reports. Without an object none was ever written in this era.
+  if (!stored || mFixed.storeEra < *mEra) {
+    SkipEndedWindows(aNow);
+  }
+}
+
+void UsageReporter::SkipEndedWindows(UnixTime aNow)
+{
+  mFixed.firstWindow = std::max(mFixed.firstWindow, mWindows.At(aNow));
 }
 
 void UsageReporter::OnSent(WindowNumber aWindow, SendOutcome aOutcome, UnixTime aNow)
--- a/libs/duties/tests/UsageReporterTests.cpp
+++ b/libs/duties/tests/UsageReporterTests.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <vector>
 
 using namespace masticstep;
@@ -110,11 +111,58 @@
   reporter.BeginTerm(After(kFirst, 5.0));
   Run(reporter, store, LedgerOf(kFirst, 9), After(kFirst, 5.0));
   const Result<FixedReports, std::string> reports = DecodeFixedReports(store.Find(kKey)->body);
-  CHECK_EQUAL(7U, reports->at(kFirst).at(AccountName{ "shop" }));
+  CHECK_EQUAL(7U, reports->byWindow.at(kFirst).at(AccountName{ "shop" }));
 }
 
-// Guards against two different reports of one window under any sequence of takeovers, lost answers
-// and writes that take effect late.
+// Guards against a second, different report of a window after the store has lost the first one: the
+// successor has never seen the store before it was restored, so nothing but the object tells it.
+MASTICSTEP_TEST("successors report no window whose report a restored store may have lost",
+                "[duties][usage][restored][failure]")
+{
+  for (const bool hasOlderReport : { false, true }) {
+    platform::InMemoryPlatform store;
+    UsageReporter first(Options());
+    first.BeginTerm(After(kFirst, -6.0));
+    if (hasOlderReport) {
+      Run(first, store, LedgerOf(kFirst - 1, 5), After(kFirst - 1, 4.0));
+    }
+    const platform::InMemoryPlatform copy = store;
+    CHECK_EQUAL(std::size_t{ 1 },
+                Run(first, store, LedgerOf(kFirst, 7), After(kFirst, 4.0)).size());
+    store.RestoreFrom(copy);
+    // Two successors: the second finds an object of the new era, which still lacks the report.
+    for (const double seconds : { 6.0, 7.0 }) {
+      UsageReporter successor(Options());
+      successor.BeginTerm(After(kFirst, seconds));
+      for (const UsageReport& report :
+           Run(successor, store, LedgerOf(kFirst, 4), After(kFirst, seconds))) {
+        CHECK_TRUE(report.window < kFirst);
+      }
+    }
+  }
+}
+
+MASTICSTEP_TEST("windows that end after a restore was noticed are reported by any holder",
+                "[duties][usage][restored]")
+{
+  platform::InMemoryPlatform store;
+  const platform::InMemoryPlatform copy = store;
+  UsageReporter first(Options());
+  first.BeginTerm(After(kFirst, -6.0));
+  Run(first, store, LedgerOf(kFirst - 1, 5), After(kFirst - 1, 4.0));
+  store.RestoreFrom(copy);
+  UsageReporter second(Options());
+  second.BeginTerm(After(kFirst, -0.5));
+  Run(second, store, LedgerOf(kFirst - 1, 4), After(kFirst, -0.5));
+  UsageReporter third(Options());
+  third.BeginTerm(After(kFirst, 3.0));
+  const std::vector<UsageReport> sent = Run(third, store, LedgerOf(kFirst, 7), After(kFirst, 4.0));
+  CHECK_EQUAL(std::size_t{ 1 }, sent.size());
+  CHECK_TRUE(sent[0] == (UsageReport{ kFirst, { { AccountName{ "shop" }, 7 } } }));
+}
+
+// Guards against two different reports of one window under any sequence of takeovers, restarts,
+// lost answers, writes that take effect late and restores of the store from an older copy.
 MASTICSTEP_TEST("all reports of a window are the same in any sequence", "[duties][usage][failure]")
 {
   constexpr std::size_t kHolders = 3;
@@ -122,19 +170,31 @@
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     Random random(seed);
     platform::InMemoryPlatform store;
-    std::array<UsageReporter, kHolders> holders{ UsageReporter(Options()), UsageReporter(Options()),
-                                                 UsageReporter(Options()) };
+    platform::InMemoryPlatform copy = store;
+    std::array<std::optional<UsageReporter>, kHolders> holders;
+    for (std::optional<UsageReporter>& process : holders) {
+      process.emplace(Options());
+    }
     std::array<UsageLedger, kHolders> ledgers;
     std::vector<platform::PlatformRequest> late; // written by the store later
     std::map<WindowNumber, AccountCounts> seen;
     std::size_t holder = 0;
     UnixTime now = After(kFirst, -1.0);
-    holders[0].BeginTerm(now);
+    holders[0]->BeginTerm(now);
     for (int step = 0; step < 400; ++step) {
       now += Milliseconds(100);
       if (random.Chance(0.03)) {
         holder = random.Below(kHolders);
-        holders[holder].BeginTerm(now);
+        if (random.Chance(0.5)) {
+          holders[holder].emplace(Options());
+        }
+        holders[holder]->BeginTerm(now);
+      }
+      if (random.Chance(0.02)) {
+        copy = store;
+      }
+      if (random.Chance(0.01)) {
+        store.RestoreFrom(copy);
       }
       for (UsageLedger& ledger : ledgers) {
         if (random.Chance(0.5)) {
@@ -145,7 +205,7 @@
         store.Apply(late.back());
         late.pop_back();
       }
-      const UsageReporter::Actions actions = holders[holder].OnTime(ledgers[holder], now);
+      const UsageReporter::Actions actions = holders[holder]->OnTime(ledgers[holder], now);
       if (actions.request) {
         platform::PlatformReply reply;
         reply.number = actions.request->number;
@@ -155,16 +215,16 @@
           reply = store.Apply(*actions.request);
           reply.status = random.Chance(0.1) ? PlatformStatus::Unknown : reply.status;
         }
-        holders[holder].OnPlatformReply(reply, now);
+        holders[holder]->OnPlatformReply(reply, now);
       }
       if (actions.send) {
         ++reports;
         const auto [known, isNew] = seen.try_emplace(actions.send->window, actions.send->counts);
         CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
                                known->second == actions.send->counts);
-        holders[holder].OnSent(actions.send->window,
-                               random.Chance(0.3) ? SendOutcome::Unknown : SendOutcome::Accepted,
-                               now);
+        holders[holder]->OnSent(actions.send->window,
+                                random.Chance(0.3) ? SendOutcome::Unknown : SendOutcome::Accepted,
+                                now);
       }
     }
   }
@@ -187,10 +247,12 @@
 
 MASTICSTEP_TEST("a damaged object of the store is an error", "[duties][usage]")
 {
-  const FixedReports reports{ { kFirst, { { AccountName{ "shop" }, 7 } } } };
+  const FixedReports reports{ 2, kFirst - 1, { { kFirst, { { AccountName{ "shop" }, 7 } } } } };
   CHECK_TRUE(*DecodeFixedReports(EncodeFixedReports(reports)) == reports);
-  for (const char* text : { "", "{}", "{\"reports\":[1]}", "{\"reports\":[{\"window\":1}]}",
-                            "{\"reports\":[{\"window\":1,\"counts\":{\"a\":-1}}]}" }) {
+  for (const char* text :
+       { "", "{}", "{\"reports\":[1]}", "{\"reports\":[{\"window\":1}]}",
+         "{\"reports\":[{\"window\":1,\"counts\":{\"a\":-1}}]}",
+         "{\"store_era\":-1,\"reports\":[]}", "{\"first_window\":\"a\",\"reports\":[]}" }) {
     CHECK_FALSE(DecodeFixedReports(text).has_value());
   }
 }
--- a/libs/relay/src/DutyRunner.cpp
+++ b/libs/relay/src/DutyRunner.cpp
@@ -99,7 +99,13 @@
     platform::PlatformReply reply =
       co_await CallStore(*mStore, mState->executor, mNextCall++, std::move(actions.request->call));
     reply.number = number;
+    const duties::WindowNumber known = aReporter.FirstKnownWindow();
     aReporter.OnPlatformReply(reply, now());
+    if (aReporter.FirstKnownWindow() > known) {
+      telemetry::Log(
+        Level::Warning, "store may have lost usage reports",
+        { { "store_era", reply.era }, { "first_known_window", aReporter.FirstKnownWindow() } });
+    }
   }
   if (!actions.send) {
     co_return;
