Relay: give up an engine that sends no data without end, in linear time

What callers saw: one of six model engines began each stream soundly and then wrote line ends without end.

Cause: EventSplitter searched all bytes that it held for CR LF as a terminator, for each event, also where LF LF came at once. Each read of 8 KB of line ends cost some 4,000 searches of 8 KB on the daemon's only thread. The watch of a silent engine searched all its events anew after each read. Comments and empty events had no bound.

Evidence: orders to servers that have nothing to do with the engine are late, and readiness is, so the thread is busy. The splitter alone does not split a million empty events in 30 s.

Change: one search for a line end and a look at what follows it; the watch looks ahead with a splitter of its own that takes each event once; more than 64 KiB of comments and empty events since the last event with data are a fault of the engine, so the stream goes on elsewhere where its route allows it. Keeping a connection open takes a few bytes a second.

Why it works: the work for a byte no longer depends on how many are held, and such an engine is left after 64 KiB instead of at the route's timeout.

--- a/libs/relay/src/EventSplitter.cpp
+++ b/libs/relay/src/EventSplitter.cpp
@@ -15,12 +15,20 @@
 // incomplete. Lines end with LF or CR LF. The search for the terminator begins at aFrom.
 std::size_t EventLength(std::string_view aBytes, std::size_t aFrom)
 {
-  const std::size_t lf = aBytes.find("\n\n", aFrom);
-  const std::size_t crlf = aBytes.find("\n\r\n", aFrom);
-  if (lf == std::string_view::npos && crlf == std::string_view::npos) {
-    return 0;
+  constexpr std::string_view kEmptyLine = "\n";
+  constexpr std::string_view kEmptyLineWithReturn = "\r\n";
+  std::size_t end = aBytes.find('\n', aFrom);
+  while (end != std::string_view::npos) {
+    const std::string_view next = aBytes.substr(end + 1);
+    if (next.starts_with(kEmptyLine)) {
+      return end + 1 + kEmptyLine.size();
+    }
+    if (next.starts_with(kEmptyLineWithReturn)) {
+      return end + 1 + kEmptyLineWithReturn.size();
+    }
+    end = aBytes.find('\n', end + 1);
   }
-  return lf < crlf ? lf + 2 : crlf + 3;
+  return 0;
 }
 
 std::optional<std::uint64_t> ParseIdLine(std::string_view aLine)
@@ -80,17 +88,6 @@
 
 } // namespace
 
-bool EventSplitter::HasEventWithData() const
-{
-  std::string_view rest = std::string_view(mBytes).substr(mReadPosition);
-  std::size_t length = EventLength(rest, mSearchOffset);
-  while (length > 0 && !HasData(rest.substr(0, length))) {
-    rest.remove_prefix(length);
-    length = EventLength(rest, 0);
-  }
-  return length > 0;
-}
-
 std::optional<StreamEvent> EventSplitter::Next()
 {
   const std::string_view rest = std::string_view(mBytes).substr(mReadPosition);
--- a/libs/relay/src/EventSplitter.hpp
+++ b/libs/relay/src/EventSplitter.hpp
@@ -29,8 +29,6 @@
   void Add(std::string_view aBytes) { mBytes += aBytes; }
   // Returns the next complete event, if one has arrived.
   std::optional<StreamEvent> Next();
-  // Returns whether an event with data has arrived.
-  bool HasEventWithData() const;
   // Returns whether an incomplete event is buffered.
   bool HasPartialEvent() const { return mReadPosition < mBytes.size(); }
   // Returns the memory that the buffered bytes take.
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -30,6 +30,16 @@
                    ToString(aFault));
 }
 
+// Takes events up to the first one with data; returns whether there was one.
+bool TakeEventWithData(EventSplitter& aEvents)
+{
+  std::optional<StreamEvent> event = aEvents.Next();
+  while (event && !event->hasData) {
+    event = aEvents.Next();
+  }
+  return event.has_value();
+}
+
 } // namespace
 
 net::Task<PromptSession::Step> PromptSession::RelayStream(const dispatch::Backend& aEngine,
@@ -117,6 +127,8 @@
 net::Task<void> PromptSession::WatchSilentEngine(Exchange& aExchange, EventSplitter& aEvents,
                                                  SilentEngineWatch& aWatch)
 {
+  // Looks ahead; aEvents keeps the events until the outcome of the offer is known.
+  EventSplitter ahead = aEvents;
   net::BodyState state = net::BodyState::Ready;
   while (state == net::BodyState::Ready && !aWatch.hasEngineGoneOn) {
     state = co_await aExchange.AwaitBody(mRequest.TimeLeft(net::Now()));
@@ -124,12 +136,14 @@
       const Result<std::string, net::NetError> part =
         co_await aExchange.ReadSome(mRequest.TimeLeft(net::Now()));
       aEvents.Add(part.value_or(std::string{}));
-      if (aEvents.HasOversizedEvent() || !aExchange.Hold(aEvents.HeldBytes())) {
+      ahead.Add(part.value_or(std::string{}));
+      const std::size_t heldBytes = aEvents.HeldBytes() + ahead.HeldBytes();
+      if (aEvents.HasOversizedEvent() || !aExchange.Hold(heldBytes)) {
         // The offer goes on; if it is refused, the closed connection ends the attempt.
         aExchange.Close();
         break;
       }
-      aWatch.hasEngineGoneOn = !part || part->empty() || aEvents.HasEventWithData();
+      aWatch.hasEngineGoneOn = !part || part->empty() || TakeEventWithData(ahead);
     }
   }
   if (aWatch.hasEngineGoneOn && mActiveExchange != nullptr) {
--- a/libs/relay/src/StreamSequence.cpp
+++ b/libs/relay/src/StreamSequence.cpp
@@ -31,6 +31,8 @@
       return "event that is not newer than the last one";
     case StreamFault::MissingEvents:
       return "events are missing where another engine goes on";
+    case StreamFault::NoData:
+      return "too many bytes without data";
     case StreamFault::NoEvent:
       return "stream without an event";
     case StreamFault::PartialEvent:
@@ -49,6 +51,7 @@
 void StreamSequence::BeginEngine()
 {
   mHasEngineEvents = false;
+  mBytesWithoutData = 0;
 }
 
 std::optional<StreamFault> StreamSequence::Add(const StreamEvent& aEvent)
@@ -58,8 +61,14 @@
     if (aEvent.id && aEvent.id > mLastEventId) {
       mLastEventId = aEvent.id;
     }
-    return aEvent.isWellFormed ? std::nullopt : std::optional(StreamFault::NotAnEvent);
+    mBytesWithoutData += aEvent.text.size();
+    if (!aEvent.isWellFormed) {
+      return StreamFault::NotAnEvent;
+    }
+    const bool isTooMuch = mBytesWithoutData > kMaximumBytesWithoutData;
+    return isTooMuch ? std::optional(StreamFault::NoData) : std::nullopt;
   }
+  mBytesWithoutData = 0;
   if (!aEvent.id) {
     return StreamFault::EventWithoutId;
   }
--- a/libs/relay/src/StreamSequence.hpp
+++ b/libs/relay/src/StreamSequence.hpp
@@ -16,6 +16,7 @@
   EventWithoutId, // data that has no place in the stream
   NotAfterLast,   // an event that the caller has already, or an older one
   MissingEvents,  // the first event of an engine that goes on does not follow the last one
+  NoData,         // comments and empty events beyond what keeps a connection open
   NoEvent,        // an end without an event, though the engine did not state that none is left
   PartialEvent    // an end within an event
 };
@@ -33,6 +34,10 @@
 class StreamSequence
 {
 public:
+  // Comments and empty events that an engine may send between two events with data. Keeping a
+  // connection open takes a few bytes a second.
+  static constexpr std::size_t kMaximumBytesWithoutData = 65536;
+
   // aLastEventId is the last event that the caller had before this answer.
   explicit StreamSequence(std::optional<std::uint64_t> aLastEventId)
     : mLastEventId(aLastEventId)
@@ -54,9 +59,10 @@
   bool SkipsEvents(std::uint64_t aId) const;
 
   std::optional<std::uint64_t> mLastEventId;
-  bool mHasEvents = false;       // this answer has events
-  bool mHasEngineEvents = false; // its present engine has sent events
-  bool mIsConsecutive = true;    // no engine has skipped an id
+  bool mHasEvents = false;           // this answer has events
+  bool mHasEngineEvents = false;     // its present engine has sent events
+  bool mIsConsecutive = true;        // no engine has skipped an id
+  std::size_t mBytesWithoutData = 0; // of its present engine, since its last event with data
 };
 
 } // namespace masticstep::relay
--- a/libs/relay/tests/EventSplitterTests.cpp
+++ b/libs/relay/tests/EventSplitterTests.cpp
@@ -64,3 +64,23 @@
     CHECK_TRUE(n <= EventSplitter::kMaximumEventBytes + part.size());
   }
 }
+
+// Guards against a search of all bytes that are held for each event among them, which took hours
+// for a few megabytes of line ends.
+MASTICSTEP_TEST("many empty events are split in linear time", "[relay][events][bounds]")
+{
+  constexpr std::size_t kEvents = 1000000;
+  for (const std::string lineEnd : { "\n", "\r\n" }) {
+    std::string text;
+    for (std::size_t i = 0; i < kEvents; ++i) {
+      text += lineEnd + lineEnd;
+    }
+    EventSplitter events;
+    events.Add(text);
+    std::size_t n = 0;
+    while (events.Next()) {
+      ++n;
+    }
+    CHECK_EQUAL(kEvents, n);
+  }
+}
--- a/libs/relay/tests/StreamSequenceTests.cpp
+++ b/libs/relay/tests/StreamSequenceTests.cpp
@@ -46,6 +46,17 @@
   return text;
 }
 
+// Returns that many bytes of comments and empty events.
+std::string KeepAlive(std::size_t aBytes)
+{
+  const std::string comment = ":" + std::string(61, 'c') + "\n\n";
+  std::string text;
+  while (text.size() + comment.size() <= aBytes) {
+    text += comment;
+  }
+  return text;
+}
+
 } // namespace
 
 // Guards against streams that end as complete though events are due, and against text that is no
@@ -59,6 +70,7 @@
     std::optional<std::uint64_t> lastEventId;
     Fault expected;
   };
+  constexpr std::size_t kMost = StreamSequence::kMaximumBytesWithoutData;
   constexpr BodyFraming kClose = BodyFraming::UntilClose;
   constexpr BodyFraming kLength = BodyFraming::Length;
   const std::vector<Case> cases{
@@ -75,6 +87,10 @@
     { { { Ids({ 1, 2, 2 }) } }, {}, StreamFault::NotAfterLast },
     { { { Ids({ 1 }) + "data: error\n\n" } }, {}, StreamFault::EventWithoutId },
     { { { "HTTP/1.1 500 X\r\nDate: now\r\n\r\n" } }, {}, StreamFault::NotAnEvent },
+    { { { KeepAlive(kMost) + Ids({ 1 }) + KeepAlive(kMost) } }, {}, {} },
+    { { { KeepAlive(kMost) + ":c\n\n" } }, {}, StreamFault::NoData },
+    { { { Ids({ 1 }) + KeepAlive(kMost) + "retry: 1\n\n" } }, {}, StreamFault::NoData },
+    { { { KeepAlive(kMost) }, { KeepAlive(kMost) + Ids({ 1 }) } }, {}, {} },
     // The caller takes the stream up.
     { { { Ids({ 4, 5 }) } }, 3, {} },
     { { { Ids({ 9 }) } }, 3, {} },
