Net: make the deadline a property of the exchange, not of each read

What callers saw: one of three plain servers wrote its body in one-byte chunks with long extensions, without end.

Cause: callers of HttpClientConnection passed the time left to each single read, at least 1 ms. A read that finds bytes does not wait, so it never times out; nothing but the bound on a body's bytes ended the loop. Nine loops were of this kind: the stream's, Exchange::ReadAll, skipped answers, the watch of a silent engine, Fetch (store, watches, loads, cache events, duties), orders to engines, keyed orders, and two of EngineStream.

Evidence: an exchange whose stream always has input at hand does not end at a deadline of 50 ms, without any network or load. Against it being a busy thread: orders to the other servers were on time.

Change: Send takes the deadline of the whole exchange, and the read loop of the connection checks it where bytes are read. ReadHead, ReadBodySome and SkipAnswer take no time any more, so that no loop around them can forget it. After the deadline at most 8 reads of 8 KB take what has arrived already, since a host may have been suspended in between; Fetch, Exchange and the others lose their copies of the same arithmetic.

Tests: "requests whose answers have no end are answered when their route's timeout expires" failed on (answers of 512 MB taken in full: expected 0, got 4). "an exchange ends at its deadline while its server goes on sending" and "waits for a body end with their exchange while its server goes on sending" use the new interface.

--- a/libs/control/src/OrderSender.cpp
+++ b/libs/control/src/OrderSender.cpp
@@ -70,17 +70,15 @@
   }
   const Time deadline = std::min(aTransmission.notAfter, now + kResponseTimeout);
   net::HttpClientConnection& connection = **lease;
-  const Result<void, net::NetError> sent = co_await connection.Send(request, deadline - now);
+  const Result<void, net::NetError> sent = co_await connection.Send(request, deadline);
   if (!sent) {
     connection.Close();
     co_return EngineReply::Unknown;
   }
-  const auto remaining = [deadline] { return std::max(deadline - net::Now(), Milliseconds(1)); };
-  const Result<net::HttpResponseHead, net::NetError> head =
-    co_await connection.ReadHead(remaining());
+  const Result<net::HttpResponseHead, net::NetError> head = co_await connection.ReadHead();
   std::string body;
   while (head && body.size() <= kMaximumResponseBytes) {
-    const Result<std::string, net::NetError> chunk = co_await connection.ReadBodySome(remaining());
+    const Result<std::string, net::NetError> chunk = co_await connection.ReadBodySome();
     if (!chunk) {
       break;
     }
--- a/libs/gateway/src/EngineStream.cpp
+++ b/libs/gateway/src/EngineStream.cpp
@@ -14,8 +14,6 @@
 // Engines send at least a keep-alive comment every 500 ms; by design, a silent engine is detected
 // within 2 s.
 constexpr Duration kSilenceTimeout = Seconds(2);
-// The session ends a stream at its deadline.
-constexpr Duration kUnlimited = Seconds(86400);
 // The end of a complete response usually arrives with its last event.
 constexpr Duration kFinishTimeout = Milliseconds(200);
 constexpr std::size_t kMaximumErrorBodyBytes = 4096;
@@ -145,8 +143,9 @@
 net::Task<Result<void, StreamFailure>> EngineStream::SendRequest(net::HttpRequest aRequest)
 {
   (*mLease)->PreventReuse();
+  // The session ends a stream at its deadline.
   const Result<void, net::NetError> sent =
-    co_await AwaitEngine((*mLease)->Send(aRequest, kUnlimited));
+    co_await AwaitEngine((*mLease)->Send(aRequest, Time::max()));
   if (!sent) {
     if (SwitchToResumed()) {
       co_return Result<void, StreamFailure>{};
@@ -154,7 +153,7 @@
     co_return Failure(ToStreamFailure(sent.error()));
   }
   const Result<net::HttpResponseHead, net::NetError> head =
-    co_await AwaitEngine((*mLease)->ReadHead(kUnlimited));
+    co_await AwaitEngine((*mLease)->ReadHead());
   if (!head && SwitchToResumed()) {
     co_return Result<void, StreamFailure>{};
   }
@@ -164,10 +163,10 @@
   if (head->status == 200) {
     co_return Result<void, StreamFailure>{};
   }
+  (*mLease)->SetDeadline(net::Now() + kSilenceTimeout);
   std::string detail;
   while (detail.size() < kMaximumErrorBodyBytes) {
-    const Result<std::string, net::NetError> part =
-      co_await (*mLease)->ReadBodySome(kSilenceTimeout);
+    const Result<std::string, net::NetError> part = co_await (*mLease)->ReadBodySome();
     if (!part || part->empty()) {
       break;
     }
@@ -190,8 +189,7 @@
     if (!mLease) {
       co_return Failure(StreamFailure{ StreamFailureKind::Broken, 0, "connection was dropped" });
     }
-    const Result<std::string, net::NetError> part =
-      co_await AwaitEngine((*mLease)->ReadBodySome(kUnlimited));
+    const Result<std::string, net::NetError> part = co_await AwaitEngine((*mLease)->ReadBodySome());
     if (!part && SwitchToResumed()) {
       continue;
     }
@@ -234,9 +232,9 @@
   if (!mIsDone || !mLease) {
     co_return;
   }
+  (*mLease)->SetDeadline(net::Now() + kFinishTimeout);
   while (true) {
-    const Result<std::string, net::NetError> part =
-      co_await (*mLease)->ReadBodySome(kFinishTimeout);
+    const Result<std::string, net::NetError> part = co_await (*mLease)->ReadBodySome();
     if (!part || part->empty()) {
       co_return;
     }
--- a/libs/gateway/src/StreamResumption.cpp
+++ b/libs/gateway/src/StreamResumption.cpp
@@ -1,5 +1,7 @@
 #include "StreamResumption.hpp"
 
+#include "masticstep/net/Clock.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -69,18 +71,19 @@
   net::HttpClientConnection& connection = **aState->lease;
   connection.PreventReuse();
   const Result<void, net::NetError> sent =
-    co_await connection.Send(aState->request, kResponseTimeout);
+    co_await connection.Send(aState->request, net::Now() + kResponseTimeout);
   if (!sent) {
     co_return StreamFailure{ StreamFailureKind::Silent, 0, net::ToString(sent.error()) };
   }
-  const Result<net::HttpResponseHead, net::NetError> head =
-    co_await connection.ReadHead(kResponseTimeout);
+  const Result<net::HttpResponseHead, net::NetError> head = co_await connection.ReadHead();
   if (!head) {
     co_return StreamFailure{ StreamFailureKind::Silent, 0, net::ToString(head.error()) };
   }
   if (head->status != 200) {
     co_return StreamFailure{ StreamFailureKind::Rejected, head->status, {} };
   }
+  // The session ends a stream at its deadline.
+  connection.SetDeadline(Time::max());
   co_return std::nullopt;
 }
 
--- a/libs/net/include/masticstep/net/HttpClientConnection.hpp
+++ b/libs/net/include/masticstep/net/HttpClientConnection.hpp
@@ -26,8 +26,10 @@
 };
 
 // One connection to an HTTP server, used for one exchange at a time: Send, ReadHead, then
-// ReadBodySome until it returns an empty string. What it and its reader keep of an answer is taken
-// from a budget; an answer that the budget does not allow fails with BodyTooLarge.
+// ReadBodySome until it returns an empty string. Each exchange has a deadline, after which its
+// reads fail with TimedOut, also if the server never stops sending. What the connection and its
+// reader keep of an answer is taken from a budget; an answer that the budget does not allow fails
+// with BodyTooLarge.
 class HttpClientConnection
 {
 public:
@@ -38,21 +40,24 @@
   HttpClientConnection(HttpClientConnection&&) noexcept;
   HttpClientConnection& operator=(HttpClientConnection&&) noexcept;
 
-  // After a failure it is unknown which bytes arrived at the server.
-  Task<Result<void, NetError>> Send(const HttpRequest& aRequest, Duration aTimeout);
-  Task<Result<HttpResponseHead, NetError>> ReadHead(Duration aTimeout);
+  // Begins an exchange that ends at aDeadline; Time::max() for none. After a failure it is unknown
+  // which bytes arrived at the server.
+  Task<Result<void, NetError>> Send(const HttpRequest& aRequest, Time aDeadline);
+  // Changes the deadline for the reads that follow.
+  void SetDeadline(Time aDeadline);
+  Task<Result<HttpResponseHead, NetError>> ReadHead();
   // Returns what has arrived of the body; empty at its end.
-  Task<Result<std::string, NetError>> ReadBodySome(Duration aTimeout);
+  Task<Result<std::string, NetError>> ReadBodySome();
 
-  // Waits until ReadBodySome would not have to wait. Unlike a read that times out, this leaves the
-  // connection open.
+  // Waits until ReadBodySome would not have to wait. Unlike a read, it leaves the connection open
+  // when aTimeout has passed.
   Task<BodyState> AwaitBody(Duration aTimeout);
   // Makes AwaitBody return Waiting.
   void CancelAwait();
 
   // Drops the answer whose head was read, which belongs to another request, and makes ReadHead read
   // the next one. The connection is not reusable afterwards.
-  Task<Result<void, NetError>> SkipAnswer(Duration aTimeout);
+  Task<Result<void, NetError>> SkipAnswer();
 
   // Accounts what the reader keeps of the answer, beside what the connection itself keeps, until
   // the next Send. Closes the connection and fails if the budget does not allow it.
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -8,27 +8,21 @@
 
 namespace {
 
-Duration Left(Time aEnd)
-{
-  return std::max(aEnd - Now(), Milliseconds(1));
-}
-
 Task<Result<HttpResponse, FetchError>> FetchOver(ConnectionPool::Lease aLease, HttpRequest aRequest,
                                                  FetchLimits aLimits)
 {
   HttpClientConnection& connection = *aLease;
-  const Time end = Now() + aLimits.total;
-  const Result<void, NetError> sent = co_await connection.Send(aRequest, aLimits.total);
+  const Result<void, NetError> sent = co_await connection.Send(aRequest, Now() + aLimits.total);
   if (!sent) {
     co_return Failure(FetchError{ sent.error(), true });
   }
-  Result<HttpResponseHead, NetError> head = co_await connection.ReadHead(Left(end));
+  Result<HttpResponseHead, NetError> head = co_await connection.ReadHead();
   if (!head) {
     co_return Failure(FetchError{ head.error(), true });
   }
   HttpResponse response{ head->status, std::move(head->headers), {} };
   while (true) {
-    const Result<std::string, NetError> part = co_await connection.ReadBodySome(Left(end));
+    const Result<std::string, NetError> part = co_await connection.ReadBodySome();
     if (!part) {
       co_return Failure(FetchError{ part.error(), true });
     }
--- a/libs/net/src/HttpClientConnection.cpp
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -26,6 +26,12 @@
 // end.
 constexpr std::size_t kMaximumUnparsed = 2 * kMaximumHead;
 
+// An answer that has arrived before the deadline is read even if this process was suspended in
+// between; a server that never stops sending must not keep the exchange alive.
+constexpr std::uint32_t kMaximumLateReads = 8;
+constexpr Duration kLateReadTimeout = Milliseconds(1);
+constexpr Duration kLongestWait = Seconds(86400);
+
 // A server that does not read has at least this much room in the buffers of its kernel.
 constexpr std::size_t kAlwaysTaken = 32768;
 
@@ -86,9 +92,12 @@
 
   // Reads and parses until aIsEnough holds or the message ends.
   template <class Predicate>
-  Task<Result<void, NetError>> ReadUntil(Predicate aIsEnough, Duration aTimeout);
-  // Reads what has arrived into the buffer. A failure is kept for the reads that follow.
-  Task<Result<void, NetError>> Fill(Duration aTimeout);
+  Task<Result<void, NetError>> ReadUntil(Predicate aIsEnough);
+  // Reads what has arrived into the buffer, until the deadline of the exchange. A failure is kept
+  // for the reads that follow.
+  Task<Result<void, NetError>> Fill(Duration aTimeout = kLongestWait);
+  void SetDeadline(Time aDeadline);
+  Duration TimeLeft() const { return std::min(deadline - Now(), kLongestWait); }
   Result<void, NetError> Parse(bool aAtEnd);
   // Returns whether the server has closed the connection to end a body without a length.
   bool EndsBody() const
@@ -111,6 +120,8 @@
   std::size_t headBytes = 0; // of the head that the reader keeps
   std::size_t heldBytes = 0; // of the body that the reader keeps
   std::optional<NetError> readFailure;
+  Time deadline = Time::max(); // of the exchange
+  std::uint32_t lateReads = 0; // after the deadline
   bool isAwaitCancelled = false;
   bool isExchanging = false;
   bool isHeadRequest = false;
@@ -188,14 +199,12 @@
 }
 
 template <class Predicate>
-Task<Result<void, NetError>> HttpClientConnection::State::ReadUntil(Predicate aIsEnough,
-                                                                    Duration aTimeout)
+Task<Result<void, NetError>> HttpClientConnection::State::ReadUntil(Predicate aIsEnough)
 {
   if (!parser) {
     stream->Close();
     co_return Failure(NetError{ NetErrorKind::Malformed, "answer without a request" });
   }
-  const Time end = Now() + aTimeout;
   while (true) {
     Result<void, NetError> parsed = Parse(false);
     if (!parsed) {
@@ -209,12 +218,7 @@
       stream->Close();
       co_return Failure(NetError{ NetErrorKind::Malformed, "line without end" });
     }
-    const Duration left = end - Now();
-    if (left <= Duration::zero()) {
-      stream->Close();
-      co_return Failure(NetError{ NetErrorKind::TimedOut, {} });
-    }
-    const Result<void, NetError> filled = co_await Fill(left);
+    const Result<void, NetError> filled = co_await Fill();
     if (!filled) {
       if (filled.error().kind == NetErrorKind::Closed && parser->is_header_done()) {
         co_return Parse(true);
@@ -229,9 +233,18 @@
   if (readFailure) {
     co_return Failure(*readFailure);
   }
+  Duration timeout = std::min(aTimeout, TimeLeft());
+  if (timeout <= Duration::zero()) {
+    timeout = kLateReadTimeout;
+    if (++lateReads > kMaximumLateReads) {
+      stream->Close();
+      readFailure = NetError{ NetErrorKind::TimedOut, {} };
+      co_return Failure(*readFailure);
+    }
+  }
   const boost::asio::mutable_buffer space = buffer.prepare(kReadSize);
   const std::span<char> target(static_cast<char*>(space.data()), space.size());
-  const Result<std::size_t, NetError> n = co_await stream->ReadSome(target, aTimeout);
+  const Result<std::size_t, NetError> n = co_await stream->ReadSome(target, timeout);
   if (!n) {
     readFailure = n.error();
     co_return Failure(n.error());
@@ -240,25 +253,37 @@
   co_return Result<void, NetError>{};
 }
 
-Task<Result<void, NetError>> HttpClientConnection::Send(const HttpRequest& aRequest,
-                                                        Duration aTimeout)
+void HttpClientConnection::State::SetDeadline(Time aDeadline)
 {
+  deadline = aDeadline;
+  lateReads = 0;
+}
+
+void HttpClientConnection::SetDeadline(Time aDeadline)
+{
+  mState->SetDeadline(aDeadline);
+}
+
+Task<Result<void, NetError>> HttpClientConnection::Send(const HttpRequest& aRequest, Time aDeadline)
+{
+  mState->SetDeadline(aDeadline);
   mState->isExchanging = true;
   mState->heldBytes = 0;
   mState->isHeadRequest = aRequest.method == "HEAD";
   mState->ExpectAnswer();
   const std::string text = RequestText(aRequest, mState->host);
+  const Duration timeout = std::max(mState->TimeLeft(), kLateReadTimeout);
   // The kernel must not end a longer request whose server reads it late.
   mState->stream->SetUnacknowledgedLimit(
-    text.size() > kAlwaysTaken ? std::max(aTimeout, kUnacknowledgedLimit) : kUnacknowledgedLimit);
-  co_return co_await mState->stream->WriteAll(text, aTimeout);
+    text.size() > kAlwaysTaken ? std::max(timeout, kUnacknowledgedLimit) : kUnacknowledgedLimit);
+  co_return co_await mState->stream->WriteAll(text, timeout);
 }
 
-Task<Result<HttpResponseHead, NetError>> HttpClientConnection::ReadHead(Duration aTimeout)
+Task<Result<HttpResponseHead, NetError>> HttpClientConnection::ReadHead()
 {
   State& state = *mState;
   const Result<void, NetError> done =
-    co_await state.ReadUntil([&state] { return state.parser->is_header_done(); }, aTimeout);
+    co_await state.ReadUntil([&state] { return state.parser->is_header_done(); });
   if (!done) {
     co_return Failure(done.error());
   }
@@ -276,11 +301,11 @@
   co_return head;
 }
 
-Task<Result<std::string, NetError>> HttpClientConnection::ReadBodySome(Duration aTimeout)
+Task<Result<std::string, NetError>> HttpClientConnection::ReadBodySome()
 {
   State& state = *mState;
   const Result<void, NetError> done =
-    co_await state.ReadUntil([&state] { return !state.parser->get().body().empty(); }, aTimeout);
+    co_await state.ReadUntil([&state] { return !state.parser->get().body().empty(); });
   if (!done) {
     co_return Failure(done.error());
   }
@@ -331,13 +356,12 @@
   mState->stream->CancelAwait();
 }
 
-Task<Result<void, NetError>> HttpClientConnection::SkipAnswer(Duration aTimeout)
+Task<Result<void, NetError>> HttpClientConnection::SkipAnswer()
 {
   State& state = *mState;
   state.isReusePrevented = true;
-  const Time end = Now() + aTimeout;
   while (!state.parser || !state.parser->is_done()) {
-    const Result<std::string, NetError> part = co_await ReadBodySome(end - Now());
+    const Result<std::string, NetError> part = co_await ReadBodySome();
     if (!part) {
       co_return Failure(part.error());
     }
@@ -404,6 +428,7 @@
 void HttpClientConnection::Detach()
 {
   // An idle connection keeps nothing of its last answer.
+  mState->SetDeadline(Time::max());
   mState->headBytes = 0;
   mState->heldBytes = 0;
   if (mState->parser) {
--- a/libs/net/tests/ConnectionPoolTests.cpp
+++ b/libs/net/tests/ConnectionPoolTests.cpp
@@ -1,4 +1,5 @@
 #include "LoopbackServer.hpp"
+#include "masticstep/net/Clock.hpp"
 #include "masticstep/net/HttpClient.hpp"
 #include "masticstep/testing/Test.hpp"
 
@@ -83,9 +84,9 @@
   const std::string part = Await<std::string>(workers, [&pool, address]() -> Task<std::string> {
     Result<ConnectionPool::Lease, NetError> lease = co_await pool->Acquire(address, Seconds(5));
     const HttpRequest request;
-    co_await (*lease)->Send(request, Seconds(5));
-    co_await (*lease)->ReadHead(Seconds(5));
-    const Result<std::string, NetError> first = co_await (*lease)->ReadBodySome(Seconds(5));
+    co_await (*lease)->Send(request, Now() + Seconds(5));
+    co_await (*lease)->ReadHead();
+    const Result<std::string, NetError> first = co_await (*lease)->ReadBodySome();
     co_return *first;
   });
   CHECK_EQUAL(std::string("old"), part);
--- a/libs/net/tests/HttpClientConnectionTests.cpp
+++ b/libs/net/tests/HttpClientConnectionTests.cpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <optional>
+#include <vector>
 
 using namespace masticstep;
 using namespace masticstep::net;
@@ -15,7 +16,8 @@
 
 constexpr Duration kLongWait = Seconds(2);
 
-// Stream whose input arrives in given parts, one for each read. Reads after them fail.
+// Stream whose input arrives in given parts, one for each read. Reads after them fail, or get the
+// same part again and again.
 class ScriptedStream : public ByteStream
 {
 public:
@@ -25,11 +27,16 @@
   {
   }
 
+  void RepeatAfterwards(std::string aPart) { mRepeated = std::move(aPart); }
+
   // Called while the last part is read.
   void OnLastRead(std::function<void()> aCallback) { mOnLastRead = std::move(aCallback); }
 
   Task<Result<std::size_t, NetError>> ReadSome(std::span<char> aBuffer, Duration) override
   {
+    if (mParts.empty() && !mRepeated.empty()) {
+      co_return mRepeated.copy(aBuffer.data(), aBuffer.size());
+    }
     if (mParts.empty()) {
       co_return Failure(NetError{ mEnd, {} });
     }
@@ -47,10 +54,11 @@
   }
   Task<bool> AwaitInput(Duration aTimeout) override
   {
-    if (mParts.empty()) {
+    const bool hasInput = !mParts.empty() || !mRepeated.empty();
+    if (!hasInput) {
       co_await Sleep(aTimeout);
     }
-    co_return !mParts.empty();
+    co_return hasInput;
   }
   void CancelAwait() override {}
   void SetUnacknowledgedLimit(Duration) override {}
@@ -73,6 +81,7 @@
 
 private:
   std::deque<std::string> mParts;
+  std::string mRepeated;
   const NetErrorKind mEnd;
   std::function<void()> mOnLastRead;
   bool mIsOpen = true;
@@ -88,15 +97,15 @@
       std::make_unique<ScriptedStream>(std::deque<std::string>{ aBytes }, aEnd),
       { "127.0.0.1", 1 });
     const HttpRequest request;
-    co_await connection.Send(request, kLongWait);
-    if (!co_await connection.ReadHead(kLongWait)) {
+    co_await connection.Send(request, Now() + kLongWait);
+    if (!co_await connection.ReadHead()) {
       co_return std::nullopt;
     }
     std::string body;
-    Result<std::string, NetError> part = co_await connection.ReadBodySome(kLongWait);
+    Result<std::string, NetError> part = co_await connection.ReadBodySome();
     while (part && !part->empty()) {
       body += *part;
-      part = co_await connection.ReadBodySome(kLongWait);
+      part = co_await connection.ReadBodySome();
     }
     co_return part ? std::optional(body) : std::nullopt;
   };
@@ -138,8 +147,8 @@
     HttpClientConnection connection(std::move(stream), { "127.0.0.1", 1 });
     parts.OnLastRead([&connection] { connection.CancelAwait(); });
     const HttpRequest request;
-    co_await connection.Send(request, kLongWait);
-    co_await connection.ReadHead(kLongWait);
+    co_await connection.Send(request, Now() + kLongWait);
+    co_await connection.ReadHead();
     co_return co_await connection.AwaitBody(kLongWait);
   };
   const Time begin = Now();
@@ -160,7 +169,7 @@
   const std::function<Task<Result<HttpResponseHead, NetError>>()> readHead =
     [&connect]() -> Task<Result<HttpResponseHead, NetError>> {
     HttpClientConnection connection = connect();
-    co_return co_await connection.ReadHead(kLongWait);
+    co_return co_await connection.ReadHead();
   };
   const Result<HttpResponseHead, NetError> head =
     Await<Result<HttpResponseHead, NetError>>(workers, readHead);
@@ -171,3 +180,94 @@
   };
   CHECK_TRUE(Await<BodyState>(workers, awaitBody) == BodyState::Broken);
 }
+
+// Guards against a server whose bytes never end and keep the exchange alive beyond its deadline,
+// since no single read has to wait.
+MASTICSTEP_TEST("an exchange ends at its deadline while its server goes on sending",
+                "[net][failure][endless]")
+{
+  struct Case
+  {
+    std::string begin;
+    std::string repeated;
+    bool isSkipped = false; // as the answer to another request
+  };
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string extension = ";x=" + std::string(4000, 'y');
+  const std::vector<Case> cases{
+    { chunked, "1" + extension + "\r\nz\r\n" },
+    { chunked, "1\r\n\n\r\n" },
+    { chunked, "1" + extension + "\r\nz\r\n", true },
+    { "HTTP/1.1 200 OK\r\n\r\n", "z" },
+  };
+  WorkerPool workers(1);
+  for (const Case& endless : cases) {
+    const std::function<Task<NetErrorKind>()> read = [&endless]() -> Task<NetErrorKind> {
+      std::unique_ptr<ScriptedStream> stream =
+        std::make_unique<ScriptedStream>(std::deque<std::string>{ endless.begin });
+      stream->RepeatAfterwards(endless.repeated);
+      HttpClientConnection connection(std::move(stream), { "127.0.0.1", 1 });
+      const HttpRequest request;
+      co_await connection.Send(request, Now() + Milliseconds(50));
+      co_await connection.ReadHead();
+      if (endless.isSkipped) {
+        const Result<void, NetError> skipped = co_await connection.SkipAnswer();
+        co_return skipped.error().kind;
+      }
+      Result<std::string, NetError> part = co_await connection.ReadBodySome();
+      while (part) {
+        part = co_await connection.ReadBodySome();
+      }
+      co_return part.error().kind;
+    };
+    CHECK_TRUE(Await<NetErrorKind>(workers, read) == NetErrorKind::TimedOut);
+  }
+}
+
+// Guards against a wait for a body that never ends because bytes that are no body keep arriving.
+MASTICSTEP_TEST("waits for a body end with their exchange while its server goes on sending",
+                "[net][failure][endless]")
+{
+  WorkerPool workers(1);
+  const std::function<Task<BodyState>()> wait = []() -> Task<BodyState> {
+    std::unique_ptr<ScriptedStream> stream = std::make_unique<ScriptedStream>(
+      std::deque<std::string>{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" });
+    stream->RepeatAfterwards("1\r\nz\r\n");
+    HttpClientConnection connection(std::move(stream), { "127.0.0.1", 1 });
+    const HttpRequest request;
+    co_await connection.Send(request, Now() + Milliseconds(50));
+    co_await connection.ReadHead();
+    BodyState state = BodyState::Ready;
+    while (state == BodyState::Ready) {
+      state = co_await connection.AwaitBody(kLongWait);
+      if (state == BodyState::Ready) {
+        co_await connection.ReadBodySome();
+      }
+    }
+    co_return state;
+  };
+  CHECK_TRUE(Await<BodyState>(workers, wait) == BodyState::Broken);
+}
+
+// Guards against an answer that is lost although it has arrived, because the host was suspended
+// before it was read.
+MASTICSTEP_TEST("an answer that has arrived is read after the deadline", "[net][failure]")
+{
+  WorkerPool workers(1);
+  const std::function<Task<std::string>()> read = []() -> Task<std::string> {
+    HttpClientConnection connection(std::make_unique<ScriptedStream>(std::deque<std::string>{
+                                      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "bo", "dy" }),
+                                    { "127.0.0.1", 1 });
+    const HttpRequest request;
+    co_await connection.Send(request, Now() - Milliseconds(50));
+    co_await connection.ReadHead();
+    std::string body;
+    Result<std::string, NetError> part = co_await connection.ReadBodySome();
+    while (part && !part->empty()) {
+      body += *part;
+      part = co_await connection.ReadBodySome();
+    }
+    co_return body;
+  };
+  CHECK_EQUAL(std::string("body"), Await<std::string>(workers, read));
+}
--- a/libs/net/tests/TlsTests.cpp
+++ b/libs/net/tests/TlsTests.cpp
@@ -1,4 +1,5 @@
 #include "LoopbackServer.hpp"
+#include "masticstep/net/Clock.hpp"
 #include "masticstep/net/HttpClientConnection.hpp"
 #include "masticstep/net/TlsContext.hpp"
 #include "masticstep/testing/Test.hpp"
@@ -51,17 +52,17 @@
   request.method = "POST";
   request.target = "/";
   request.body = std::move(aBody);
-  const Result<void, NetError> sent = co_await connection.Send(request, kLimit);
+  const Result<void, NetError> sent = co_await connection.Send(request, Now() + kLimit);
   if (!sent) {
     co_return Failure(sent.error());
   }
-  const Result<HttpResponseHead, NetError> head = co_await connection.ReadHead(kLimit);
+  const Result<HttpResponseHead, NetError> head = co_await connection.ReadHead();
   if (!head) {
     co_return Failure(head.error());
   }
   std::string text;
   while (true) {
-    const Result<std::string, NetError> part = co_await connection.ReadBodySome(kLimit);
+    const Result<std::string, NetError> part = co_await connection.ReadBodySome();
     if (!part || part->empty()) {
       co_return part ? Result<std::string, NetError>(text) : part;
     }
--- a/libs/order_service/src/Dispatch.cpp
+++ b/libs/order_service/src/Dispatch.cpp
@@ -13,24 +13,17 @@
 
 namespace {
 
-Duration RemainingTime(Time aDeadline)
-{
-  return std::max(aDeadline - net::Now(), Milliseconds(1));
-}
-
 // Sends the request over an open connection. Returns nullopt if no complete response was received;
 // the call may have been executed.
 net::Task<std::optional<BackendReply>> Exchange(net::HttpClientConnection& aConnection,
                                                 const net::HttpRequest& aRequest, Time aDeadline,
                                                 std::size_t aMaximumResponseBytes)
 {
-  const Result<void, net::NetError> sent =
-    co_await aConnection.Send(aRequest, RemainingTime(aDeadline));
+  const Result<void, net::NetError> sent = co_await aConnection.Send(aRequest, aDeadline);
   if (!sent) {
     co_return std::nullopt;
   }
-  const Result<net::HttpResponseHead, net::NetError> head =
-    co_await aConnection.ReadHead(RemainingTime(aDeadline));
+  const Result<net::HttpResponseHead, net::NetError> head = co_await aConnection.ReadHead();
   if (!head) {
     co_return std::nullopt;
   }
@@ -39,8 +32,7 @@
   reply.httpStatus = head->status;
   reply.contentType = std::string(net::FindHeader(head->headers, "Content-Type"));
   for (;;) {
-    const Result<std::string, net::NetError> part =
-      co_await aConnection.ReadBodySome(RemainingTime(aDeadline));
+    const Result<std::string, net::NetError> part = co_await aConnection.ReadBodySome();
     if (!part || reply.body.size() + part->size() > aMaximumResponseBytes) {
       co_return std::nullopt;
     }
--- a/libs/relay/src/Exchange.cpp
+++ b/libs/relay/src/Exchange.cpp
@@ -67,11 +67,11 @@
     co_return Failure(ExchangeError{ Progress::NotSent, net::NetErrorKind::Cancelled, {} });
   }
   mUsedConnections.insert((*mLease)->Id());
-  const Result<void, net::NetError> sent = co_await (*mLease)->Send(aRequest, TimeUntil(aDeadline));
+  const Result<void, net::NetError> sent = co_await (*mLease)->Send(aRequest, aDeadline);
   if (!sent) {
     co_return Failure(MakeError(Progress::Unknown, sent.error()));
   }
-  const Result<BackendResponseHead, net::NetError> head = co_await ReadMatchingHead(aDeadline);
+  const Result<BackendResponseHead, net::NetError> head = co_await ReadMatchingHead();
   if (!head) {
     co_return Failure(MakeError(Progress::Unknown, head.error()));
   }
@@ -93,7 +93,7 @@
   }
   if (head->notExecuted || head->status == kMisdirectedRequest) {
     // Reads the whole body, so that the connection can be reused.
-    const Result<std::string, net::NetError> body = co_await ReadAll(aDeadline);
+    const Result<std::string, net::NetError> body = co_await ReadAll();
     ExchangeError error{ Progress::NotExecuted, net::NetErrorKind::Closed,
                          "status " + std::to_string(head->status) };
     if (head->load) {
@@ -149,11 +149,10 @@
   return mLease->IsFresh() && !mHasOtherAnswers;
 }
 
-net::Task<Result<BackendResponseHead, net::NetError>> Exchange::ReadMatchingHead(Time aDeadline)
+net::Task<Result<BackendResponseHead, net::NetError>> Exchange::ReadMatchingHead()
 {
   for (std::uint32_t skipped = 0; skipped <= kMaximumSkippedResponses; ++skipped) {
-    Result<net::HttpResponseHead, net::NetError> head =
-      co_await (*mLease)->ReadHead(TimeUntil(aDeadline));
+    Result<net::HttpResponseHead, net::NetError> head = co_await (*mLease)->ReadHead();
     if (!head) {
       co_return Failure(head.error());
     }
@@ -168,7 +167,7 @@
     }
     // Informational, or a copy of the answer to an earlier message on this connection.
     mHasOtherAnswers = mHasOtherAnswers || !IsInformational(head->status);
-    const Result<void, net::NetError> read = co_await (*mLease)->SkipAnswer(TimeUntil(aDeadline));
+    const Result<void, net::NetError> read = co_await (*mLease)->SkipAnswer();
     if (!read) {
       co_return Failure(read.error());
     }
@@ -187,17 +186,16 @@
   (*mLease)->CancelAwait();
 }
 
-net::Task<Result<std::string, net::NetError>> Exchange::ReadSome(Duration aTimeout)
+net::Task<Result<std::string, net::NetError>> Exchange::ReadSome()
 {
-  co_return co_await (*mLease)->ReadBodySome(aTimeout);
+  co_return co_await (*mLease)->ReadBodySome();
 }
 
-net::Task<Result<std::string, net::NetError>> Exchange::ReadAll(Time aDeadline)
+net::Task<Result<std::string, net::NetError>> Exchange::ReadAll()
 {
   std::string body;
   while (true) {
-    Result<std::string, net::NetError> part =
-      co_await (*mLease)->ReadBodySome(TimeUntil(aDeadline));
+    Result<std::string, net::NetError> part = co_await (*mLease)->ReadBodySome();
     if (!part || part->empty()) {
       co_return part ? Result<std::string, net::NetError>(std::move(body)) : part;
     }
--- a/libs/relay/src/Exchange.hpp
+++ b/libs/relay/src/Exchange.hpp
@@ -40,7 +40,8 @@
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
-  // Sends the request and reads the response head. Pooled connections that were idle for longer
+  // Sends the request and reads the response head. No read of the exchange lasts beyond aDeadline,
+  // however much the backend server sends. Pooled connections that were idle for longer
   // than aMaximumIdle are not used, since the backend server may have closed them without the relay
   // having noticed.
   net::Task<Result<BackendResponseHead, ExchangeError>> Start(net::HttpRequest aRequest,
@@ -51,8 +52,8 @@
   // Makes AwaitBody return Waiting.
   void CancelAwait();
   // Returns the next part of the body; empty at its end.
-  net::Task<Result<std::string, net::NetError>> ReadSome(Duration aTimeout);
-  net::Task<Result<std::string, net::NetError>> ReadAll(Time aDeadline);
+  net::Task<Result<std::string, net::NetError>> ReadSome();
+  net::Task<Result<std::string, net::NetError>> ReadAll();
   // Accounts what the caller of this exchange keeps of the body. Closes the connection and fails if
   // the answers of all backend servers use up their memory.
   Result<void, net::NetError> Hold(std::size_t aBytes);
@@ -72,7 +73,7 @@
   void LogRequestLimit(const BackendResponseHead& aHead) const;
   // Returns whether the answer certainly belongs to this message.
   bool IsOwnAnswer(const BackendResponseHead& aAnswer) const;
-  net::Task<Result<BackendResponseHead, net::NetError>> ReadMatchingHead(Time aDeadline);
+  net::Task<Result<BackendResponseHead, net::NetError>> ReadMatchingHead();
 
   RelayState& mState;
   const dispatch::Backend mBackend;
--- a/libs/relay/src/PlainSession.cpp
+++ b/libs/relay/src/PlainSession.cpp
@@ -93,7 +93,7 @@
     aExchange.Close();
     co_return co_await HandleFailure(aBackend, UnusableResponseError(aHead));
   }
-  Result<std::string, net::NetError> body = co_await aExchange.ReadAll(mRequest.deadline);
+  Result<std::string, net::NetError> body = co_await aExchange.ReadAll();
   if (!body) {
     ExchangeError error{ Progress::Unknown, body.error().kind, net::ToString(body.error()) };
     co_return co_await HandleFailure(aBackend, std::move(error));
@@ -176,7 +176,7 @@
     aTry->head = Failure(UnusableResponseError(*aTry->head));
   }
   if (aTry->head) {
-    aTry->body = co_await aTry->exchange.ReadAll(mRequest.deadline);
+    aTry->body = co_await aTry->exchange.ReadAll();
   }
   aTry->hasEnded = true;
   aEnded->Set();
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -215,7 +215,7 @@
     co_await exchange.Start(std::move(request), mRequest.deadline, kMaximumIdleRepeatable);
   Result<std::string, net::NetError> body;
   if (head) {
-    body = co_await exchange.ReadAll(mRequest.deadline);
+    body = co_await exchange.ReadAll();
   }
   mActiveExchange = nullptr;
   const bool wasSent = head || head.error().progress != Progress::NotSent;
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -71,8 +71,7 @@
       // A caller that leaves during the offer only closes the connection of the offer; RelayEvents
       // notices that it has left.
     } else {
-      const Duration left = std::max(mRequest.TimeLeft(net::Now()), Milliseconds(1));
-      const Result<std::string, net::NetError> part = co_await aExchange.ReadSome(left);
+      const Result<std::string, net::NetError> part = co_await aExchange.ReadSome();
       if (!part) {
         ExchangeError error = MakeError(part.error().kind, net::ToString(part.error()));
         co_return co_await HandleDecodeFailure(aEngine, std::move(error));
@@ -133,8 +132,7 @@
   while (state == net::BodyState::Ready && !aWatch.hasEngineGoneOn) {
     state = co_await aExchange.AwaitBody(mRequest.TimeLeft(net::Now()));
     if (state == net::BodyState::Ready) {
-      const Result<std::string, net::NetError> part =
-        co_await aExchange.ReadSome(mRequest.TimeLeft(net::Now()));
+      const Result<std::string, net::NetError> part = co_await aExchange.ReadSome();
       aEvents.Add(part.value_or(std::string{}));
       ahead.Add(part.value_or(std::string{}));
       const std::size_t heldBytes = aEvents.HeldBytes() + ahead.HeldBytes();
@@ -322,7 +320,7 @@
                                                          Exchange& aExchange,
                                                          BackendResponseHead aHead)
 {
-  Result<std::string, net::NetError> body = co_await aExchange.ReadAll(mRequest.deadline);
+  Result<std::string, net::NetError> body = co_await aExchange.ReadAll();
   const net::NetErrorKind kind = body ? net::NetErrorKind::Malformed : body.error().kind;
   ExchangeError error{ Progress::Unknown, kind, "status " + std::to_string(aHead.status) };
   const bool mayRepeat =
--- a/libs/relay/tests/EndlessAnswerTests.cpp
+++ b/libs/relay/tests/EndlessAnswerTests.cpp
@@ -4,6 +4,7 @@
 #include "masticstep/testing/Test.hpp"
 
 #include <string>
+#include <vector>
 
 using namespace masticstep;
 using namespace masticstep::relay;
@@ -13,7 +14,11 @@
 using dispatch::Stage;
 using Then = ScriptedResponse::Then;
 
-// Far more than the relay reads of an answer.
+// Few enough that no read waits for the others beyond its time limit.
+constexpr std::size_t kCallers = 4;
+constexpr int kEngines = 2;
+// Far more than the relay can read before the timeouts of these tests. An answer of which all of it
+// was taken did not end at its timeout.
 constexpr std::size_t kFloodBytes = 512 * 1024 * 1024;
 
 std::string Head(const std::string& aFraming)
@@ -32,8 +37,47 @@
   return flood;
 }
 
+// Sends as many requests at once as there are callers; returns how many were answered with 504.
+std::size_t CountTimeouts(const RelayFixture& aFixture, const std::string& aPath)
+{
+  std::vector<std::unique_ptr<net::RawClient>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(aFixture.Connect());
+    callers.back()->Send(RelayFixture::RequestText("POST", aPath));
+  }
+  std::size_t n = 0;
+  for (const std::unique_ptr<net::RawClient>& caller : callers) {
+    n += caller->ReadUntilClosed().starts_with("HTTP/1.1 504") ? 1 : 0;
+  }
+  return n;
+}
+
 } // namespace
 
+// Guards against requests that last beyond their route's timeout because each read of the answer
+// finds bytes at once, also where few of these bytes belong to the body.
+MASTICSTEP_TEST(
+  "requests whose answers have no end are answered when their route's timeout expires",
+  "[relay][failure][endless]")
+{
+  const std::string extension = ";x=" + std::string(500, 'y');
+  const std::string head = Head("Transfer-Encoding: chunked\r\n");
+  const Flood plain = MakeFlood(head, "1" + extension + "\r\nz\r\n");
+  const Flood stream = MakeFlood(head + "5\r\nid: 1\r\n", "1" + extension + "\r\nz\r\n");
+  FloodServer server([&](const std::string& aRequest) -> const Flood& {
+    return aRequest.starts_with("POST /soon/") ? plain : stream;
+  });
+  RelayFixture fixture;
+  fixture.AddAt("b1", "plain", server.Port(), Stage::Whole);
+  for (int i = 0; i < kEngines; ++i) {
+    fixture.AddAt("e" + std::to_string(i), "llm", server.Port(), Stage::Whole);
+  }
+  CHECK_EQUAL(kCallers, CountTimeouts(fixture, "/soon/"));
+  CHECK_EQUAL(std::size_t{ 0 }, server.Whole());
+  CHECK_EQUAL(kCallers, CountTimeouts(fixture, "/brief/"));
+  CHECK_EQUAL(std::size_t{ 0 }, server.Whole());
+}
+
 // Guards against a daemon that is kept busy by lines without data, which every engine may send now
 // and then to keep a connection open: the work must not grow with the square of their number, and
 // the stream goes on at a sound engine.
--- a/libs/relay/tests/FloodServer.cpp
+++ b/libs/relay/tests/FloodServer.cpp
@@ -60,6 +60,7 @@
     const std::string request(buf.data(), n);
     isOpen = co_await SendFlood(aSocket, mChoose(request));
     ++mEnded;
+    mWhole += isOpen ? 1 : 0;
   }
 }
 
--- a/libs/relay/tests/FloodServer.hpp
+++ b/libs/relay/tests/FloodServer.hpp
@@ -36,6 +36,8 @@
   std::uint16_t Port() const;
   // Number of answers that were sent in full or until their connection was closed.
   std::size_t Ended() const { return mEnded; }
+  // Number of answers that were sent in full.
+  std::size_t Whole() const { return mWhole; }
 
 private:
   net::Task<void> Accept();
@@ -45,6 +47,7 @@
 
   Choose mChoose;
   std::atomic<std::size_t> mEnded{ 0 };
+  std::atomic<std::size_t> mWhole{ 0 };
   net::WorkerPool mWorkers;
   boost::asio::ip::tcp::acceptor mAcceptor;
 };
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -74,6 +74,8 @@
   parts.routes[3].isResumable = true;
   parts.routes.push_back(MakeRoute("/single/", dispatch::CallKind::Stream, "llm"));
   parts.routes[5].isResumable = true;
+  parts.routes.push_back(MakeRoute("/brief/", dispatch::CallKind::Stream, "llm"));
+  parts.routes[6].timeout = Milliseconds(600);
   return *dispatch::RouteTable::Create(std::move(parts));
 }
 
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -81,7 +81,7 @@
 public:
   // Routes to the service "plain": /once/ (not repeatable), /again/ (idempotent, two attempts) and
   // /soon/ (not repeatable, timeout of 50 ms). Routes to the service "llm": /stream/ and /resume/
-  // (resumable, two attempts) and /single/ (resumable, one attempt).
+  // (resumable, two attempts), /single/ (resumable, one attempt) and /brief/ (timeout of 600 ms).
   explicit RelayFixture(bool aHasTable = true);
   ~RelayFixture();
   RelayFixture(const RelayFixture&) = delete;
