Net: take only statuses from 100 to 599 for answers

Cause: the client connection took the three digits of the status line as they were. Its users decide by ranges of the status, and a number outside all of them counted as an ordinary answer.

Change: such an answer fails with Malformed in HttpClientConnection, for all users of the connection; callers get 502, or the request goes on to another server where its route allows it.

Tests: without the change "an answer needs a status from 100 to 599" (expected 0, got 1) and "an answer without a valid status reaches no caller" (HTTP/1.1 502 or 503 expected) fail.

--- a/libs/net/src/HttpClientConnection.cpp
+++ b/libs/net/src/HttpClientConnection.cpp
@@ -26,6 +26,10 @@
 // end.
 constexpr std::size_t kMaximumUnparsed = 2 * kMaximumHead;
 
+// Other numbers have no meaning in HTTP, so nothing can be told of such an answer.
+constexpr unsigned kLowestStatus = 100;
+constexpr unsigned kHighestStatus = 599;
+
 // An answer that has arrived before the deadline is read even if this process was suspended in
 // between; a server that never stops sending must not keep the exchange alive.
 constexpr std::uint32_t kMaximumLateReads = 8;
@@ -288,9 +292,15 @@
     co_return Failure(done.error());
   }
   http::response<http::string_body>& message = state.parser->get();
+  const unsigned status = message.result_int();
+  if (status < kLowestStatus || status > kHighestStatus) {
+    state.stream->Close();
+    co_return Failure(
+      NetError{ NetErrorKind::Malformed, "status " + std::to_string(status) + " is no status" });
+  }
   const boost::beast::string_view keepAlive = message[http::field::keep_alive];
   state.maximumIdle = IdleTimeOf({ keepAlive.data(), keepAlive.size() });
-  HttpResponseHead head{ message.result_int(), HeadersOf(message) };
+  HttpResponseHead head{ status, HeadersOf(message) };
   // The parser does not use the fields again; without this, a head would be kept twice.
   message.base().clear();
   state.headBytes = SizeOf(head.headers);
--- a/libs/net/tests/HttpClientConnectionTests.cpp
+++ b/libs/net/tests/HttpClientConnectionTests.cpp
@@ -5,8 +5,12 @@
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/testing/Test.hpp"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <deque>
 #include <optional>
+#include <thread>
 #include <vector>
 
 using namespace masticstep;
@@ -87,6 +91,39 @@
   bool mIsOpen = true;
 };
 
+// Server that answers its only client at once, reads a part of the request and resets the
+// connection.
+class EarlyAnswerServer
+{
+public:
+  EarlyAnswerServer(std::string aAnswer, std::size_t aReadBytes)
+    : mAcceptor(mContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    , mThread([this, answer = std::move(aAnswer), aReadBytes] { Serve(answer, aReadBytes); })
+  {
+  }
+
+  HostPort Address() const { return { "127.0.0.1", mAcceptor.local_endpoint().port() }; }
+
+private:
+  using tcp = boost::asio::ip::tcp;
+
+  void Serve(const std::string& aAnswer, std::size_t aReadBytes)
+  {
+    tcp::socket socket = mAcceptor.accept();
+    boost::asio::write(socket, boost::asio::buffer(aAnswer));
+    std::string buf(aReadBytes, '\0');
+    boost::asio::read(socket, boost::asio::buffer(buf));
+    // Lets the client fill the buffers of the connection.
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    constexpr int kNoTime = 0;
+    socket.set_option(boost::asio::socket_base::linger(true, kNoTime));
+  }
+
+  boost::asio::io_context mContext;
+  tcp::acceptor mAcceptor;
+  std::jthread mThread;
+};
+
 // Returns the body of an answer of which these bytes arrive, or nothing if it is not whole.
 std::optional<std::string> BodyOf(const std::string& aBytes, NetErrorKind aEnd)
 {
@@ -271,3 +308,68 @@
   };
   CHECK_EQUAL(std::string("body"), Await<std::string>(workers, read));
 }
+
+// Guards against answers that are passed on although their status means nothing in HTTP.
+MASTICSTEP_TEST("an answer needs a status from 100 to 599", "[net][failure][mixed]")
+{
+  struct Case
+  {
+    std::string status;
+    bool isAnswer;
+  };
+  const std::vector<Case> cases{ { "000", false }, { "001", false }, { "099", false },
+                                 { "100", true },  { "200", true },  { "599", true },
+                                 { "600", false }, { "999", false } };
+  WorkerPool workers(1);
+  for (const Case& answer : cases) {
+    const std::function<Task<Result<HttpResponseHead, NetError>>()> readHead =
+      [&answer]() -> Task<Result<HttpResponseHead, NetError>> {
+      HttpClientConnection connection(
+        std::make_unique<ScriptedStream>(std::deque<std::string>{
+          "HTTP/1.1 " + answer.status + " X\r\nContent-Length: 0\r\n\r\n" }),
+        { "127.0.0.1", 1 });
+      const HttpRequest request;
+      co_await connection.Send(request, Now() + kLongWait);
+      co_return co_await connection.ReadHead();
+    };
+    const Result<HttpResponseHead, NetError> head =
+      Await<Result<HttpResponseHead, NetError>>(workers, readHead);
+    CHECK_EQUAL(answer.isAnswer, head.has_value());
+    CHECK_TRUE(head || head.error().kind == NetErrorKind::Malformed);
+  }
+}
+
+// Guards against a part of an answer that is taken for the whole: once a write has reported a
+// reset, a later read reports an ordinary end, which would end a body without length.
+MASTICSTEP_TEST("an early answer whose connection is reset during the upload is not whole",
+                "[net][failure][mixed]")
+{
+  WorkerPool workers(1);
+  for (const std::size_t requestBytes : { std::size_t{ 5 }, std::size_t{ 4000000 } }) {
+    for (const std::size_t readBytes : { std::size_t{ 1 }, std::size_t{ 200000 } }) {
+      if (readBytes > requestBytes) {
+        continue;
+      }
+      EarlyAnswerServer server("HTTP/1.1 200 OK\r\n\r\npart of the answer", readBytes);
+      const std::function<Task<bool>()> isWhole = [&]() -> Task<bool> {
+        Result<std::unique_ptr<ByteStream>, NetError> stream =
+          co_await Connect(server.Address(), kLongWait);
+        HttpClientConnection connection(std::move(*stream), server.Address());
+        HttpRequest request;
+        request.method = "POST";
+        request.body = std::string(requestBytes, 'x');
+        co_await connection.Send(request, Now() + kLongWait);
+        Result<HttpResponseHead, NetError> head = co_await connection.ReadHead();
+        if (!head) {
+          co_return false;
+        }
+        Result<std::string, NetError> part = co_await connection.ReadBodySome();
+        while (part && !part->empty()) {
+          part = co_await connection.ReadBodySome();
+        }
+        co_return part.has_value();
+      };
+      CHECK_FALSE(Await<bool>(workers, isWhole));
+    }
+  }
+}
--- a/libs/relay/tests/ExchangeTests.cpp
+++ b/libs/relay/tests/ExchangeTests.cpp
@@ -40,3 +40,22 @@
   workers.Stop();
   state->pool->Close();
 }
+
+// Guards against callers that get a status that means nothing in HTTP as the answer of a backend
+// server in trouble.
+MASTICSTEP_TEST("an answer without a valid status reaches no caller", "[relay][failure][mixed]")
+{
+  for (const std::string status : { "000", "099", "600", "999" }) {
+    ScriptedBackend server([&status](const std::string&) {
+      return ScriptedResponse{ "HTTP/1.1 " + status +
+                               " X\r\nId: c1\r\nSigned: s\r\nContent-Length: 4\r\n\r\nbody" };
+    });
+    RelayFixture fixture;
+    fixture.Add("b1", "plain", server);
+    fixture.Add("e1", "llm", server);
+    for (const char* const path : { "/once/", "/again/", "/stream/", "/resume/" }) {
+      const std::string answer = fixture.SendRequest("POST", path);
+      CHECK_TRUE(answer.starts_with("HTTP/1.1 502") || answer.starts_with("HTTP/1.1 503"));
+    }
+  }
+}
