Net: let requests that stopped to arrive give way at the bound of connections

Cause: at its bound of connections the server closed idle ones once and then waited. A request that had begun ended only at the time limit of its body (15 s). A connection that had just been accepted counted as idle until its first bytes came, and was closed.

Evidence: connections were established by the kernel and not accepted, the silence ended when the first bodies reached their time limit, and memory and readiness were fine meanwhile.

Change: at the bound, every 250 ms, requests that are not whole and got no byte for 1 s are refused with 408 (they have not run); idle connections are closed as before, but a new one has 1 s for its first bytes. Below the bound nothing changes.

Tests: "requests that stopped to arrive give way to new connections at the limit" fails without the change (no answer within 20 s).

--- a/libs/net/include/masticstep/net/HttpServer.hpp
+++ b/libs/net/include/masticstep/net/HttpServer.hpp
@@ -28,7 +28,8 @@
   // What the requests of all callers together may keep in memory; see IntakeBudget. Three bodies of
   // the largest size are always allowed.
   std::size_t intakeBytes = 67108864;
-  // Open connections of all callers together. Further ones wait to be accepted.
+  // Open connections of all callers together. Further ones wait to be accepted, for which idle
+  // connections are closed and requests that have stopped to arrive are refused with 408.
   std::size_t connections = 65536;
 
   bool operator==(const ServerLimits&) const = default;
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "ServerConnection.hpp"
 #include "SocketStream.hpp"
 #include "SourceCounter.hpp"
+#include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -74,7 +75,7 @@
   Task<void> Accept();
   Task<void> Serve(Socket aSocket, std::string aSource);
   // Waits until the number of open connections allows another one. At the limit, idle connections
-  // are closed.
+  // are closed and requests that have stopped to arrive are refused.
   Task<void> AwaitRoom();
   // Ends one request, whose memory others need.
   void EndForMemory(IntakeId aId);
@@ -164,12 +165,17 @@
 Task<void> HttpServer::Core::AwaitRoom()
 {
   constexpr Duration kPollInterval = Milliseconds(10);
+  constexpr Duration kCheckInterval = Milliseconds(250);
   const std::size_t limit = mSwitches->limits.load()->connections;
   if (mServed < limit || !mAcceptor.is_open()) {
     co_return;
   }
-  ForEachConnection(&ServerConnection::CloseIfIdle);
+  Time nextCheck = Now();
   while (mServed >= limit && mAcceptor.is_open()) {
+    if (Now() >= nextCheck) {
+      ForEachConnection(&ServerConnection::GiveWay);
+      nextCheck = Now() + kCheckInterval;
+    }
     co_await Sleep(kPollInterval);
   }
 }
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -28,6 +28,10 @@
 constexpr Duration kDropTime = Seconds(1);
 constexpr std::size_t kDropBytes = 1048576;
 
+// Without a byte for so long, a request that is not whole gives way to other connections. Less than
+// their callers wait.
+constexpr Duration kStallTime = Seconds(1);
+
 // A request is kept twice while it is handled: as it was read, and as it is sent on.
 constexpr std::size_t kCopiesOfWhole = 2;
 // Bytes received for each byte that a body may have. Chunks of one byte take six.
@@ -138,6 +142,7 @@
   , mLimits(*aSwitches->limits.load())
   , mHandler(std::move(aHandler))
   , mSwitches(std::move(aSwitches))
+  , mReceivedAt(Now())
 {
 }
 
@@ -154,6 +159,7 @@
       break;
     }
     goesOn = co_await Answer(std::move(*incoming));
+    mHasAnswered = true;
     mSwitches->intake.Release(mId);
   }
   mSwitches->intake.Release(mId);
@@ -184,9 +190,9 @@
   return { { EndAction::Refuse, aStatus }, std::move(aError) };
 }
 
-ServerConnection::Refused ServerConnection::RejectForMemory()
+ServerConnection::Refused ServerConnection::RejectForOthers()
 {
-  return Reject(408, { NetErrorKind::NoMemory, "other requests need the memory" });
+  return Reject(408, { NetErrorKind::NoMemory, "other requests need the " + *mNeedOfOthers });
 }
 
 Task<Result<void, ServerConnection::Refused>> ServerConnection::ReadInput(Time aEnd)
@@ -194,8 +200,8 @@
   const boost::asio::mutable_buffer space = mBuffer.prepare(kReadSize);
   const std::span<char> target(static_cast<char*>(space.data()), space.size());
   while (true) {
-    if (mIsEndedForMemory) {
-      co_return Failure(RejectForMemory());
+    if (mNeedOfOthers) {
+      co_return Failure(RejectForOthers());
     }
     if (mIsStopOverdue) {
       NetError error{ NetErrorKind::Cancelled, "the server stops" };
@@ -206,9 +212,10 @@
     if (n) {
       mBuffer.commit(*n);
       mReceivedBytes += *n;
+      mReceivedAt = Now();
       co_return Result<void, Refused>{};
     }
-    if (mIsEndedForMemory) {
+    if (mNeedOfOthers) {
       continue;
     }
     const EndCause cause = CauseOf(n.error().kind);
@@ -244,6 +251,7 @@
   }
   mStage = RequestStage::Head;
   mReceivedBytes = mBuffer.size();
+  mReceivedAt = Now();
   // The limits may have changed while the connection was idle.
   mLimits = *mSwitches->limits.load();
   Parser parser;
@@ -430,9 +438,25 @@
 }
 
 void ServerConnection::EndForMemory()
+{
+  EndForOthers("memory");
+}
+
+void ServerConnection::GiveWay()
+{
+  const bool hasStalled = Now() >= mReceivedAt + kStallTime;
+  if (hasStalled) {
+    EndForOthers("connection");
+  }
+  if (hasStalled || mHasAnswered) {
+    CloseIfIdle();
+  }
+}
+
+void ServerConnection::EndForOthers(std::string_view aNeed)
 {
   if (mStage == RequestStage::Head || mStage == RequestStage::Body) {
-    mIsEndedForMemory = true;
+    mNeedOfOthers = std::string(aNeed);
     mStream->CancelRead();
   }
 }
--- a/libs/net/src/ServerConnection.hpp
+++ b/libs/net/src/ServerConnection.hpp
@@ -41,6 +41,9 @@
   void RefuseIfUnfinished();
   // The same, since others need the memory that it keeps.
   void EndForMemory();
+  // Makes room for another connection: closes an idle one, and refuses a request that has stopped
+  // to arrive. A new connection has some time for the first bytes of its request.
+  void GiveWay();
   IntakeId Id() const { return mId; }
   // Answers with a refusal and closes.
   Task<void> RefuseAndClose(unsigned aStatus, NetError aError);
@@ -70,8 +73,10 @@
   Task<void> SendRefusal(StreamResponder& aResponder, unsigned aStatus, NetError aError);
   // Reports and returns the refusal of a request that breaks the protocol or a limit.
   Refused Reject(unsigned aStatus, NetError aError);
-  // The same for a request that is ended since others need the memory that it keeps.
-  Refused RejectForMemory();
+  // The same for a request that is ended since others need what it keeps.
+  Refused RejectForOthers();
+  // Ends the request under way, which has not arrived whole.
+  void EndForOthers(std::string_view aNeed);
   // Decides and reports the end.
   EndDecision Decide(EndCause aCause, bool aHasInput);
   // Returns whether the next request should be read although the server stops.
@@ -90,9 +95,11 @@
   boost::beast::flat_buffer mBuffer;
   RequestStage mStage = RequestStage::None;
   std::size_t mReceivedBytes = 0; // of the current request
+  Time mReceivedAt;               // its latest bytes, or the begin of the connection
+  bool mHasAnswered = false;      // any request
   bool mIsRefused = false;
-  bool mIsEndedForMemory = false;
-  bool mIsStopOverdue = false; // what is not whole will not be served
+  std::optional<std::string> mNeedOfOthers; // ends the request
+  bool mIsStopOverdue = false;              // what is not whole will not be served
 };
 
 } // namespace masticstep::net
--- a/libs/net/tests/HttpServerTests.cpp
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -3,7 +3,10 @@
 #include "masticstep/testing/Test.hpp"
 
 #include <future>
+#include <memory>
+#include <optional>
 #include <thread>
+#include <vector>
 
 using namespace masticstep;
 using namespace masticstep::net;
@@ -352,3 +355,37 @@
     CHECK_EQUAL(std::string("HTTP/1.1 400"), Status(client.ReadUntilClosed()));
   }
 }
+
+// Guards against callers that are kept out because all connections hold requests that never arrive
+// whole, whose time limit is far longer than a caller waits for a new connection, and against new
+// connections that are closed as idle before their request has arrived.
+MASTICSTEP_TEST("requests that stopped to arrive give way to new connections at the limit",
+                "[net][bounds][stalled]")
+{
+  constexpr std::size_t kConnections = 8;
+  // The interim response shows that the request has begun.
+  const std::string stalled = "POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+  ServerLimits limits;
+  limits.connections = kConnections;
+  limits.idleTimeout = Seconds(86400);
+  std::optional<LoopbackServer> server(std::in_place, limits, AnswerOk);
+  std::vector<std::unique_ptr<RawClient>> callers;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    callers.push_back(std::make_unique<RawClient>(server->Address()));
+    callers.back()->Send(stalled);
+    CHECK_EQUAL(std::string("HTTP/1.1 100"), Status(callers.back()->ReadUntil("\r\n\r\n")));
+  }
+  std::future<std::string> answer = std::async(std::launch::async, [address = server->Address()] {
+    RawClient caller(address);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100)); // the way to the server
+    caller.Send("POST / HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nab");
+    return caller.ReadUntilClosed();
+  });
+  const bool isAnswered = answer.wait_for(std::chrono::seconds(20)) == std::future_status::ready;
+  if (!isAnswered) {
+    server.reset(); // ends the caller's wait
+  }
+  CHECK_TRUE(isAnswered);
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), Status(answer.get()));
+}
