Net: refuse no request whose bytes wait to be read

Change: a request gives way only if no input waits.

Test: "a request whose bytes wait to be read does not give way" got 408 instead of 200 without the check.

--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -444,7 +444,8 @@
 
 void ServerConnection::GiveWay()
 {
-  const bool hasStalled = Now() >= mReceivedAt + kStallTime;
+  // This process may have been suspended while bytes arrived.
+  const bool hasStalled = Now() >= mReceivedAt + kStallTime && !mStream->HasInput();
   if (hasStalled) {
     EndForOthers("connection");
   }
--- a/libs/net/tests/ServerConnectionEndTests.cpp
+++ b/libs/net/tests/ServerConnectionEndTests.cpp
@@ -1,5 +1,6 @@
 #include "ServerConnection.hpp"
 
+#include "masticstep/net/Sleep.hpp"
 #include "masticstep/testing/Test.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -113,22 +114,57 @@
   bool mIsOpen = true;
 };
 
-Outcome OutcomeOf(std::deque<ReadStep> aSteps, bool aIsStopped = false)
+// Stream of a process that is suspended before the second read.
+class SuspendedStream : public ScriptedStream
+{
+public:
+  using ScriptedStream::ScriptedStream;
+
+  // Called when the process goes on, before the bytes are read that wait.
+  void OnResumed(std::function<void()> aCallback) { mOnResumed = std::move(aCallback); }
+
+  Task<Result<std::size_t, NetError>> TryReadSome(std::span<char> aBuffer,
+                                                  Duration aTimeout) override
+  {
+    constexpr Duration kSuspension = Milliseconds(1200);
+    if (++mReads == 2) {
+      co_await Sleep(kSuspension);
+      mOnResumed();
+    }
+    co_return co_await ScriptedStream::TryReadSome(aBuffer, aTimeout);
+  }
+
+private:
+  std::function<void()> mOnResumed;
+  int mReads = 0;
+};
+
+std::shared_ptr<ServerConnection> MakeConnection(std::unique_ptr<ByteStream> aStream,
+                                                 Outcome& aOutcome, bool aIsStopped = false)
 {
-  Outcome outcome;
-  asio::io_context context;
   const std::shared_ptr<ServerSwitches> switches = std::make_shared<ServerSwitches>();
   ServerLimits limits;
   limits.idleTimeout = Duration{ 0 };
   switches->limits = std::make_shared<const ServerLimits>(limits);
   switches->isStopped = aIsStopped;
   switches->closesAfterAnswers = aIsStopped;
-  const std::shared_ptr<ServerConnection> connection = std::make_shared<ServerConnection>(
-    std::make_unique<ScriptedStream>(std::move(aSteps), outcome), "127.0.0.1",
-    std::make_shared<RecordingHandler>(outcome), switches);
+  return std::make_shared<ServerConnection>(std::move(aStream), "127.0.0.1",
+                                            std::make_shared<RecordingHandler>(aOutcome), switches);
+}
+
+void Run(std::shared_ptr<ServerConnection> aConnection)
+{
+  asio::io_context context;
   asio::co_spawn(
-    context, [connection] { return connection->Run(); }, asio::detached);
+    context, [aConnection] { return aConnection->Run(); }, asio::detached);
   context.run();
+}
+
+Outcome OutcomeOf(std::deque<ReadStep> aSteps, bool aIsStopped = false)
+{
+  Outcome outcome;
+  Run(MakeConnection(std::make_unique<ScriptedStream>(std::move(aSteps), outcome), outcome,
+                     aIsStopped));
   return outcome;
 }
 
@@ -161,6 +197,22 @@
   }
 }
 
+// Guards against requests that are refused for others although the rest of them has arrived, after
+// the process was suspended.
+MASTICSTEP_TEST("a request whose bytes wait to be read does not give way", "[net][end][stalled]")
+{
+  Outcome outcome;
+  // Two reads follow, since a read that is under way is never given up.
+  const std::string begin = "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\na";
+  std::unique_ptr<SuspendedStream> stream =
+    std::make_unique<SuspendedStream>(std::deque<ReadStep>{ begin, "b", "c" }, outcome);
+  SuspendedStream& suspended = *stream;
+  const std::shared_ptr<ServerConnection> connection = MakeConnection(std::move(stream), outcome);
+  suspended.OnResumed([&connection] { connection->GiveWay(); });
+  Run(connection);
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), StatusOf(outcome));
+}
+
 // Guards against a connection that ends with a part of a request and leaves no trace.
 MASTICSTEP_TEST("the end of a connection within a request is answered and reported", "[net][end]")
 {
