Net: let only a few stopped requests give way at a time

Cause: all requests that had stopped for 1 s were refused at once. Their callers come back at once, so the daemon accepted and refused some 2,300 connections a second and did little else.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -77,6 +77,8 @@
   // Waits until the number of open connections allows another one. At the limit, idle connections
   // are closed and requests that have stopped to arrive are refused.
   Task<void> AwaitRoom();
+  // Makes open connections give way to others.
+  void MakeRoom(std::size_t aLimit);
   // Ends one request, whose memory others need.
   void EndForMemory(IntakeId aId);
   // Calls a member of each connection, on the connection's executor.
@@ -173,13 +175,30 @@
   Time nextCheck = Now();
   while (mServed >= limit && mAcceptor.is_open()) {
     if (Now() >= nextCheck) {
-      ForEachConnection(&ServerConnection::GiveWay);
+      MakeRoom(limit);
       nextCheck = Now() + kCheckInterval;
     }
     co_await Sleep(kPollInterval);
   }
 }
 
+void HttpServer::Core::MakeRoom(std::size_t aLimit)
+{
+  // Callers that come back at once must not cost more time than the ordinary ones.
+  constexpr std::size_t kEndedPartOfLimit = 32;
+  const std::shared_ptr<std::atomic<std::size_t>> quota =
+    std::make_shared<std::atomic<std::size_t>>(
+      std::max<std::size_t>(1, aLimit / kEndedPartOfLimit));
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (const auto& [key, open] : mOpen) {
+    asio::post(open.executor, [weak = open.connection, quota] {
+      if (const std::shared_ptr<ServerConnection> connection = weak.lock()) {
+        connection->GiveWay(*quota);
+      }
+    });
+  }
+}
+
 Task<void> HttpServer::Core::Serve(Socket aSocket, std::string aSource)
 {
   const std::shared_ptr<Core> self = shared_from_this();
--- a/libs/net/src/ServerConnection.cpp
+++ b/libs/net/src/ServerConnection.cpp
@@ -105,6 +105,18 @@
   return {};
 }
 
+// Returns false if none is left.
+bool TryTake(std::atomic<std::size_t>& aQuota)
+{
+  std::size_t left = aQuota;
+  while (left > 0) {
+    if (aQuota.compare_exchange_weak(left, left - 1)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 EndCause CauseOf(NetErrorKind aKind)
 {
   switch (aKind) {
@@ -442,14 +454,21 @@
   EndForOthers("memory");
 }
 
-void ServerConnection::GiveWay()
+void ServerConnection::GiveWay(std::atomic<std::size_t>& aQuota)
 {
+  const bool isIdle = mStage == RequestStage::None && mHasAnswered;
+  if (isIdle) {
+    CloseIfIdle();
+    return;
+  }
+  const bool mayHaveStalled =
+    mStage == RequestStage::None || mStage == RequestStage::Head || mStage == RequestStage::Body;
   // This process may have been suspended while bytes arrived.
-  const bool hasStalled = Now() >= mReceivedAt + kStallTime && !mStream->HasInput();
-  if (hasStalled) {
-    EndForOthers("connection");
+  if (!mayHaveStalled || Now() < mReceivedAt + kStallTime || mStream->HasInput()) {
+    return;
   }
-  if (hasStalled || mHasAnswered) {
+  if (TryTake(aQuota)) {
+    EndForOthers("connection");
     CloseIfIdle();
   }
 }
--- a/libs/net/src/ServerConnection.hpp
+++ b/libs/net/src/ServerConnection.hpp
@@ -42,8 +42,9 @@
   // The same, since others need the memory that it keeps.
   void EndForMemory();
   // Makes room for another connection: closes an idle one, and refuses a request that has stopped
-  // to arrive. A new connection has some time for the first bytes of its request.
-  void GiveWay();
+  // to arrive. A new connection has some time for the first bytes of its request. Each one that has
+  // stopped takes one from aQuota; with none left it stays.
+  void GiveWay(std::atomic<std::size_t>& aQuota);
   IntakeId Id() const { return mId; }
   // Answers with a refusal and closes.
   Task<void> RefuseAndClose(unsigned aStatus, NetError aError);
--- a/libs/net/tests/ServerConnectionEndTests.cpp
+++ b/libs/net/tests/ServerConnectionEndTests.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <deque>
 #include <optional>
 #include <variant>
@@ -208,11 +209,30 @@
     std::make_unique<SuspendedStream>(std::deque<ReadStep>{ begin, "b", "c" }, outcome);
   SuspendedStream& suspended = *stream;
   const std::shared_ptr<ServerConnection> connection = MakeConnection(std::move(stream), outcome);
-  suspended.OnResumed([&connection] { connection->GiveWay(); });
+  std::atomic<std::size_t> quota{ 1 };
+  suspended.OnResumed([&] { connection->GiveWay(quota); });
   Run(connection);
   CHECK_EQUAL(std::string("HTTP/1.1 200"), StatusOf(outcome));
 }
 
+// Guards against a server that is kept busy by callers which come back as soon as they are refused.
+MASTICSTEP_TEST("no more stopped requests give way than the quota allows", "[net][end][stalled]")
+{
+  for (const std::size_t left : { std::size_t{ 1 }, std::size_t{ 0 } }) {
+    Outcome outcome;
+    std::unique_ptr<SuspendedStream> stream = std::make_unique<SuspendedStream>(
+      std::deque<ReadStep>{ kBodyPart, NetErrorKind::Closed }, outcome);
+    SuspendedStream& stopped = *stream;
+    const std::shared_ptr<ServerConnection> connection = MakeConnection(std::move(stream), outcome);
+    std::atomic<std::size_t> quota{ left };
+    stopped.OnResumed([&] { connection->GiveWay(quota); });
+    Run(connection);
+    const std::string expected = left > 0 ? "HTTP/1.1 408" : "HTTP/1.1 400";
+    CHECK_EQUAL(expected, StatusOf(outcome));
+    CHECK_EQUAL(std::size_t{ 0 }, quota.load());
+  }
+}
+
 // Guards against a connection that ends with a part of a request and leaves no trace.
 MASTICSTEP_TEST("the end of a connection within a request is answered and reported", "[net][end]")
 {
