--- a/libs/net/tests/HttpClientConnectionTests.cpp
+++ b/libs/net/tests/HttpClientConnectionTests.cpp
@@ -97,7 +97,7 @@
 {
 public:
   EarlyAnswerServer(std::string aAnswer, std::size_t aReadBytes)
-    : mAcceptor(mContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    : mAcceptor(mContext, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
     , mThread([this, answer = std::move(aAnswer), aReadBytes] { Serve(answer, aReadBytes); })
   {
   }
@@ -105,11 +105,11 @@
   HostPort Address() const { return { "127.0.0.1", mAcceptor.local_endpoint().port() }; }
 
 private:
-  using tcp = boost::asio::ip::tcp;
+  using Tcp = boost::asio::ip::tcp;
 
   void Serve(const std::string& aAnswer, std::size_t aReadBytes)
   {
-    tcp::socket socket = mAcceptor.accept();
+    Tcp::socket socket = mAcceptor.accept();
     boost::asio::write(socket, boost::asio::buffer(aAnswer));
     std::string buf(aReadBytes, '\0');
     boost::asio::read(socket, boost::asio::buffer(buf));
@@ -120,7 +120,7 @@
   }
 
   boost::asio::io_context mContext;
-  tcp::acceptor mAcceptor;
+  Tcp::acceptor mAcceptor;
   std::jthread mThread;
 };
 
--- a/libs/net/tests/ServerConnectionEndTests.cpp
+++ b/libs/net/tests/ServerConnectionEndTests.cpp
@@ -153,7 +153,7 @@
                                             std::make_shared<RecordingHandler>(aOutcome), switches);
 }
 
-void Run(std::shared_ptr<ServerConnection> aConnection)
+void Run(const std::shared_ptr<ServerConnection>& aConnection)
 {
   asio::io_context context;
   asio::co_spawn(
