Relay: log and count whether records of streams are stored

The store poller now counts its writes by result and logs when they begin to fail and succeed again.

--- a/libs/relay/src/StreamOriginExchange.cpp
+++ b/libs/relay/src/StreamOriginExchange.cpp
@@ -416,11 +416,24 @@
   }
   std::string body = EncodeStoredOrigins({ mSlots.Groups(*slot), {} }, ++mSequence);
   const bool isWritten = co_await Write(mSlotObjects.at(*slot), std::move(body));
+  OnRecordsWritten(isWritten);
   if (isWritten) {
     mSlots.OnWritten(*slot);
   }
 }
 
+void StreamOriginExchange::OnRecordsWritten(bool aIsWritten)
+{
+  const char* const result = aIsWritten ? "stored" : "failed";
+  mState->metrics.GetCounter({ "masticstep_stream_origin_writes_total", "result", result })->Add();
+  if (std::exchange(mAreRecordsStored, aIsWritten) != aIsWritten) {
+    telemetry::Log(aIsWritten ? Level::Info : Level::Warning,
+                   aIsWritten ? "records of streams are stored again"
+                              : "records of streams cannot be stored",
+                   { { "records", static_cast<std::uint64_t>(mState->streamOrigins.StreamCount()) } });
+  }
+}
+
 net::Task<bool> StreamOriginExchange::Write(OwnObject& aObject, std::string aBody)
 {
   if (aObject.isUncertain) {
--- a/libs/relay/src/StreamOriginExchange.hpp
+++ b/libs/relay/src/StreamOriginExchange.hpp
@@ -110,6 +110,7 @@
   net::Task<void> Store();
   net::Task<void> StoreVersions();
   net::Task<void> StoreRecords();
+  void OnRecordsWritten(bool aIsWritten);
   net::Task<bool> Write(OwnObject& aObject, std::string aBody);
   net::Task<void> DeleteUnchanged();
   net::Task<platform::PlatformReply> Call(platform::PlatformCall aCall);
@@ -127,6 +128,7 @@
   std::vector<dispatch::ServiceVersion> mStoredVersions;
   Time mVersionsStoredAt{};
   Time mRecordsStoredAt{};     // latest try
+  bool mAreRecordsStored = true;
   std::uint64_t mSequence = 0; // of the objects that this process has written
   std::uint64_t mStoredEra = 0;
 
