Duties: let a standby act for a store poller that does not reach the store

Cause: only the store poller writes the records of streams. It is chosen by its hash among the daemons that are heard, whether or not the store answers it.

Why this works: a daemon notes whether the store answers its calls, and its work reports say at once when it needs its standby. Both write objects of their own, so nothing must be agreed on.

--- a/libs/relay/include/masticstep/relay/RelayState.hpp
+++ b/libs/relay/include/masticstep/relay/RelayState.hpp
@@ -8,6 +8,7 @@
 #include "masticstep/dispatch/RouteTable.hpp"
 #include "masticstep/dispatch/StageDemand.hpp"
 #include "masticstep/dispatch/StreamOrigins.hpp"
+#include "masticstep/duties/StoreReach.hpp"
 #include "masticstep/hedging/HedgePolicy.hpp"
 #include "masticstep/net/ConnectionPool.hpp"
 #include "masticstep/quarantine/PromptQuarantine.hpp"
@@ -59,6 +60,7 @@
   hedging::HedgePolicy hedges;
   std::weak_ptr<StreamOriginExchange> streamOriginExchange; // none without a store
   StoreSyncState storeSync;
+  duties::StoreReach storeReach;
   std::uint64_t nextRequestId = 1;
   std::optional<dispatch::DrainSchedule> drain; // set once the planned stop has begun
   std::unordered_set<Session*> sessions;        // of the requests that are not yet completed
--- a/libs/relay/include/masticstep/relay/StoreSyncState.hpp
+++ b/libs/relay/include/masticstep/relay/StoreSyncState.hpp
@@ -13,12 +13,13 @@
 
 // How far this daemon and the others of its data centre have followed the platform's store. Two
 // daemons per data centre, the store watchers, keep a watch on the store; the first of them is the
-// store poller, which also reads the whole state at short intervals. The others learn from work
-// reports that there are changes and read these, so that the load on the store does not grow with
-// the number of daemons.
+// store poller, which also reads the whole state at short intervals and writes what the data centre
+// keeps in the store (see duties::StoreRoles). The others learn from work reports that there are
+// changes and read these, so that the load on the store does not grow with the number of daemons.
 struct StoreSyncState
 {
   bool isStorePoller = true;                   // until a peer with a lower host hash reports
+  bool hasJoined = false;                      // whether it writes what it must as store poller
   bool isStoreWatcher = true;                  // until two peers with lower host hashes report
   bool mayHaveFollowers = false;               // whether there are peers that are no watchers
   platform::Version newestEntryRevision;       // newest backend server entry seen by this daemon
--- a/libs/relay/src/RelayDaemon.cpp
+++ b/libs/relay/src/RelayDaemon.cpp
@@ -6,6 +6,7 @@
 #include "FreshnessExchange.hpp"
 #include "PlatformWatcher.hpp"
 #include "QuarantineExchange.hpp"
+#include "ReachTrackingStore.hpp"
 #include "Session.hpp"
 #include "StageController.hpp"
 #include "StreamOriginExchange.hpp"
@@ -125,6 +126,7 @@
     mMetricsServer = std::move(*metricsServer);
   }
   PlatformAccess access = aCreateAccess(mContext.get_executor());
+  access.store = std::make_shared<ReachTrackingStore>(mState, std::move(access.store));
   const Duration routeTableWatch =
     accounts::FreshnessPolicy(mSettings.withdrawalLimit, 0.0).WatchTime();
   const WatchOptions watchOptions{ mSettings.maximumSilence, mSettings.watchPause, RandomSeed(),
--- a/libs/relay/src/StreamOriginExchange.cpp
+++ b/libs/relay/src/StreamOriginExchange.cpp
@@ -359,7 +359,8 @@
     }
   }
   while (true) {
-    if (mState->storeSync.isStorePoller && net::Now() >= mElectionEnd) {
+    mState->storeSync.hasJoined = net::Now() >= mElectionEnd;
+    if (mState->storeSync.isStorePoller && mState->storeSync.hasJoined) {
       co_await Store();
     }
     co_await net::Sleep(kStoreInterval);
@@ -427,10 +428,10 @@
   const char* const result = aIsWritten ? "stored" : "failed";
   mState->metrics.GetCounter({ "masticstep_stream_origin_writes_total", "result", result })->Add();
   if (std::exchange(mAreRecordsStored, aIsWritten) != aIsWritten) {
-    telemetry::Log(aIsWritten ? Level::Info : Level::Warning,
-                   aIsWritten ? "records of streams are stored again"
-                              : "records of streams cannot be stored",
-                   { { "records", static_cast<std::uint64_t>(mState->streamOrigins.StreamCount()) } });
+    telemetry::Log(
+      aIsWritten ? Level::Info : Level::Warning,
+      aIsWritten ? "records of streams are stored again" : "records of streams cannot be stored",
+      { { "records", static_cast<std::uint64_t>(mState->streamOrigins.StreamCount()) } });
   }
 }
 
--- a/libs/relay/src/StreamOriginExchange.hpp
+++ b/libs/relay/src/StreamOriginExchange.hpp
@@ -127,7 +127,7 @@
   OwnObject mVersionsObject;
   std::vector<dispatch::ServiceVersion> mStoredVersions;
   Time mVersionsStoredAt{};
-  Time mRecordsStoredAt{};     // latest try
+  Time mRecordsStoredAt{}; // latest try
   bool mAreRecordsStored = true;
   std::uint64_t mSequence = 0; // of the objects that this process has written
   std::uint64_t mStoredEra = 0;
--- a/libs/relay/src/WorkReportChannel.cpp
+++ b/libs/relay/src/WorkReportChannel.cpp
@@ -4,6 +4,7 @@
 #include "StoreCall.hpp"
 #include "masticstep/base/Hash.hpp"
 #include "masticstep/base/ObjectReader.hpp"
+#include "masticstep/duties/StoreRoles.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -47,10 +48,6 @@
 constexpr Duration kEraCheckInterval = Milliseconds(250);
 constexpr std::size_t kMaximumPeers = 128;
 constexpr IntegerRange kPorts{ 1, 65535 };
-// Two, so that changes are still noticed in time when one loses the store.
-constexpr std::size_t kStoreWatchers = 2;
-// With fewer peers, following them saves few calls.
-constexpr std::size_t kMinimumPeersToFollow = 5;
 // Needs are sums over several seconds, so they change slowly.
 constexpr Duration kNeedInterval = Seconds(1);
 
@@ -135,6 +132,11 @@
   if (mEndpoints.size() < kMaximumPeers || mEndpoints.contains(report->host)) {
     mEndpoints[report->host] = aSender;
   }
+  if (!report->needsStandby) {
+    mPeersInNeed.erase(report->host);
+  } else if (mPeersInNeed.size() < kMaximumPeers) {
+    mPeersInNeed.insert(report->host);
+  }
   dispatch::WorkByBackend work;
   for (const wire::BackendWork& item : report->backends) {
     work[item.backend] = { item.prefillTime, item.requests, item.tokens };
@@ -161,25 +163,29 @@
   mState->dispatcher.OnPeerWork(report->host, report->sequence, std::move(work), now);
 }
 
-void WorkReportChannel::ElectStoreWatchers(Time aNow)
+void WorkReportChannel::AssignStoreRoles(Time aNow)
 {
-  const std::uint64_t own = Hash64(mHost.Text());
-  std::vector<HostName> peers = mState->dispatcher.ActivePeers(aNow);
-  const std::size_t rank = static_cast<std::size_t>(
-    std::count_if(peers.begin(), peers.end(),
-                  [own](const HostName& aHost) { return Hash64(aHost.Text()) < own; }));
-  mState->storeSync.isStorePoller = rank == 0;
-  mState->storeSync.mayHaveFollowers = peers.size() >= kMinimumPeersToFollow;
-  mState->storeSync.isStoreWatcher = rank < kStoreWatchers || !mState->storeSync.mayHaveFollowers;
-  if (mState->storeSync.mayHaveFollowers) {
-    const std::size_t others = rank < kStoreWatchers ? kStoreWatchers - 1 : kStoreWatchers;
-    std::partial_sort(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(others),
-                      peers.end(), [](const HostName& aLeft, const HostName& aRight) {
-                        return Hash64(aLeft.Text()) < Hash64(aRight.Text());
-                      });
-    peers.resize(others);
+  std::vector<duties::StorePeer> peers;
+  for (HostName& host : mState->dispatcher.ActivePeers(aNow)) {
+    const bool needsStandby = mPeersInNeed.contains(host);
+    peers.push_back({ std::move(host), needsStandby });
+  }
+  duties::StoreRoles roles = duties::AssignStoreRoles(mHost, std::move(peers));
+  StoreSyncState& storeSync = mState->storeSync;
+  if (roles.isPoller != storeSync.isStorePoller) {
+    telemetry::Log(
+      Level::Info, roles.isPoller ? "daemon acts as store poller" : "daemon is no store poller",
+      { { "peers_that_need_standby", static_cast<std::uint64_t>(mPeersInNeed.size()) } });
   }
-  mStoreWatchers = std::move(peers);
+  storeSync.isStorePoller = roles.isPoller;
+  storeSync.isStoreWatcher = roles.isWatcher;
+  storeSync.mayHaveFollowers = roles.hasFollowers;
+  mStoreWatchers = std::move(roles.otherWatchers);
+}
+
+bool WorkReportChannel::NeedsStandby(Time aNow) const
+{
+  return !mState->storeSync.hasJoined || mState->drain || mState->storeReach.IsLost(aNow);
 }
 
 void WorkReportChannel::SendToStoreWatchers(const std::string& aDatagram)
@@ -217,14 +223,19 @@
   dispatch::WorkByBackend sent;
   Time sentAt{};
   Time needsSentAt{};
+  bool toldNeedsStandby = false;
   while (true) {
     co_await net::Sleep(kReportInterval);
     const Time now = net::Now();
-    ElectStoreWatchers(now);
+    AssignStoreRoles(now);
+    const bool needsStandby = NeedsStandby(now);
     dispatch::WorkByBackend work = mState->dispatcher.LocalWork(now);
     const std::int64_t intervalFactor = static_cast<std::int64_t>(mPeers.size()) / kPeersAtFullRate;
     const bool isThrottled = now < sentAt + kReportInterval * intervalFactor;
-    if (mPeers.empty() || isThrottled || (work == sent && now < sentAt + kKeepAliveInterval)) {
+    const bool isUnchanged = work == sent && now < sentAt + kKeepAliveInterval;
+    // The standby must act at once, while records of streams are not stored.
+    const bool isUrgent = needsStandby != toldNeedsStandby;
+    if (mPeers.empty() || (!isUrgent && (isThrottled || isUnchanged))) {
       continue;
     }
     wire::WorkReport report{ mHost,
@@ -242,6 +253,8 @@
     if (mState->storeSync.storeContact) {
       report.storeAge = now - *mState->storeSync.storeContact;
     }
+    report.needsStandby = needsStandby;
+    toldNeedsStandby = needsStandby;
     for (const auto& [id, item] : work) {
       report.backends.push_back({ id, item.prefillTime, item.requests, item.tokens });
     }
--- a/libs/relay/src/WorkReportChannel.hpp
+++ b/libs/relay/src/WorkReportChannel.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -83,9 +84,10 @@
   void UpdatePeers(const std::vector<platform::ObjectChange>& aEntries);
   // Applies a peer's report. An unknown sender is added to the peers.
   void Apply(std::string_view aDatagram, const Udp::endpoint& aSender);
-  // Decides whether this daemon is a store watcher of its data centre, or the store poller: the
-  // daemons with the lowest host hashes.
-  void ElectStoreWatchers(Time aNow);
+  // Decides whether this daemon is a store watcher of its data centre, or the store poller.
+  void AssignStoreRoles(Time aNow);
+  // Returns whether this daemon cannot do what is expected of the store poller.
+  bool NeedsStandby(Time aNow) const;
   void SendToSome(const std::string& aDatagram, std::vector<Udp::endpoint> aPeers,
                   std::size_t aCount, Random& aRandom);
   void Broadcast(const std::string& aDatagram);
@@ -104,6 +106,7 @@
   std::map<HostName, Udp::endpoint> mEndpoints;      // of peers that have sent reports
   std::map<HostName, Udp::endpoint> mFleetEndpoints; // of all data centres, from the store
   std::vector<HostName> mStoreWatchers;
+  std::set<HostName> mPeersInNeed; // by their latest reports, of a standby
   std::function<void(std::string_view)> mOnCrashReport = [](std::string_view /*aDatagram*/) {};
   std::function<void(std::string_view)> mOnOriginReport = [](std::string_view /*aDatagram*/) {};
   std::function<void(std::string_view)> mOnDutyReport = [](std::string_view /*aDatagram*/) {};
--- a/libs/relay/tests/StreamOriginExchangeTests.cpp
+++ b/libs/relay/tests/StreamOriginExchangeTests.cpp
@@ -1,7 +1,9 @@
 #include "StreamOriginExchange.hpp"
 
+#include "ReachTrackingStore.hpp"
 #include "RelayFixture.hpp"
 #include "SynchronousStore.hpp"
+#include "masticstep/base/Hash.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/testing/Test.hpp"
@@ -373,3 +375,149 @@
   CHECK_TRUE((states[1]->streamOrigins.Find("a", kService, net::Now()) ==
               dispatch::StreamOrigin{ dispatch::OriginKind::Known, kOld }));
 }
+
+namespace {
+
+// How one daemon's path to the store fails.
+enum class StoreFault : std::uint8_t
+{
+  None,
+  Reset,  // connections fail at once
+  Silent, // calls get no answer
+  Refused // the store turns the daemon away
+};
+
+// One daemon's path to a store that others reach.
+class FaultyPath : public platform::ObjectStore
+{
+public:
+  FaultyPath(boost::asio::io_context& aContext, std::shared_ptr<SynchronousStore> aStore)
+    : mContext(aContext)
+    , mStore(std::move(aStore))
+  {
+  }
+
+  void Submit(platform::PlatformRequest aRequest, Callback aCallback) override
+  {
+    platform::PlatformReply reply;
+    reply.number = aRequest.number;
+    switch (fault) {
+      case StoreFault::None:
+        mStore->Submit(std::move(aRequest), std::move(aCallback));
+        return;
+      case StoreFault::Reset:
+        reply.status = platform::PlatformStatus::NotSent;
+        break;
+      case StoreFault::Refused:
+        reply.status = platform::PlatformStatus::Refused;
+        break;
+      case StoreFault::Silent:
+        ReplyLate(std::move(aCallback), reply);
+        return;
+    }
+    aCallback(reply);
+  }
+
+  StoreFault fault = StoreFault::None;
+
+private:
+  static constexpr Duration kCallTimeout = Seconds(1);
+
+  void ReplyLate(Callback aCallback, platform::PlatformReply aReply)
+  {
+    boost::asio::co_spawn(
+      mContext,
+      [callback = std::move(aCallback), aReply]() -> net::Task<void> {
+        co_await net::Sleep(kCallTimeout);
+        callback(aReply);
+      },
+      boost::asio::detached);
+  }
+
+  boost::asio::io_context& mContext;
+  const std::shared_ptr<SynchronousStore> mStore;
+};
+
+// A daemon that exchanges datagrams with others of its data centre.
+struct PeerDaemon
+{
+  PeerDaemon(boost::asio::io_context& aContext, std::shared_ptr<SynchronousStore> aStore,
+             const HostName& aHost)
+    : path(std::make_shared<FaultyPath>(aContext, std::move(aStore)))
+    , state(std::make_shared<RelayState>(aContext.get_executor(), std::make_shared<TestDialect>(),
+                                         dispatch::Locality{}, 1))
+    , store(std::make_shared<ReachTrackingStore>(state, path))
+    , channel(WorkReportChannel::Create(state, store, aHost, kDataCentre, { "127.0.0.1", 0 }))
+    , exchange(std::make_shared<StreamOriginExchange>(state, channel, store, kDataCentre,
+                                                      Hash64(aHost.Text()),
+                                                      []() -> net::Task<bool> { co_return true; }))
+  {
+    channel->OnOriginReport(
+      [exchange = exchange](std::string_view aDatagram) { exchange->Apply(aDatagram); });
+    boost::asio::co_spawn(aContext, channel->DiscoverPeers(), boost::asio::detached);
+    aContext.poll(); // so that the next daemon finds the entry of this one
+    boost::asio::co_spawn(aContext, channel->Receive(), boost::asio::detached);
+    boost::asio::co_spawn(aContext, channel->SendReports(), boost::asio::detached);
+    boost::asio::co_spawn(aContext, exchange->SendRecords(), boost::asio::detached);
+    boost::asio::co_spawn(aContext, exchange->SyncWithStore(), boost::asio::detached);
+  }
+
+  std::shared_ptr<FaultyPath> path;
+  std::shared_ptr<RelayState> state;
+  std::shared_ptr<ReachTrackingStore> store;
+  std::shared_ptr<WorkReportChannel> channel;
+  std::shared_ptr<StreamOriginExchange> exchange;
+};
+
+std::map<BackendServerName, dispatch::Backend> TwoVersions()
+{
+  std::map<BackendServerName, dispatch::Backend> backends;
+  for (const SoftwareVersion& version : { kOld, kNew }) {
+    dispatch::Backend backend;
+    backend.id = BackendServerName{ "i-" + version.Text() };
+    backend.service = kService;
+    backend.softwareVersion = version;
+    backends[backend.id] = backend;
+  }
+  return backends;
+}
+
+} // namespace
+
+// Guards against take-ups that are refused at daemons that reach the store, because the one daemon
+// that writes the records of their data centre does not.
+MASTICSTEP_TEST("records are stored while the store poller does not reach the store",
+                "[relay][origins][reports][failure]")
+{
+  const std::shared_ptr<SynchronousStore> store = std::make_shared<SynchronousStore>();
+  boost::asio::io_context context(1);
+  PeerDaemon first(context, store, HostName{ "host-1" });
+  PeerDaemon second(context, store, HostName{ "host-2" });
+  const bool isFirstPoller = Hash64("host-1") < Hash64("host-2");
+  PeerDaemon& poller = isFirstPoller ? first : second;
+  PeerDaemon& other = isFirstPoller ? second : first;
+  for (PeerDaemon* daemon : { &first, &second }) {
+    daemon->state->streamOrigins.OnBackends(TwoVersions(), net::Now());
+  }
+  context.run_for(kUntilStored);
+  CHECK_TRUE(poller.state->storeSync.isStorePoller);
+  CHECK_FALSE(other.state->storeSync.isStorePoller);
+  int streams = 0;
+  for (const StoreFault fault : { StoreFault::Reset, StoreFault::Silent, StoreFault::Refused }) {
+    poller.path->fault = fault;
+    const std::string attempt = "stream-" + std::to_string(++streams);
+    other.state->streamOrigins.OnBegan(attempt, kService, kOld, net::Now());
+    // A lookup reads the records for the last time 600 ms after its begin.
+    context.run_for(Milliseconds(600));
+    OriginDaemon restarted(store);
+    restarted.SetVersions({ kOld, kNew });
+    CHECK_EQUAL(kOld, restarted.Find(attempt));
+    poller.path->fault = StoreFault::None;
+    context.run_for(Seconds(2));
+    CHECK_FALSE(other.state->storeSync.isStorePoller);
+  }
+  // Before a planned stop, since it ends without a last report.
+  poller.state->drain = dispatch::DrainSchedule::Create(net::Now(), Seconds(8));
+  context.run_for(Milliseconds(100));
+  CHECK_TRUE(other.state->storeSync.isStorePoller);
+}
--- a/libs/relay/tests/StreamOriginFleetTests.cpp
+++ b/libs/relay/tests/StreamOriginFleetTests.cpp
@@ -1,6 +1,7 @@
 #include "OriginSlots.hpp"
 #include "StoredOrigins.hpp"
 #include "masticstep/base/Random.hpp"
+#include "masticstep/duties/StoreReach.hpp"
 #include "masticstep/testing/Test.hpp"
 #include "masticstep/wire/OriginReport.hpp"
 
@@ -34,6 +35,8 @@
 constexpr double kPacketHeaderBytes = 28.0; // IP and UDP
 constexpr double kControlBytesPerSecond = 8000.0;
 constexpr std::size_t kMaximumValueBytes = 1000000;
+// Until the standby of a store poller that has lost the store acts.
+constexpr Duration kTakeoverDelay = duties::StoreReach::kMaximumSilence + Milliseconds(100);
 
 struct FleetSize
 {
@@ -81,6 +84,7 @@
     : mSize(aSize)
     , mDaemons(aSize.daemons)
     , mSlots(aSize.dataCentres)
+    , mStandbySlots(aSize.dataCentres)
   {
     SetVersions({ kOld });
   }
@@ -115,6 +119,19 @@
   }
 
   void SetStoreDown(bool aIsDown) { mIsStoreDown = aIsDown; }
+  // Cuts the store pollers off from the store, which their standbys reach.
+  void CutStorePollers() { mPollersCutAt = mNow; }
+
+  // Lets callers resume the streams that are under way at daemons that are no store watchers, where
+  // only the store tells.
+  TakeUps ResumeFromStore()
+  {
+    CompleteWrites();
+    for (Daemon& daemon : mDaemons) {
+      daemon.origins = {};
+    }
+    return Resume(mStreams, ReadStore());
+  }
 
   // Kills all daemons, starts them again and lets callers resume the streams that were cut.
   TakeUps KillAll()
@@ -243,19 +260,24 @@
 
   void StoreRecords()
   {
+    if (mPollersCutAt && mNow < *mPollersCutAt + kTakeoverDelay) {
+      return;
+    }
     for (std::size_t i = 0; i < mSize.dataCentres; ++i) {
-      StreamOrigins& origins = mDaemons.at(i).origins;
+      const std::size_t writer = mPollersCutAt ? i + mSize.dataCentres : i;
+      OriginSlots& slots = mPollersCutAt ? mStandbySlots.at(i) : mSlots.at(i);
+      StreamOrigins& origins = mDaemons.at(writer).origins;
       mStoredVersions = origins.Versions(mNow);
-      const std::optional<std::size_t> slot = mSlots.at(i).Fill(origins, mNow);
+      const std::optional<std::size_t> slot = slots.Fill(origins, mNow);
       if (!slot) {
         continue;
       }
-      std::string body = EncodeStoredOrigins({ mSlots.at(i).Groups(*slot), {} }, ++mWrites);
+      std::string body = EncodeStoredOrigins({ slots.Groups(*slot), {} }, ++mWrites);
       mWrittenBytes += body.size();
       mLargestValue = std::max(mLargestValue, body.size());
-      mPending.push_back(
-        { mNow + kStoreLatency, std::to_string(i) + "-" + std::to_string(*slot), std::move(body) });
-      mSlots.at(i).OnWritten(*slot);
+      mPending.push_back({ mNow + kStoreLatency,
+                           std::to_string(writer) + "-" + std::to_string(*slot), std::move(body) });
+      slots.OnWritten(*slot);
     }
   }
 
@@ -310,7 +332,9 @@
   Random mRandom{ 33 };
   Time mNow{ Seconds(1000) };
   std::vector<Daemon> mDaemons;
-  std::vector<OriginSlots> mSlots; // of the store poller of each data centre
+  std::vector<OriginSlots> mSlots;        // of the store poller of each data centre
+  std::vector<OriginSlots> mStandbySlots; // of its standby
+  std::optional<Time> mPollersCutAt;
   std::vector<SoftwareVersion> mVersions;
   std::vector<Stream> mStreams; // under way
   std::map<std::string, std::string> mStore;
@@ -437,6 +461,26 @@
   }
 }
 
+// Guards against records of new streams that wait behind those of old ones when the standby of a
+// store poller begins to write.
+MASTICSTEP_TEST("origins are in the store a second after all store pollers have lost it",
+                "[relay][origins][fleet][failure]")
+{
+  for (const FleetSize& size : kFleets) {
+    OriginFleet fleet(size);
+    fleet.Run(Seconds(35));
+    fleet.SetVersions({ kOld, kNew });
+    fleet.Run(Seconds(10));
+    fleet.CutStorePollers();
+    fleet.Run(Seconds(1));
+    const TakeUps takeUps = fleet.ResumeFromStore();
+    std::printf("%zu daemons, store pollers cut off: %zu of %zu origins known\n", size.daemons,
+                takeUps.known, takeUps.all);
+    CHECK_EQUAL(std::size_t{ 0 }, takeUps.wrong);
+    CHECK_TRUE(takeUps.Share() >= 0.8);
+  }
+}
+
 // Guards against a wrong version where the store could not be written: such streams are unknown.
 MASTICSTEP_TEST("origins that no store could keep are unknown, not wrong",
                 "[relay][origins][fleet][failure]")
--- a/libs/wire/include/masticstep/wire/WorkReport.hpp
+++ b/libs/wire/include/masticstep/wire/WorkReport.hpp
@@ -51,6 +51,8 @@
   std::uint64_t storeEra = 0;         // era of the store of newestEntry and backendChanges
   // Time of day at the sender, since 1970; zero if it tells none.
   Duration clock{ 0 };
+  // Whether the daemon cannot act as store poller; see duties::StoreRoles.
+  bool needsStandby = false;
 
   bool operator==(const WorkReport&) const = default;
 };
--- a/libs/wire/tests/WorkReportTests.cpp
+++ b/libs/wire/tests/WorkReportTests.cpp
@@ -20,7 +20,9 @@
            { { ServiceName{ "llm" }, 1.5, 0.25, 0.125, 0.5 } },
            93,
            Milliseconds(250),
-           2 };
+           2,
+           Seconds(1700000000),
+           true };
 }
 
 } // namespace
