Relay: resume the streams of a split route at the service that began them

Callers: of the streams of a split route that they took up at another daemon two thirds were refused (503, unknown_version), or, where each service has one version, went on at an engine of another service.

Cause: the service of a split route was chosen by the id of the client attempt, and a take-up has an id of its own.

Why this works: a take-up names the attempt that brought the first event, so its hash chooses the same service while the weights stay. Lookups are now for all services of the route, so that a record decides where the weights have changed since.

Tests: on the code before, "streams of a split route are resumed at the service that began them" and "a stream is resumed at its service after the weights of the route have changed" fail; with the records but without the hash, "a stream without a record is resumed at the service of its first attempt" fails.

--- a/libs/dispatch/include/masticstep/dispatch/Route.hpp
+++ b/libs/dispatch/include/masticstep/dispatch/Route.hpp
@@ -53,7 +53,11 @@
 // aSince, the time of its arrival or of its latest event.
 Time CallerDeadline(const Route& aRoute, Time aSince);
 
-// Selects the service of a request by weight. The selection is deterministic in the request id.
+// Selects the service of a request by weight. The selection is deterministic in the request id. An
+// attempt that resumes a stream must be given the id of the attempt that began it.
 const ServiceName& ChooseService(const Route& aRoute, std::string_view aRequestId);
 
+// Returns the services to which the route sends requests, aFirst before the others.
+std::vector<ServiceName> ServicesOf(const Route& aRoute, const ServiceName& aFirst);
+
 } // namespace masticstep::dispatch
--- a/libs/dispatch/src/Route.cpp
+++ b/libs/dispatch/src/Route.cpp
@@ -31,4 +31,15 @@
   return aRoute.shares.front().service;
 }
 
+std::vector<ServiceName> ServicesOf(const Route& aRoute, const ServiceName& aFirst)
+{
+  std::vector<ServiceName> services{ aFirst };
+  for (const ServiceShare& share : aRoute.shares) {
+    if (share.weight > 0 && share.service != aFirst) {
+      services.push_back(share.service);
+    }
+  }
+  return services;
+}
+
 } // namespace masticstep::dispatch
--- a/libs/relay/src/PromptSession.cpp
+++ b/libs/relay/src/PromptSession.cpp
@@ -71,13 +71,20 @@
     until = std::min(until, mState->drain->FinalAnswers());
   }
   std::string attempt = mRequest.call.resumedCallId;
-  ServiceName service = mRequest.service;
-  mWork.version = co_await FindStreamOrigin(*mState, std::move(attempt), std::move(service), until);
+  std::vector<ServiceName> services = dispatch::ServicesOf(*mRequest.route, mRequest.service);
+  const std::optional<StreamStart> start =
+    co_await FindStreamStart(*mState, std::move(attempt), std::move(services), until);
+  if (start) {
+    mRequest.service = start->service;
+    mWork.service = start->service;
+    mWork.version = start->version;
+  }
   telemetry::Log(telemetry::Level::Info, "stream resumed by its caller",
                  { { "request_id", mRequest.call.id },
                    { "resumes", mRequest.call.resumedCallId },
                    { "last_event_id", *mRequest.call.lastEventId },
-                   { "is_known", mWork.version.has_value() },
+                   { "is_known", start.has_value() },
+                   { "service", mRequest.service.Text() },
                    { "software_version", mWork.version.value_or(SoftwareVersion{}).Text() } });
   if (mWork.version) {
     co_return Step::Continue;
--- a/libs/relay/src/RoutedRequest.cpp
+++ b/libs/relay/src/RoutedRequest.cpp
@@ -17,6 +17,12 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+// Returns whether the call goes on with a stream that an earlier attempt of its caller began.
+bool ResumesStream(const Call& aCall, const dispatch::Route& aRoute)
+{
+  return aRoute.isResumable && aCall.lastEventId && !aCall.resumedCallId.empty();
+}
+
 // Finds the caller's account, or returns why the request is refused.
 Result<const accounts::ClientAccount*, Refusal> FindAccount(const RelayState& aState,
                                                             const RoutedRequest& aRequest,
@@ -77,7 +83,10 @@
     routed.account = (*account)->name;
     routed.priority = dispatch::RequestPriority(routed.route->priority, (*account)->priority);
   }
-  routed.service = dispatch::ChooseService(*routed.route, routed.call.id);
+  // Only the service that began a stream can go on with it.
+  routed.service = dispatch::ChooseService(*routed.route, ResumesStream(routed.call, *routed.route)
+                                                            ? routed.call.resumedCallId
+                                                            : routed.call.id);
   routed.arrived = aNow;
   const Duration timeLeft = routed.call.timeLeft.value_or(routed.route->timeout);
   routed.deadline = aNow + std::min(timeLeft, routed.route->timeout);
--- a/libs/relay/src/RoutedRequest.hpp
+++ b/libs/relay/src/RoutedRequest.hpp
@@ -17,7 +17,7 @@
   RequestDigest digest;
   std::shared_ptr<const dispatch::RouteTable> table; // in force on arrival of the request
   const dispatch::Route* route = nullptr;            // points into table
-  ServiceName service;
+  ServiceName service;                // of a resumed stream: until the one that began it is known
   std::optional<AccountName> account; // of the caller, if the configuration has accounts
   dispatch::RequestPriority priority;
   Time arrived;
--- a/libs/relay/src/Session.hpp
+++ b/libs/relay/src/Session.hpp
@@ -90,7 +90,7 @@
   std::size_t CountOf(Suspects aSuspects) const;
 
   const std::shared_ptr<RelayState> mState;
-  const RoutedRequest mRequest;
+  RoutedRequest mRequest;
   net::HttpResponder& mResponder;
   const std::vector<std::uint64_t> mSharedParts;        // ids; empty for requests without a prompt
   const std::vector<quarantine::SuspectPart> mSuspects; // the whole request, then the shared parts
--- a/libs/relay/src/StreamOriginExchange.cpp
+++ b/libs/relay/src/StreamOriginExchange.cpp
@@ -95,6 +95,20 @@
   });
 }
 
+// Returns the start of which there is a record in memory.
+std::optional<StreamStart> FindKnownStart(const StreamOrigins& aOrigins,
+                                          const std::string& aAttemptId,
+                                          const std::vector<ServiceName>& aServices)
+{
+  for (const ServiceName& service : aServices) {
+    const StreamOrigin origin = aOrigins.Find(aAttemptId, service, net::Now());
+    if (origin.kind == OriginKind::Known) {
+      return StreamStart{ service, origin.version };
+    }
+  }
+  return std::nullopt;
+}
+
 // Returns whether two lists name the same versions and tell the same of them as in service.
 bool HaveSameVersions(const std::vector<ServiceVersion>& aLeft,
                       const std::vector<ServiceVersion>& aRight)
@@ -177,66 +191,70 @@
   return mState->streamOrigins.HasSeveralVersions(aNow) ? kSendInterval : kSendIntervalOfOneVersion;
 }
 
-std::optional<SoftwareVersion> StreamOriginExchange::FindRecord(const std::string& aAttemptId,
-                                                                const ServiceName& aService) const
+std::optional<StreamStart> StreamOriginExchange::FindRecord(
+  const std::string& aAttemptId, const std::vector<ServiceName>& aServices) const
 {
-  const StreamOrigin origin = mState->streamOrigins.Find(aAttemptId, aService, net::Now());
-  if (origin.kind == OriginKind::Known) {
-    return origin.version;
-  }
-  const std::uint64_t stream = StreamOrigins::StreamId(aAttemptId);
+  const std::optional<StreamStart> known =
+    FindKnownStart(mState->streamOrigins, aAttemptId, aServices);
+  return known ? known : FindListed(StreamOrigins::StreamId(aAttemptId), aServices);
+}
+
+std::optional<StreamStart> StreamOriginExchange::FindListed(
+  std::uint64_t aStream, const std::vector<ServiceName>& aServices) const
+{
+  const auto has = [](const auto& aItems, const auto& aItem) {
+    return std::find(aItems.begin(), aItems.end(), aItem) != aItems.end();
+  };
   for (const Listing* listing : { &mOwnListing, &mFullListing }) {
     for (const StreamGroup& group : listing->groups) {
-      const bool isListed =
-        group.service == aService &&
-        std::find(group.streams.begin(), group.streams.end(), stream) != group.streams.end();
-      if (isListed) {
-        return group.version;
+      if (has(aServices, group.service) && has(group.streams, aStream)) {
+        return StreamStart{ group.service, group.version };
       }
     }
   }
   return std::nullopt;
 }
 
-net::Task<std::optional<SoftwareVersion>> StreamOriginExchange::FindOrigin(std::string aAttemptId,
-                                                                           ServiceName aService,
-                                                                           Time aUntil)
+net::Task<std::optional<StreamStart>> StreamOriginExchange::FindStart(
+  std::string aAttemptId, std::vector<ServiceName> aServices, Time aUntil)
 {
   const std::shared_ptr<StreamOriginExchange> self = shared_from_this();
-  FoundOrigin found{ FindRecord(aAttemptId, aService), OriginSource::Memory };
-  if (!found.version) {
-    found = co_await FindInStore(aAttemptId, aService, aUntil);
+  FoundOrigin found{ FindRecord(aAttemptId, aServices), OriginSource::Memory };
+  if (!found.start) {
+    found = co_await FindInStore(aAttemptId, aServices, aUntil);
   }
   const char* const source = ToText(found.source);
   mState->metrics.GetCounter({ "masticstep_stream_origins_total", "source", source })->Add();
   const Time now = net::Now();
-  telemetry::Log(found.version ? Level::Info : Level::Warning,
-                 found.version ? "origin of a stream found" : "origin of a stream is unknown",
+  const StreamStart start = found.start.value_or(StreamStart{ aServices.front(), {} });
+  telemetry::Log(found.start ? Level::Info : Level::Warning,
+                 found.start ? "origin of a stream found" : "origin of a stream is unknown",
                  { { "stream", aAttemptId },
-                   { "service", aService.Text() },
+                   { "service", start.service.Text() },
+                   { "services", static_cast<std::uint64_t>(aServices.size()) },
                    { "source", source },
-                   { "software_version", found.version.value_or(SoftwareVersion{}).Text() },
+                   { "software_version", start.version.Text() },
                    { "several_versions", mState->streamOrigins.HasSeveralVersions(now) },
                    { "store_read_age_ms", mFullRead.succeededAt == Time{}
                                             ? -1.0
                                             : ToSeconds(now - mFullRead.succeededAt) * 1000.0 } });
-  co_return found.version;
+  co_return found.start;
 }
 
 net::Task<StreamOriginExchange::FoundOrigin> StreamOriginExchange::FindInStore(
-  std::string aAttemptId, ServiceName aService, Time aUntil)
+  std::string aAttemptId, std::vector<ServiceName> aServices, Time aUntil)
 {
   const Time begin = net::Now();
   // Most callers come back to the same data centre, whose objects are a part of all.
-  std::optional<SoftwareVersion> version =
-    co_await ReadRecord(mOwnRead, aAttemptId, aService, begin, aUntil);
-  if (version) {
-    co_return FoundOrigin{ version, OriginSource::Store };
+  std::optional<StreamStart> start =
+    co_await ReadRecord(mOwnRead, aAttemptId, aServices, begin, aUntil);
+  if (start) {
+    co_return FoundOrigin{ start, OriginSource::Store };
   }
   const Time second = begin + kRecordDelay;
-  version = co_await ReadRecord(mFullRead, aAttemptId, aService, second, aUntil);
-  if (version) {
-    co_return FoundOrigin{ version, OriginSource::Store };
+  start = co_await ReadRecord(mFullRead, aAttemptId, aServices, second, aUntil);
+  if (start) {
+    co_return FoundOrigin{ start, OriginSource::Store };
   }
   // An engine that began a stream before the lookup has an entry by now, whatever the store pollers
   // have noticed.
@@ -244,19 +262,19 @@
   if (!areBackendsRead || mFullRead.succeededAt < second) {
     co_return FoundOrigin{ std::nullopt, OriginSource::StoreNotRead };
   }
-  const StreamOrigin origin = mState->streamOrigins.Find(aAttemptId, aService, net::Now());
+  const ServiceName& service = aServices.front();
+  const StreamOrigin origin = mState->streamOrigins.Find(aAttemptId, service, net::Now());
   if (origin.kind != OriginKind::Unknown) {
-    co_return FoundOrigin{ origin.version, OriginSource::OnlyVersion };
+    co_return FoundOrigin{ StreamStart{ service, origin.version }, OriginSource::OnlyVersion };
   }
-  version = co_await ReadRecord(mOwnRead, std::move(aAttemptId), std::move(aService),
-                                begin + kRecordDelayOfOneVersion, aUntil);
-  co_return FoundOrigin{ version, version ? OriginSource::Store : OriginSource::NoRecord };
+  start = co_await ReadRecord(mOwnRead, std::move(aAttemptId), std::move(aServices),
+                              begin + kRecordDelayOfOneVersion, aUntil);
+  co_return FoundOrigin{ start, start ? OriginSource::Store : OriginSource::NoRecord };
 }
 
-net::Task<std::optional<SoftwareVersion>> StreamOriginExchange::ReadRecord(SharedRead& aRead,
-                                                                           std::string aAttemptId,
-                                                                           ServiceName aService,
-                                                                           Time aAt, Time aUntil)
+net::Task<std::optional<StreamStart>> StreamOriginExchange::ReadRecord(
+  SharedRead& aRead, std::string aAttemptId, std::vector<ServiceName> aServices, Time aAt,
+  Time aUntil)
 {
   const Time at = std::min(aAt, aUntil);
   if (at > net::Now()) {
@@ -264,7 +282,7 @@
   }
   co_await AwaitRead(aRead, at, aUntil);
   // A record may have come as a datagram too.
-  co_return FindRecord(aAttemptId, aService);
+  co_return FindRecord(aAttemptId, aServices);
 }
 
 net::Task<bool> StreamOriginExchange::AwaitRead(SharedRead& aRead, Time aSince, Time aUntil)
@@ -470,17 +488,23 @@
   }
 }
 
-net::Task<std::optional<SoftwareVersion>> FindStreamOrigin(RelayState& aState,
-                                                           std::string aAttemptId,
-                                                           ServiceName aService, Time aUntil)
+net::Task<std::optional<StreamStart>> FindStreamStart(RelayState& aState, std::string aAttemptId,
+                                                      std::vector<ServiceName> aServices,
+                                                      Time aUntil)
 {
   const std::shared_ptr<StreamOriginExchange> exchange = aState.streamOriginExchange.lock();
   if (exchange) {
-    co_return co_await exchange->FindOrigin(std::move(aAttemptId), std::move(aService), aUntil);
+    co_return co_await exchange->FindStart(std::move(aAttemptId), std::move(aServices), aUntil);
+  }
+  const std::optional<StreamStart> known =
+    FindKnownStart(aState.streamOrigins, aAttemptId, aServices);
+  if (known) {
+    co_return known;
   }
-  const StreamOrigin origin = aState.streamOrigins.Find(aAttemptId, aService, net::Now());
-  co_return origin.kind == OriginKind::Unknown ? std::nullopt
-                                               : std::optional<SoftwareVersion>(origin.version);
+  const StreamOrigin origin = aState.streamOrigins.Find(aAttemptId, aServices.front(), net::Now());
+  co_return origin.kind == OriginKind::Unknown
+    ? std::nullopt
+    : std::optional<StreamStart>(StreamStart{ aServices.front(), origin.version });
 }
 
 } // namespace masticstep::relay
--- a/libs/relay/src/StreamOriginExchange.hpp
+++ b/libs/relay/src/StreamOriginExchange.hpp
@@ -27,6 +27,15 @@
   StoreNotRead // no record in memory, and the store did not answer in time
 };
 
+// The service and software version at which a stream began.
+struct StreamStart
+{
+  ServiceName service;
+  SoftwareVersion version;
+
+  bool operator==(const StreamStart&) const = default;
+};
+
 // Makes known to all daemons at which software version streams began (see dispatch::StreamOrigins).
 // Daemons send records to the store watchers of their data centre, whose store poller writes them
 // into the platform's store. Only the store knows them after all daemons were killed.
@@ -54,17 +63,18 @@
   // Applies a peer's datagram.
   void Apply(std::string_view aDatagram);
 
-  // Returns the version at which the stream began, or nullopt if it is not certain, at the latest
-  // about aUntil. Without a record only a read of the store that begins now makes it certain: a
-  // daemon without contact to the store may not know of a version that joined. The stream is named
-  // by the attempt that brought its first event.
-  net::Task<std::optional<SoftwareVersion>> FindOrigin(std::string aAttemptId, ServiceName aService,
-                                                       Time aUntil);
+  // Returns at which of the services and at which version the stream began, or nullopt if it is not
+  // certain, at the latest about aUntil. Without a record only a read of the store that begins now
+  // makes it certain: a daemon without contact to the store may not know of a version that joined.
+  // Then the stream is taken to have begun at the first service. The stream is named by the attempt
+  // that brought its first event.
+  net::Task<std::optional<StreamStart>> FindStart(std::string aAttemptId,
+                                                  std::vector<ServiceName> aServices, Time aUntil);
 
 private:
   struct FoundOrigin
   {
-    std::optional<SoftwareVersion> version;
+    std::optional<StreamStart> start;
     OriginSource source = OriginSource::NoRecord;
   };
   // A read of the store that lookups share.
@@ -91,15 +101,19 @@
   };
 
   Duration SendInterval(Time aNow) const; // between datagrams with new records
-  // Returns the version of which there is a record in memory or among the objects read last.
-  std::optional<SoftwareVersion> FindRecord(const std::string& aAttemptId,
-                                            const ServiceName& aService) const;
+  // Returns the start of which there is a record in memory or among the objects read last.
+  std::optional<StreamStart> FindRecord(const std::string& aAttemptId,
+                                        const std::vector<ServiceName>& aServices) const;
+  std::optional<StreamStart> FindListed(std::uint64_t aStream,
+                                        const std::vector<ServiceName>& aServices) const;
   // Reads the store anew: what this daemon knows of the versions in service may be older than the
   // stream.
-  net::Task<FoundOrigin> FindInStore(std::string aAttemptId, ServiceName aService, Time aUntil);
-  // Reads the objects at aAt and returns the version of which there is a record then.
-  net::Task<std::optional<SoftwareVersion>> ReadRecord(SharedRead& aRead, std::string aAttemptId,
-                                                       ServiceName aService, Time aAt, Time aUntil);
+  net::Task<FoundOrigin> FindInStore(std::string aAttemptId, std::vector<ServiceName> aServices,
+                                     Time aUntil);
+  // Reads the objects at aAt and returns the start of which there is a record then.
+  net::Task<std::optional<StreamStart>> ReadRecord(SharedRead& aRead, std::string aAttemptId,
+                                                   std::vector<ServiceName> aServices, Time aAt,
+                                                   Time aUntil);
   // Waits for a read that began at aSince or later. Returns false if it failed or aUntil has come.
   net::Task<bool> AwaitRead(SharedRead& aRead, Time aSince, Time aUntil);
   // Starts a read unless one is under way, or has failed just now.
@@ -141,9 +155,10 @@
   std::uint64_t mNextCall = 1;
 };
 
-// Returns the version at which a stream began, from the daemon's exchange if it has one.
-net::Task<std::optional<SoftwareVersion>> FindStreamOrigin(RelayState& aState,
-                                                           std::string aAttemptId,
-                                                           ServiceName aService, Time aUntil);
+// Returns at which of the services and at which version a stream began, from the daemon's exchange
+// if it has one. See StreamOriginExchange::FindStart.
+net::Task<std::optional<StreamStart>> FindStreamStart(RelayState& aState, std::string aAttemptId,
+                                                      std::vector<ServiceName> aServices,
+                                                      Time aUntil);
 
 } // namespace masticstep::relay
--- a/libs/relay/tests/RelayFixture.cpp
+++ b/libs/relay/tests/RelayFixture.cpp
@@ -58,7 +58,8 @@
 }
 
 std::shared_ptr<const dispatch::RouteTable> Table(
-  std::uint64_t aVersion, std::shared_ptr<const accounts::AccountDirectory> aAccounts)
+  std::uint64_t aVersion, std::shared_ptr<const accounts::AccountDirectory> aAccounts,
+  std::vector<dispatch::ServiceShare> aResumeShares = { { ServiceName{ "llm" }, 1 } })
 {
   dispatch::RouteTable::Parts parts;
   parts.version = aVersion;
@@ -72,6 +73,7 @@
   parts.routes[1].attempts = 2;
   parts.routes[3].attempts = 2;
   parts.routes[3].isResumable = true;
+  parts.routes[3].shares = std::move(aResumeShares);
   parts.routes.push_back(MakeRoute("/single/", dispatch::CallKind::Stream, "llm"));
   parts.routes[5].isResumable = true;
   parts.routes.push_back(MakeRoute("/brief/", dispatch::CallKind::Stream, "llm"));
@@ -332,6 +334,19 @@
   });
 }
 
+void RelayFixture::SplitResume(std::vector<dispatch::ServiceShare> aShares)
+{
+  RunOnRelay([&] {
+    mState->table = Table(mState->table->Version() + 1, nullptr, std::move(aShares));
+    mState->dispatcher.SetTable(mState->table);
+  });
+}
+
+void RelayFixture::CompleteHistory()
+{
+  RunOnRelay([&] { mState->streamOrigins.OnHistoryRead({}, net::Now()); });
+}
+
 void RelayFixture::SetFreshness(accounts::ConfigurationFreshness aFreshness)
 {
   RunOnRelay([&] { mState->freshness = aFreshness; });
@@ -390,10 +405,10 @@
 }
 
 std::string RelayFixture::RequestText(const std::string& aMethod, const std::string& aPath,
-                                      const std::string& aExtraHeaders)
+                                      const std::string& aExtraHeaders, const std::string& aId)
 {
-  return aMethod + " " + aPath + " HTTP/1.1\r\nHost: a.example\r\nId: c1\r\n" + aExtraHeaders +
-         "Content-Length: 2\r\nConnection: close\r\n\r\nhi";
+  return aMethod + " " + aPath + " HTTP/1.1\r\nHost: a.example\r\nId: " + aId + "\r\n" +
+         aExtraHeaders + "Content-Length: 2\r\nConnection: close\r\n\r\nhi";
 }
 
 void RelayFixture::Quarantine(std::uint64_t aPart)
@@ -422,10 +437,10 @@
 }
 
 std::string RelayFixture::SendRequest(const std::string& aMethod, const std::string& aPath,
-                                      const std::string& aExtraHeaders)
+                                      const std::string& aExtraHeaders, const std::string& aId)
 {
   const std::unique_ptr<net::RawClient> client = Connect();
-  client->Send(RequestText(aMethod, aPath, aExtraHeaders));
+  client->Send(RequestText(aMethod, aPath, aExtraHeaders, aId));
   return client->ReadUntilClosed();
 }
 
--- a/libs/relay/tests/RelayFixture.hpp
+++ b/libs/relay/tests/RelayFixture.hpp
@@ -100,8 +100,12 @@
   void AddUnreachable(const std::string& aId, const std::string& aService, dispatch::Stage aStage);
   // Sends one request on a new connection and returns all bytes until the relay closes it.
   std::string SendRequest(const std::string& aMethod, const std::string& aPath,
-                          const std::string& aExtraHeaders = {});
+                          const std::string& aExtraHeaders = {}, const std::string& aId = "c1");
   std::unique_ptr<net::RawClient> Connect() const;
+  // Puts a configuration into force that splits the route /resume/.
+  void SplitResume(std::vector<dispatch::ServiceShare> aShares);
+  // Lets the relay know that no other software version was in service before it started.
+  void CompleteHistory();
   // Must be called before the first request.
   void SetRetryBounds(dispatch::RetryBounds aBounds) { mState->retryBudget.SetBounds(aBounds); }
   // Puts a configuration with these accounts into force; the dialect reads keys from Key headers.
@@ -124,7 +128,8 @@
   // What the answers of backend servers may take in memory, beyond what each is always granted.
   net::ByteBudget& AnswerBytes() const { return *mState->answerBytes; }
   static std::string RequestText(const std::string& aMethod, const std::string& aPath,
-                                 const std::string& aExtraHeaders = {});
+                                 const std::string& aExtraHeaders = {},
+                                 const std::string& aId = "c1");
 
 private:
   void ApplyBackends();
--- a/libs/relay/tests/SoftwareVersionTests.cpp
+++ b/libs/relay/tests/SoftwareVersionTests.cpp
@@ -1,7 +1,9 @@
 #include "RelayFixture.hpp"
+#include "masticstep/dispatch/Route.hpp"
 #include "masticstep/testing/Test.hpp"
 
 #include <atomic>
+#include <memory>
 #include <thread>
 
 using namespace masticstep;
@@ -216,3 +218,133 @@
   CHECK_TRUE(Contains(answer, "id: 4\n") && answer.ends_with("0\r\n\r\n"));
   CHECK_TRUE(newer.Requests().empty());
 }
+
+namespace {
+
+// Engine of a split route: breaks new streams off after two events, and goes on with resumed ones.
+// It answers with the id of the request.
+ScriptedResponse BeginOrGoOn(const std::string& aRequest)
+{
+  const std::size_t begin = aRequest.find("Id: ") + 4;
+  const std::string id = aRequest.substr(begin, aRequest.find('\r', begin) - begin);
+  std::string head = StreamHead();
+  head.replace(head.find("c1"), 2, id);
+  return Contains(aRequest, "Resume-After: ")
+           ? ScriptedResponse{ head + Events(3, 4) + StreamEnd() }
+           : ScriptedResponse{ head + Events(1, 2), Then::Close };
+}
+
+// Three services behind one route, each with one engine of each of the software versions.
+class SplitServices
+{
+public:
+  static inline const std::vector<std::string> kServices{ "a", "b", "c" };
+
+  explicit SplitServices(const std::vector<std::string>& aVersions)
+  {
+    for (const std::string& service : kServices) {
+      for (const std::string& version : aVersions) {
+        mEngines.push_back(std::make_unique<ScriptedBackend>(BeginOrGoOn));
+        fixture.Add(service + version, service, *mEngines.back(), Stage::Whole, version);
+      }
+    }
+    SetWeights({ 1, 1, 1 });
+  }
+
+  void SetWeights(const std::vector<std::uint32_t>& aWeights)
+  {
+    shares.clear();
+    for (std::size_t i = 0; i < kServices.size(); ++i) {
+      shares.push_back({ ServiceName{ kServices.at(i) }, aWeights.at(i) });
+    }
+    fixture.SplitResume(shares);
+  }
+  // Begins a stream that breaks off, and returns the number of its engine.
+  std::size_t Begin(const std::string& aId)
+  {
+    CHECK_TRUE(Contains(fixture.SendRequest("POST", "/resume/", "", aId), "id: 2\n"));
+    return EngineOf("Id: " + aId + "\r");
+  }
+  // Returns the answer to an attempt that resumes the stream.
+  std::string Resume(const std::string& aStream, const std::string& aId)
+  {
+    return fixture.SendRequest("POST", "/resume/",
+                               "Last-Event-Id: 2\r\nResumes: " + aStream + "\r\n", aId);
+  }
+  // Returns the number of the only engine that got such a request.
+  std::size_t EngineOf(const std::string& aPart) const
+  {
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      for (const std::string& request : mEngines.at(i)->Requests()) {
+        if (Contains(request, aPart) && (found.empty() || found.back() != i)) {
+          found.push_back(i);
+        }
+      }
+    }
+    CHECK_EQUAL(std::size_t{ 1 }, found.size());
+    return found.empty() ? mEngines.size() : found.front();
+  }
+
+  RelayFixture fixture;
+  std::vector<dispatch::ServiceShare> shares;
+
+private:
+  std::vector<std::unique_ptr<ScriptedBackend>> mEngines;
+};
+
+} // namespace
+
+// Guards against take-ups that are refused, or that go on at an engine that never saw the stream,
+// because each attempt of a caller is sent to a service of its own.
+MASTICSTEP_TEST("streams of a split route are resumed at the service that began them",
+                "[relay][version][resume][routes]")
+{
+  SplitServices services({ "v1", "v2" });
+  for (int i = 0; i < 8; ++i) {
+    const std::string stream = "s" + std::to_string(i);
+    const std::size_t engine = services.Begin(stream);
+    // A stream may break again; its caller then names the same attempt.
+    for (const std::string attempt : { "-second", "-third" }) {
+      CHECK_TRUE(Contains(services.Resume(stream, stream + attempt), "id: 4\n"));
+      CHECK_EQUAL(engine, services.EngineOf("Id: " + stream + attempt));
+    }
+  }
+}
+
+// Guards against the same where a configuration changes the weights between two attempts.
+MASTICSTEP_TEST("a stream is resumed at its service after the weights of the route have changed",
+                "[relay][version][resume][routes]")
+{
+  SplitServices services({ "v1", "v2" });
+  const std::size_t engine = services.Begin("s0");
+  const std::size_t own = engine / 2;
+  std::vector<std::uint32_t> weights{ 1000, 1000, 1000 };
+  weights.at(own) = 1;
+  services.SetWeights(weights);
+  dispatch::Route route;
+  route.shares = services.shares;
+  CHECK_FALSE(dispatch::ChooseService(route, "s0") == services.shares.at(own).service);
+  CHECK_TRUE(Contains(services.Resume("s0", "s0-second"), "id: 4\n"));
+  CHECK_EQUAL(engine, services.EngineOf("Id: s0-second"));
+  // A service without weight gets no requests any more.
+  weights.at(own) = 0;
+  services.SetWeights(weights);
+  CHECK_FALSE(Contains(services.Resume("s0", "s0-third"), "id: 4\n"));
+}
+
+// Guards against streams that go on at an engine of another service because nothing is recorded.
+MASTICSTEP_TEST("a stream without a record is resumed at the service of its first attempt",
+                "[relay][version][resume][routes]")
+{
+  SplitServices services({ "v1" });
+  services.fixture.CompleteHistory();
+  dispatch::Route route;
+  route.shares = services.shares;
+  for (int i = 0; i < 8; ++i) {
+    const std::string stream = "s" + std::to_string(i);
+    CHECK_TRUE(Contains(services.Resume(stream, stream + "-second"), "id: 4\n"));
+    const std::size_t engine = services.EngineOf("Id: " + stream + "-second");
+    CHECK_TRUE(services.shares.at(engine).service == dispatch::ChooseService(route, stream));
+  }
+}
--- a/libs/relay/tests/StreamOriginExchangeTests.cpp
+++ b/libs/relay/tests/StreamOriginExchangeTests.cpp
@@ -71,15 +71,15 @@
   // Empty without a known origin.
   SoftwareVersion Find(const std::string& aAttempt, Duration aTime = Seconds(2))
   {
-    std::optional<SoftwareVersion> found;
+    std::optional<StreamStart> found;
     bool isDone = false;
     boost::asio::co_spawn(
       context,
       [&]() -> net::Task<void> {
         std::string attempt = aAttempt;
-        ServiceName service = kService;
+        std::vector<ServiceName> services{ kService };
         found =
-          co_await exchange->FindOrigin(std::move(attempt), std::move(service), net::Now() + aTime);
+          co_await exchange->FindStart(std::move(attempt), std::move(services), net::Now() + aTime);
         isDone = true;
       },
       boost::asio::detached);
@@ -88,7 +88,7 @@
       Run(Milliseconds(5));
     }
     CHECK_TRUE(isDone);
-    return found.value_or(SoftwareVersion{});
+    return found.value_or(StreamStart{}).version;
   }
 
   std::shared_ptr<SynchronousStore> store;
