Relay: send watches anew that a silent store may have dropped

Cause: a store that is silent drops the watches that reach it then. A watch may wait 12 s, so its silence tells nothing; the ways around it take 2.5 s at the store poller and a second more at the others.

Why this works: a daemon counts when the store answers again after it was lost, and hears of it from its peers; a watch that was pending meanwhile is sent anew from its revision, which brings what it missed.

Test: "watches that a silent store may have dropped are sent anew" fails without the replacement.

--- a/libs/duties/include/masticstep/duties/StoreReach.hpp
+++ b/libs/duties/include/masticstep/duties/StoreReach.hpp
@@ -2,6 +2,7 @@
 
 #include "masticstep/base/Time.hpp"
 
+#include <cstdint>
 #include <optional>
 
 namespace masticstep::duties {
@@ -21,11 +22,14 @@
   void OnSent(Time aNow);
   // Must be called when the store has answered a call. A refusal for overload or an outage is no
   // answer.
-  void OnAnswered();
+  void OnAnswered(Time aNow);
   bool IsLost(Time aNow) const;
+  // Counts how often the store has answered again after it was lost.
+  std::uint64_t Recoveries() const { return mRecoveries; }
 
 private:
   std::optional<Time> mUnansweredSince; // first call since the latest answer
+  std::uint64_t mRecoveries = 0;
 };
 
 } // namespace masticstep::duties
--- a/libs/duties/src/StoreReach.cpp
+++ b/libs/duties/src/StoreReach.cpp
@@ -9,8 +9,9 @@
   }
 }
 
-void StoreReach::OnAnswered()
+void StoreReach::OnAnswered(Time aNow)
 {
+  mRecoveries += IsLost(aNow) ? 1 : 0;
   mUnansweredSince.reset();
 }
 
--- a/libs/duties/tests/StoreRolesTests.cpp
+++ b/libs/duties/tests/StoreRolesTests.cpp
@@ -111,8 +111,12 @@
   // Later calls do not hide the first one.
   reach.OnSent(kStart + Milliseconds(290));
   CHECK_TRUE(reach.IsLost(kStart + StoreReach::kMaximumSilence));
-  reach.OnAnswered();
+  CHECK_EQUAL(std::uint64_t{ 0 }, reach.Recoveries());
+  reach.OnAnswered(kStart + Seconds(20));
   CHECK_FALSE(reach.IsLost(kStart + Seconds(20)));
+  CHECK_EQUAL(std::uint64_t{ 1 }, reach.Recoveries());
   reach.OnSent(kStart + Seconds(20));
   CHECK_FALSE(reach.IsLost(kStart + Seconds(20)));
+  reach.OnAnswered(kStart + Seconds(20) + Milliseconds(4));
+  CHECK_EQUAL(std::uint64_t{ 1 }, reach.Recoveries());
 }
--- a/libs/relay/include/masticstep/relay/StoreSyncState.hpp
+++ b/libs/relay/include/masticstep/relay/StoreSyncState.hpp
@@ -29,7 +29,8 @@
   // daemon and by any peer.
   platform::Version backendChangeRevision;
   platform::Version peersBackendChangeRevision;
-  std::uint64_t storeEra = 0; // highest one that this daemon or any peer has seen
+  std::uint64_t peersRecoveries = 0; // how often a peer has said that it reaches the store again
+  std::uint64_t storeEra = 0;        // highest one that this daemon or any peer has seen
   // Times up to which this daemon, and any peer, has had responses of the store about both backend
   // servers and configuration.
   std::optional<Time> storeContact;
--- a/libs/relay/src/PlatformWatcher.cpp
+++ b/libs/relay/src/PlatformWatcher.cpp
@@ -5,6 +5,9 @@
 #include "masticstep/net/Sleep.hpp"
 #include "masticstep/telemetry/Log.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -22,6 +25,9 @@
 // after this delay.
 constexpr Duration kPeerVersionDelay = Milliseconds(500);
 constexpr Duration kNewsCheckInterval = Milliseconds(100);
+// Least time between two replacements of a feed's watch, so that a store that answers slowly gets
+// few more calls.
+constexpr Duration kReplacementInterval = Seconds(2);
 // A long poll counts as one call of the platform's rate limit, however long it waits.
 constexpr Duration kLongWatch = Seconds(12);
 // Followers read the state now and then even without news from their peers.
@@ -72,6 +78,7 @@
   }
   aFeedState.isConnected = true;
   aFeedState.lastResponse = net::Now();
+  mState->storeReach.OnAnswered(net::Now());
   // The older of both: peers rely on this daemon for both feeds, and the watch of one may have gone
   // silent while the other is answered.
   if (mBackendFeed.lastResponse != Time{} && mRouteTableFeed.lastResponse != Time{}) {
@@ -120,9 +127,53 @@
   aFeedState.lastFailure = net::Now();
 }
 
+template <class Reply>
+net::Task<std::optional<Reply>> PlatformWatcher::AwaitWatch(
+  FeedState& aFeedState, std::function<net::Task<Reply>()> aWatch)
+{
+  const std::shared_ptr<net::Signal> end = std::make_shared<net::Signal>(mState->executor);
+  const std::shared_ptr<std::optional<Reply>> reply = std::make_shared<std::optional<Reply>>();
+  aFeedState.watchEnd = end;
+  aFeedState.recoveriesBefore = Recoveries();
+  aFeedState.isWatching = true;
+  // A watch that is replaced goes on until its time limit; nobody reads its answer.
+  boost::asio::co_spawn(
+    mState->executor,
+    [end, reply, watch = std::move(aWatch)]() -> net::Task<void> {
+      reply->emplace(co_await watch());
+      end->Set();
+    },
+    boost::asio::detached);
+  co_await end->Wait();
+  aFeedState.isWatching = false;
+  co_return std::move(*reply);
+}
+
+std::uint64_t PlatformWatcher::Recoveries() const
+{
+  return mState->storeReach.Recoveries() + mState->storeSync.peersRecoveries;
+}
+
+void PlatformWatcher::ReplaceDoubtfulWatch(FeedState& aFeedState)
+{
+  const Time now = net::Now();
+  const bool isDoubtful = aFeedState.isWatching && Recoveries() != aFeedState.recoveriesBefore;
+  if (!isDoubtful || now < aFeedState.watchReplacedAt + kReplacementInterval) {
+    return;
+  }
+  aFeedState.watchReplacedAt = now;
+  mState->metrics
+    .GetCounter({ "masticstep_store_watches_replaced_total", "feed", aFeedState.name })
+    ->Add();
+  telemetry::Log(Level::Info, "watch sent anew after the store was lost",
+                 { { "feed", aFeedState.name }, { "revision", aFeedState.revision.value } });
+  aFeedState.watchEnd->Set();
+}
+
 net::Task<bool> PlatformWatcher::ListBackends()
 {
   const std::shared_ptr<PlatformFeed> feed = mFeed;
+  mState->storeReach.OnSent(net::Now());
   const Result<BackendUpdate, FeedError> reply = co_await feed->ListBackends();
   if (!reply) {
     OnError(mBackendFeed, reply.error());
@@ -152,10 +203,16 @@
       return mState->storeSync.peersBackendChangeRevision > mBackendFeed.revision;
     });
     const std::shared_ptr<PlatformFeed> feed = mFeed;
-    mBackendFeed.isWatching = true;
-    const Result<BackendUpdate, FeedError> reply =
-      co_await feed->WatchBackends(mBackendFeed.revision, WatchTime(mOptions.watchPause));
-    mBackendFeed.isWatching = false;
+    using Reply = Result<BackendUpdate, FeedError>;
+    std::function<net::Task<Reply>()> watch = [feed, revision = mBackendFeed.revision,
+                                               wait = WatchTime(mOptions.watchPause)] {
+      return feed->WatchBackends(revision, wait);
+    };
+    const std::optional<Reply> answer = co_await AwaitWatch<Reply>(mBackendFeed, std::move(watch));
+    if (!answer) {
+      continue;
+    }
+    const Reply& reply = *answer;
     if (!reply) {
       // A store that ends a watch with an error may have dropped changes that the watch did not
       // report, so the state is listed again.
@@ -224,6 +281,7 @@
                     mState->storeSync.peersNewestEntryRevision)) {
       co_await ListBackends();
     }
+    ReplaceDoubtfulWatch(mBackendFeed);
   }
 }
 
@@ -237,6 +295,7 @@
     if (NeedsResync(mRouteTableFeed, version, { mState->storeSync.peersConfigurationVersion })) {
       co_await ReadRouteTable();
     }
+    ReplaceDoubtfulWatch(mRouteTableFeed);
   }
 }
 
@@ -325,6 +384,7 @@
 {
   const std::shared_ptr<PlatformFeed> feed = mFeed;
   const Time sent = net::Now();
+  mState->storeReach.OnSent(sent);
   const Result<RouteTableUpdate, FeedError> reply = co_await feed->ReadRouteTable();
   if (!reply) {
     OnError(mRouteTableFeed, reply.error());
@@ -354,13 +414,19 @@
              (mState->table ? mState->table->Version() : 0);
     });
     const std::shared_ptr<PlatformFeed> feed = mFeed;
-    mRouteTableFeed.isWatching = true;
-    const Duration wait = RouteTableWatchTime();
+    using Reply = Result<RouteTableUpdate, FeedError>;
+    std::function<net::Task<Reply>()> watch = [feed, revision = mRouteTableFeed.revision,
+                                               wait = RouteTableWatchTime()] {
+      return feed->WatchRouteTable(revision, wait);
+    };
     const std::uint64_t versionBefore = mNewestVersionRead;
     const Time sent = net::Now();
-    const Result<RouteTableUpdate, FeedError> reply =
-      co_await feed->WatchRouteTable(mRouteTableFeed.revision, wait);
-    mRouteTableFeed.isWatching = false;
+    const std::optional<Reply> answer =
+      co_await AwaitWatch<Reply>(mRouteTableFeed, std::move(watch));
+    if (!answer) {
+      continue;
+    }
+    const Reply& reply = *answer;
     if (!reply) {
       OnError(mRouteTableFeed, reply.error());
       co_await net::Sleep(backoff.NextDelay());
--- a/libs/relay/src/PlatformWatcher.hpp
+++ b/libs/relay/src/PlatformWatcher.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "RejectedEntries.hpp"
+#include "masticstep/net/Signal.hpp"
 #include "masticstep/relay/PlatformFeed.hpp"
 #include "masticstep/relay/RelayState.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace masticstep::relay {
 
@@ -60,9 +62,12 @@
   struct FeedState
   {
     const char* name;
-    bool isConnected = false; // the last call succeeded
-    bool isWatching = false;  // a watch is pending
-    bool hasNewFeed = false;  // the feed was replaced and its state has not been read yet
+    bool isConnected = false;                // the last call succeeded
+    bool isWatching = false;                 // a watch is pending
+    std::shared_ptr<net::Signal> watchEnd{}; // ends the wait for the pending watch
+    std::uint64_t recoveriesBefore = 0;      // of the store, when the pending watch was sent
+    Time watchReplacedAt{};
+    bool hasNewFeed = false; // the feed was replaced and its state has not been read yet
     Time lastResponse{};
     Time lastFailure{};
     platform::Version revision{};            // of the newest state that was applied
@@ -86,6 +91,16 @@
   // Waits until this daemon must call the store itself: at once, unless it is a follower, and
   // otherwise when aHasNews returns true or the peers lose the store.
   net::Task<void> WaitForNews(const FeedState& aFeedState, std::function<bool()> aHasNews);
+  // Sends a watch and waits for its answer. Returns nullopt if the watch must be sent anew, since
+  // the store may have lost it.
+  template <class Reply>
+  net::Task<std::optional<Reply>> AwaitWatch(FeedState& aFeedState,
+                                             std::function<net::Task<Reply>()> aWatch);
+  // Lets a watch be sent anew if it was pending while the store was lost: a store that falls silent
+  // drops the watches that reach it then, and tells nobody.
+  void ReplaceDoubtfulWatch(FeedState& aFeedState);
+  // Counts how often this daemon or a peer has reached the store again.
+  std::uint64_t Recoveries() const;
   // Returns whether the whole state must be read now, even while a watch is pending.
   bool NeedsResync(FeedState& aFeedState, platform::Version aOwnVersion,
                    platform::Version aPeerVersion);
--- a/libs/relay/src/ReachTrackingStore.cpp
+++ b/libs/relay/src/ReachTrackingStore.cpp
@@ -35,7 +35,7 @@
   mStore->Submit(std::move(aRequest),
                  [state = mState, callback = std::move(aCallback)](PlatformReply aReply) {
                    if (IsAnswer(aReply.status)) {
-                     state->storeReach.OnAnswered();
+                     state->storeReach.OnAnswered(net::Now());
                    }
                    callback(std::move(aReply));
                  });
--- a/libs/relay/src/WorkReportChannel.cpp
+++ b/libs/relay/src/WorkReportChannel.cpp
@@ -51,6 +51,16 @@
 // Needs are sums over several seconds, so they change slowly.
 constexpr Duration kNeedInterval = Seconds(1);
 
+// Adds a host to a set or removes it. The set stays within kMaximumPeers.
+void SetMember(std::set<HostName>& aHosts, const HostName& aHost, bool aIsMember)
+{
+  if (!aIsMember) {
+    aHosts.erase(aHost);
+  } else if (aHosts.size() < kMaximumPeers) {
+    aHosts.insert(aHost);
+  }
+}
+
 } // namespace
 
 std::shared_ptr<WorkReportChannel> WorkReportChannel::Create(
@@ -132,11 +142,10 @@
   if (mEndpoints.size() < kMaximumPeers || mEndpoints.contains(report->host)) {
     mEndpoints[report->host] = aSender;
   }
-  if (!report->needsStandby) {
-    mPeersInNeed.erase(report->host);
-  } else if (mPeersInNeed.size() < kMaximumPeers) {
-    mPeersInNeed.insert(report->host);
-  }
+  SetMember(mPeersInNeed, report->host, report->needsStandby);
+  const bool wasStoreLost = mPeersWithoutStore.contains(report->host);
+  SetMember(mPeersWithoutStore, report->host, report->isStoreLost);
+  mState->storeSync.peersRecoveries += wasStoreLost && !report->isStoreLost ? 1 : 0;
   dispatch::WorkByBackend work;
   for (const wire::BackendWork& item : report->backends) {
     work[item.backend] = { item.prefillTime, item.requests, item.tokens };
@@ -254,6 +263,7 @@
       report.storeAge = now - *mState->storeSync.storeContact;
     }
     report.needsStandby = needsStandby;
+    report.isStoreLost = mState->storeReach.IsLost(now);
     toldNeedsStandby = needsStandby;
     for (const auto& [id, item] : work) {
       report.backends.push_back({ id, item.prefillTime, item.requests, item.tokens });
--- a/libs/relay/src/WorkReportChannel.hpp
+++ b/libs/relay/src/WorkReportChannel.hpp
@@ -106,7 +106,9 @@
   std::map<HostName, Udp::endpoint> mEndpoints;      // of peers that have sent reports
   std::map<HostName, Udp::endpoint> mFleetEndpoints; // of all data centres, from the store
   std::vector<HostName> mStoreWatchers;
-  std::set<HostName> mPeersInNeed; // by their latest reports, of a standby
+  // By their latest reports.
+  std::set<HostName> mPeersInNeed; // of a standby
+  std::set<HostName> mPeersWithoutStore;
   std::function<void(std::string_view)> mOnCrashReport = [](std::string_view /*aDatagram*/) {};
   std::function<void(std::string_view)> mOnOriginReport = [](std::string_view /*aDatagram*/) {};
   std::function<void(std::string_view)> mOnDutyReport = [](std::string_view /*aDatagram*/) {};
--- a/libs/relay/tests/PlatformWatcherTests.cpp
+++ b/libs/relay/tests/PlatformWatcherTests.cpp
@@ -32,7 +32,8 @@
   std::deque<Result<RouteTableUpdate, FeedError>> reads;
   std::deque<Result<RouteTableUpdate, FeedError>> tables; // of watches
   std::vector<platform::Version> watched;                 // revisions passed to WatchBackends
-  Duration backendWait{ 0 };                              // of the latest watch
+  bool isSilent = false;     // watches that arrive get no answer, also later
+  Duration backendWait{ 0 }; // of the latest watch
   Duration tableWait{ 0 };
 
   net::Task<Result<BackendUpdate, FeedError>> ListBackends() override
@@ -44,6 +45,7 @@
   {
     watched.push_back(aRevision);
     backendWait = aWait;
+    co_await DropIfSilent();
     co_return co_await Next(watches);
   }
   net::Task<Result<RouteTableUpdate, FeedError>> ReadRouteTable() override
@@ -54,10 +56,18 @@
                                                                  Duration aWait) override
   {
     tableWait = aWait;
+    co_await DropIfSilent();
     co_return co_await Next(tables);
   }
 
 private:
+  net::Task<void> DropIfSilent() const
+  {
+    const bool isDropped = isSilent;
+    while (isDropped) {
+      co_await net::Sleep(Seconds(1));
+    }
+  }
   template <class Reply>
   static net::Task<Reply> Next(std::deque<Reply>& aReplies)
   {
@@ -399,3 +409,46 @@
   CHECK_TRUE(fixture.feed->backendWait < Milliseconds(3));
   CHECK_TRUE(fixture.feed->tableWait < Milliseconds(3));
 }
+
+// Guards against configurations and changes of backend servers that arrive seconds late, because
+// the store fell silent as a watch reached it and has dropped that watch.
+MASTICSTEP_TEST("watches that a silent store may have dropped are sent anew",
+                "[relay][watcher][failure]")
+{
+  for (const bool isSeenByPeer : { false, true }) {
+    WatcherFixture fixture;
+    fixture.feed->lists.push_back(BackendUpdate{ {}, { 5 } });
+    fixture.feed->reads.push_back(RouteTableUpdate{ TableOf(3), { 5 } });
+    fixture.feed->isSilent = true;
+    const auto spawn = [&fixture](auto aRun) {
+      boost::asio::co_spawn(fixture.context, std::move(aRun), boost::asio::detached);
+    };
+    spawn([&fixture] { return fixture.watcher->RunBackendWatch(); });
+    spawn([&fixture] { return fixture.watcher->RunRouteTableWatch(); });
+    spawn([&fixture] { return fixture.watcher->RunBackendResync(); });
+    spawn([&fixture] { return fixture.watcher->RunRouteTableResync(); });
+    fixture.RunUntil([&fixture] {
+      return !fixture.feed->watched.empty() && fixture.feed->tableWait > Duration::zero();
+    });
+    fixture.feed->isSilent = false;
+    fixture.feed->watches.push_back(
+      BackendUpdate{ { { BackendServerName{ "a" }, MakeBackend("a"), { 8 } } }, { 9 } });
+    fixture.feed->tables.push_back(RouteTableUpdate{ TableOf(4), { 9 } });
+    fixture.RunFor(Milliseconds(400));
+    CHECK_FALSE(fixture.Has("a"));
+    if (isSeenByPeer) {
+      ++fixture.state->storeSync.peersRecoveries;
+    } else {
+      fixture.state->storeReach.OnSent(net::Now() - duties::StoreReach::kMaximumSilence);
+      fixture.state->storeReach.OnAnswered(net::Now());
+    }
+    // A new configuration must be in force within 2.5 s, answers of the store included.
+    const Time end = net::Now() + Seconds(1);
+    fixture.RunUntil([&] {
+      return net::Now() > end || (fixture.Has("a") && fixture.state->table->Version() == 4);
+    });
+    CHECK_TRUE(fixture.Has("a"));
+    CHECK_EQUAL(std::uint64_t{ 4 }, fixture.state->table->Version());
+    CHECK_EQUAL(platform::Version{ 5 }, fixture.feed->watched.at(1));
+  }
+}
--- a/libs/relay/tests/StreamOriginExchangeTests.cpp
+++ b/libs/relay/tests/StreamOriginExchangeTests.cpp
@@ -513,8 +513,10 @@
     restarted.SetVersions({ kOld, kNew });
     CHECK_EQUAL(kOld, restarted.Find(attempt));
     poller.path->fault = StoreFault::None;
+    const std::uint64_t recoveries = other.state->storeSync.peersRecoveries;
     context.run_for(Seconds(2));
     CHECK_FALSE(other.state->storeSync.isStorePoller);
+    CHECK_EQUAL(recoveries + 1, other.state->storeSync.peersRecoveries);
   }
   // Before a planned stop, since it ends without a last report.
   poller.state->drain = dispatch::DrainSchedule::Create(net::Now(), Seconds(8));
--- a/libs/wire/include/masticstep/wire/WorkReport.hpp
+++ b/libs/wire/include/masticstep/wire/WorkReport.hpp
@@ -53,6 +53,7 @@
   Duration clock{ 0 };
   // Whether the daemon cannot act as store poller; see duties::StoreRoles.
   bool needsStandby = false;
+  bool isStoreLost = false; // whether the store does not answer the daemon
 
   bool operator==(const WorkReport&) const = default;
 };
--- a/libs/wire/src/WorkReport.cpp
+++ b/libs/wire/src/WorkReport.cpp
@@ -58,7 +58,7 @@
   const flatbuffers::Offset<fb::WorkReport> report = fb::CreateWorkReport(
     builder, host, aReport.sequence, backendList, aReport.newestEntry, aReport.configuration,
     needList, aReport.backendChanges, EncodeAge(aReport.storeAge), aReport.storeEra,
-    aReport.clock / Microseconds(1), aReport.needsStandby);
+    aReport.clock / Microseconds(1), aReport.needsStandby, aReport.isStoreLost);
   fb::FinishWorkReportBuffer(builder, report);
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -85,7 +85,8 @@
                      DecodeAge(table->store_age_ms()),
                      table->store_era(),
                      Microseconds(std::clamp<std::int64_t>(table->clock_us(), 0, kMaximumClockUs)),
-                     table->needs_standby() };
+                     table->needs_standby(),
+                     table->store_lost() };
   for (const fb::BackendWork* item : *table->backends()) {
     if (item->backend() == nullptr) {
       return Failure(WireError{ WireErrorKind::MalformedBody,
--- a/libs/wire/tests/WorkReportTests.cpp
+++ b/libs/wire/tests/WorkReportTests.cpp
@@ -22,6 +22,7 @@
            Milliseconds(250),
            2,
            Seconds(1700000000),
+           true,
            true };
 }
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,7 +4,8 @@
 Usage: soak.py [--build DIR] [--seed N] [--minutes M | --runs N] [--jobs N] [--folder DIR]
                [--regressions] [-- OPTION...]
 
---regressions runs the seeds of tests/soak/seeds.txt first, without options. Options after -- are passed to the other runs.
+--regressions runs the seeds of tests/soak/seeds.txt first, with the options that it gives. Options after -- are passed to the
+other runs.
 The folder of a run is kept only if the run has findings; the exit code is 1 if any run has.
 """
 import argparse
@@ -38,9 +39,16 @@
     return result
 
 
-def regression_seeds():
+def regression_runs():
+    """Returns the seeds that failed in the past with their options, which stand before the cause."""
     lines = (pathlib.Path(__file__).resolve().parent.parent / "tests" / "soak" / "seeds.txt").read_text().splitlines()
-    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+    runs = []
+    for line in lines:
+        if line and not line.startswith("#"):
+            seed, *words = line.split()
+            is_option = lambda word: word.startswith("--") or word.isdigit()
+            runs.append((int(seed), list(itertools.takewhile(is_option, words))))
+    return runs
 
 
 def main():
@@ -60,7 +68,7 @@
     seeds = iter(range(options.seed, options.seed + options.runs)) if options.runs else itertools.count(options.seed)
     runs = ((seed, options.options) for seed in seeds)
     if options.regressions:
-        runs = itertools.chain(((seed, []) for seed in regression_seeds()), runs)
+        runs = itertools.chain(regression_runs(), runs)
     failed, count = [], 0
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         pending = set()
