Relay: withdraw an offer of a silent stream that gets no answer

Cause: the daemon awaited the answer to an offer until the deadline of the request, while the silent engine kept the stream. Evidence: the overlap is the length of the silence beyond its first second, 1.7 - 1.0 s.

Why this works: 350 ms after the offer was sent its connection is closed, unless the silent engine has ended, so both work for 400 ms at most.

Test: "an offer of a stream that gets no answer is withdrawn in time" fails without the bound.

--- a/libs/relay/src/PromptSession.hpp
+++ b/libs/relay/src/PromptSession.hpp
@@ -50,6 +50,7 @@
 
     net::Signal ended;
     bool hasEngineGoneOn = false;
+    bool isOver = false; // the silent engine has gone on, broken off or been given up
   };
   static constexpr std::uint32_t kMaximumPrefills = 3; // of one request
 
@@ -95,6 +96,10 @@
                                                dispatch::StreamSilence& aSilence);
   net::Task<std::optional<Offer>> OfferTo(const dispatch::PrefillPlacement& aPlacement,
                                           const SilentEngineWatch& aWatch);
+  // As StartDecode while a silent engine keeps the stream. Gives the engine up before both have
+  // worked on the stream for too long.
+  net::Task<Result<BackendResponseHead, ExchangeError>> StartOfferedDecode(
+    const dispatch::Backend& aEngine, Exchange& aExchange, const SilentEngineWatch& aWatch);
   // Returns whether nothing of the response has come until aUntil.
   net::Task<bool> IsSilent(Exchange& aExchange, Time aUntil);
   // Withdraws an offer under way if the silent engine sends an event or ends the response.
--- a/libs/relay/src/PromptStream.cpp
+++ b/libs/relay/src/PromptStream.cpp
@@ -1,6 +1,7 @@
 // The part of PromptSession that forwards the response stream of an engine.
 #include "AsyncPromptQueue.hpp"
 #include "PromptSession.hpp"
+#include "masticstep/net/Alarm.hpp"
 #include "masticstep/net/Clock.hpp"
 #include "masticstep/net/Signal.hpp"
 #include "masticstep/telemetry/Log.hpp"
@@ -17,6 +18,10 @@
 
 namespace {
 
+// Longest time for which a silent engine and the one that its stream is offered to may both work on
+// the stream. 400 ms are allowed; the rest is for the way to the engines.
+constexpr Duration kMaximumOverlap = Milliseconds(350);
+
 ExchangeError MakeError(net::NetErrorKind aKind, std::string aDetail)
 {
   return { Progress::Unknown, aKind, std::move(aDetail) };
@@ -147,6 +152,7 @@
   if (aWatch.hasEngineGoneOn && mActiveExchange != nullptr) {
     mActiveExchange->Close();
   }
+  aWatch.isOver = true;
   aWatch.ended.Set();
 }
 
@@ -233,7 +239,8 @@
   }
   std::unique_ptr<Exchange> exchange =
     std::make_unique<Exchange>(*mState, engine, mRequest.call.id, mUsedConnections);
-  const Result<BackendResponseHead, ExchangeError> head = co_await StartDecode(engine, *exchange);
+  const Result<BackendResponseHead, ExchangeError> head =
+    co_await StartOfferedDecode(engine, *exchange, aWatch);
   if (!head || !IsStream(*head, exchange->Headers())) {
     const ExchangeError error = head ? UnusableResponseError(*head) : head.error();
     exchange->Close();
@@ -244,6 +251,24 @@
   co_return Offer{ engine, std::move(exchange), *head };
 }
 
+net::Task<Result<BackendResponseHead, ExchangeError>> PromptSession::StartOfferedDecode(
+  const dispatch::Backend& aEngine, Exchange& aExchange, const SilentEngineWatch& aWatch)
+{
+  // The engine may run the stream without an answer, and the silent one may be sound.
+  const net::Alarm limit(mState->executor, net::Now() + kMaximumOverlap,
+                         [this, &aExchange, &aWatch] {
+                           if (aWatch.isOver) {
+                             return; // only this engine works on the stream
+                           }
+                           telemetry::Log(telemetry::Level::Info, "offer of a stream withdrawn",
+                                          { { "request_id", mRequest.call.id },
+                                            { "engine", aExchange.Backend().id.Text() },
+                                            { "reason", "no answer in time" } });
+                           aExchange.Close();
+                         });
+  co_return co_await StartDecode(aEngine, aExchange);
+}
+
 void PromptSession::StartResponse(const Exchange& aExchange, const BackendResponseHead& aHead)
 {
   net::HttpResponseHead head{ aHead.status,
--- a/libs/relay/tests/SilentEngineTests.cpp
+++ b/libs/relay/tests/SilentEngineTests.cpp
@@ -3,6 +3,7 @@
 #include "masticstep/testing/Test.hpp"
 
 #include <algorithm>
+#include <future>
 #include <thread>
 
 using namespace masticstep;
@@ -179,6 +180,28 @@
   slow.WaitForClose();
 }
 
+// Guards against two engines that work on one stream for longer than the 400 ms that are allowed,
+// because the one that it was offered to runs it without an answer.
+MASTICSTEP_TEST("an offer of a stream that gets no answer is withdrawn in time",
+                "[relay][silence][failure]")
+{
+  ScriptedBackend silent(SilentAfter(StreamHead().size() + Events(1, 2).size()));
+  std::promise<Time> offered;
+  ScriptedBackend mute([&offered](const std::string&) {
+    offered.set_value(net::Now());
+    return ScriptedResponse{};
+  });
+  RelayFixture fixture;
+  fixture.Add("e1", "llm", silent);
+  fixture.Add("e2", "llm", mute);
+  std::future<std::string> answer =
+    std::async(std::launch::async, [&fixture] { return fixture.SendRequest("POST", "/resume/"); });
+  const Time begin = offered.get_future().get();
+  mute.WaitForClose();
+  CHECK_TRUE(net::Now() - begin < Milliseconds(400));
+  CHECK_TRUE(IsWhole(answer.get(), 4));
+}
+
 // Guards against cutting a stream that another engine has not begun yet when its own breaks off.
 MASTICSTEP_TEST("an offered stream goes on although its silent engine breaks off",
                 "[relay][silence]")
