--- a/libs/relay/tests/PlatformWatcherTests.cpp
+++ b/libs/relay/tests/PlatformWatcherTests.cpp
@@ -63,8 +63,10 @@
 private:
   net::Task<void> DropIfSilent() const
   {
-    const bool isDropped = isSilent;
-    while (isDropped) {
+    if (!isSilent) {
+      co_return;
+    }
+    while (true) {
       co_await net::Sleep(Seconds(1));
     }
   }
--- a/libs/relay/tests/SoftwareVersionTests.cpp
+++ b/libs/relay/tests/SoftwareVersionTests.cpp
@@ -305,9 +305,9 @@
     const std::string stream = "s" + std::to_string(i);
     const std::size_t engine = services.Begin(stream);
     // A stream may break again; its caller then names the same attempt.
-    for (const std::string attempt : { "-second", "-third" }) {
-      CHECK_TRUE(Contains(services.Resume(stream, stream + attempt), "id: 4\n"));
-      CHECK_EQUAL(engine, services.EngineOf("Id: " + stream + attempt));
+    for (const std::string& attempt : { stream + "-second", stream + "-third" }) {
+      CHECK_TRUE(Contains(services.Resume(stream, attempt), "id: 4\n"));
+      CHECK_EQUAL(engine, services.EngineOf("Id: " + attempt));
     }
   }
 }
--- a/libs/relay/tests/StreamOriginExchangeTests.cpp
+++ b/libs/relay/tests/StreamOriginExchangeTests.cpp
@@ -423,13 +423,13 @@
 private:
   static constexpr Duration kCallTimeout = Seconds(1);
 
-  void ReplyLate(Callback aCallback, platform::PlatformReply aReply)
+  void ReplyLate(Callback aCallback, const platform::PlatformReply& aReply)
   {
     boost::asio::co_spawn(
       mContext,
-      [callback = std::move(aCallback), aReply]() -> net::Task<void> {
+      [callback = std::move(aCallback), reply = aReply]() -> net::Task<void> {
         co_await net::Sleep(kCallTimeout);
-        callback(aReply);
+        callback(reply);
       },
       boost::asio::detached);
   }
